--- /dev/null
+++ b/src/Admission/ServiceTimes.cpp
@@ -0,0 +1,61 @@
+#include "Admission/ServiceTimes.h"
+
+#include "Core/Random.h"
+
+#include <cctype>
+
+namespace cicadawind {
+
+std::optional<Duration> ServiceTimes::known(std::uint64_t Shape) const {
+  auto It = ByShape.find(Shape);
+  if (It == ByShape.end())
+    return std::nullopt;
+  return It->second.Mean;
+}
+
+Duration ServiceTimes::expected(std::uint64_t Shape) const {
+  return known(Shape).value_or(Opts.Default);
+}
+
+void ServiceTimes::observe(std::uint64_t Shape, Duration Took) {
+  auto It = ByShape.find(Shape);
+  if (It != ByShape.end()) {
+    Entry &Known = It->second;
+    auto Step = (Took - Known.Mean) * Opts.Weight;
+    Known.Mean += std::chrono::duration_cast<Duration>(Step);
+    Recency.splice(Recency.begin(), Recency, Known.Recent);
+    return;
+  }
+  Recency.push_front(Shape);
+  ByShape[Shape] = Entry{.Mean = Took, .Recent = Recency.begin()};
+  if (ByShape.size() <= Opts.MaxShapes)
+    return;
+  ByShape.erase(Recency.back());
+  Recency.pop_back();
+}
+
+std::uint64_t shapeOf(std::string_view Statement) {
+  std::uint64_t Hash = 0;
+  char Quote = '\0';
+  char Previous = ' ';
+  for (char C : Statement) {
+    if (Quote != '\0') {
+      if (C == Quote)
+        Quote = '\0';
+      continue;
+    }
+    if (C == '\'' || C == '"') {
+      Quote = C;
+      C = '?';
+    }
+    if (std::isdigit(static_cast<unsigned char>(C)))
+      C = '#';
+    if (C == '#' && Previous == '#')
+      continue;
+    Hash = mix(Hash, static_cast<unsigned char>(C));
+    Previous = C;
+  }
+  return Hash;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Core/Core.h
@@ -0,0 +1,15 @@
+/// \file
+/// Core module: verdicts, errors, results, positions and the clock that every
+/// other module shares. Value types only; nothing here does input or output.
+#ifndef CICADAWIND_CORE_CORE_H
+#define CICADAWIND_CORE_CORE_H
+
+#include "Core/Clock.h"
+#include "Core/Error.h"
+#include "Core/ErrorCode.h"
+#include "Core/LogPosition.h"
+#include "Core/Random.h"
+#include "Core/Result.h"
+#include "Core/Verdict.h"
+
+#endif
--- /dev/null
+++ b/src/Daemons/DaemonRuntime.h
@@ -0,0 +1,101 @@
+#ifndef CICADAWIND_DAEMONS_DAEMONRUNTIME_H
+#define CICADAWIND_DAEMONS_DAEMONRUNTIME_H
+
+#include "Async/LoopTimers.h"
+#include "Core/Random.h"
+#include "Daemons/DrainController.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpServer.h"
+#include "Observability/Metrics.h"
+#include "Peers/NoteSubmitter.h"
+#include "Peers/PeerNode.h"
+#include "Platform/PlatformClient.h"
+#include "Settings/DaemonSettings.h"
+#include "StateCharts/ChartSet.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cicadawind {
+
+/// \class DaemonRuntime
+/// \brief What both daemons share: loop, peers, operators' interface, drain.
+///
+/// The peer port serves /rpc to peers, /v1/status, /v1/drain and /v1/notes to
+/// operators with the operator key, and /metrics, /livez and /readyz to all.
+class DaemonRuntime {
+public:
+  struct Options {
+    DaemonSettings Settings;
+    ChartSet Charts;
+    DaemonRole Role = DaemonRole::Router;
+  };
+  /// Serves the role's own paths on the peer port; empty for unknown ones.
+  using PeerHandler =
+      std::function<boost::asio::awaitable<std::optional<HttpResponse>>(
+          HttpRequest)>;
+
+  explicit DaemonRuntime(Options Opts);
+  ~DaemonRuntime();
+
+  boost::asio::io_context &loop() { return Loop; }
+  HttpClient &http() { return Http; }
+  PlatformClient &platform() { return Platform; }
+  PeerNode &peers() { return Peers; }
+  Metrics &metrics() { return Meter; }
+  const DaemonSettings &settings() const { return Opts.Settings; }
+  const ChartSet &charts() const { return Opts.Charts; }
+  RandomSource random() const { return Random; }
+
+  /// Sets the role's part of the peer port, status and drain.
+  void setPeerHandler(PeerHandler Handler) { OnPeer = std::move(Handler); }
+  void setStatus(std::function<nlohmann::json()> Hook);
+  void setDrain(std::function<void()> StopIntake, std::function<bool()> IsIdle,
+                std::function<void(TimePoint Limit)> OnBegin);
+
+  /// Whether the request carries the peers' key.
+  bool fromPeer(const HttpRequest &Request) const;
+
+  /// 200 when the daemon can serve, else 503 with the reason.
+  HttpResponse readiness() const;
+
+  /// Serves until a planned stop has ended. SIGTERM and SIGINT begin one.
+  void run();
+
+private:
+  boost::asio::awaitable<HttpResponse> servePeerPort(HttpRequest Request);
+  boost::asio::awaitable<HttpResponse> serveOperator(HttpRequest Request);
+  boost::asio::awaitable<HttpResponse> submitNote(HttpRequest Request);
+  HttpResponse checkNote(const HttpRequest &Request) const;
+  HttpResponse listNotes(const HttpRequest &Request) const;
+  nlohmann::json statusJson() const;
+  void beginDrain();
+  std::uint16_t peerPort() const;
+
+  Options Opts;
+  RandomSource Random;
+  boost::asio::io_context Loop;
+  Metrics Meter;
+  LoopTimers Timers;
+  HttpClient Http;
+  PlatformClient Platform;
+  PeerNode Peers;
+  NoteSubmitter Submitter;
+  PeerHandler OnPeer;
+  std::function<nlohmann::json()> RoleStatus;
+  std::function<void()> StopIntake;
+  std::function<bool()> IsIdle;
+  std::function<void(TimePoint)> OnDrain;
+  std::unique_ptr<DrainController> Drain;
+  std::unique_ptr<HttpServer> PeerServer;
+  TimerSubscription LeavingCheck;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Daemons/DaemonStart.h
@@ -0,0 +1,21 @@
+#ifndef CICADAWIND_DAEMONS_DAEMONSTART_H
+#define CICADAWIND_DAEMONS_DAEMONSTART_H
+
+#include "Daemons/DaemonRuntime.h"
+
+#include <functional>
+
+namespace cicadawind {
+
+/// Version printed by all programs.
+extern const char *const ProgramVersion;
+
+/// Reads flags and settings, sets up logs and traces, and runs \p Serve with
+/// the daemon's runtime. Returns the program's exit code: 0 after a planned
+/// stop, 2 for wrong settings, 1 for any other failure to start.
+int startDaemon(int Argc, char **Argv, DaemonRole Role,
+                const std::function<void(DaemonRuntime &)> &Serve);
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Daemons/PoolerMain.cpp
@@ -0,0 +1,69 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Daemons/DaemonStart.h"
+#include "Observability/Span.h"
+#include "Pooler/PoolerService.h"
+#include "Targets/HttpDatabaseGroup.h"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+using namespace cicadawind;
+
+static boost::asio::awaitable<std::optional<HttpResponse>>
+serveRouter(DaemonRuntime &Runtime, PoolerService &Service,
+            HttpRequest Request) {
+  if (Request.Path != "/v1/execute")
+    co_return std::nullopt;
+  HttpResponse Response;
+  ExecuteAnswer Answer;
+  if (!Runtime.fromPeer(Request)) {
+    Response.Status = httpStatus(ErrorCode::Unauthorized);
+    Answer.Failure = Error{.Code = ErrorCode::Unauthorized,
+                           .Message = "the peer key is missing or wrong"};
+    Response.Body = encode(Answer);
+    co_return Response;
+  }
+  Result<ExecuteRequest> Call = decodeExecuteRequest(Request.Body);
+  if (const Error *E = errorOf(Call)) {
+    Response.Status = httpStatus(E->Code);
+    Answer.Failure = *E;
+    Response.Body = encode(Answer);
+    co_return Response;
+  }
+  TraceContext Context =
+      TraceContext::enter(Request.header("traceparent"), Runtime.random());
+  Span Hop("pooler execute", Context);
+  Hop.note("target", valueOf(Call).Target);
+  Answer = co_await Service.serve(std::move(valueOf(Call)));
+  Response.Body = encode(Answer);
+  co_return Response;
+}
+
+static void serve(DaemonRuntime &Runtime) {
+  HttpDatabaseGroup Group(Runtime.loop(), Runtime.http());
+  PoolerService::Options Opts;
+  Opts.Vm = Runtime.settings().Vm;
+  Opts.Charts = Runtime.charts();
+  Opts.Random = Runtime.random();
+  PoolerService Service(Runtime.loop(), Opts, Runtime.peers(), Group,
+                        Runtime.platform(), Runtime.metrics());
+  Runtime.setPeerHandler([&](HttpRequest Request) {
+    return serveRouter(Runtime, Service, std::move(Request));
+  });
+  Runtime.setStatus([&Service] { return Service.status(); });
+  auto IsIdle = [&Service] {
+    return Service.inFlight() == 0 && Service.openTransactions() == 0;
+  };
+  Runtime.setDrain([] {}, IsIdle,
+                   [&Service](TimePoint Limit) { Service.drain(Limit); });
+  Service.start();
+  Runtime.run();
+}
+
+int main(int Argc, char **Argv) {
+  gflags::SetUsageMessage("Owns targets: connections, slots, terms.\n"
+                          "Usage: cicadawind-pooler --settings=FILE");
+  return startDaemon(Argc, Argv, DaemonRole::Pooler, serve);
+}
--- /dev/null
+++ b/src/Http/Http.h
@@ -0,0 +1,12 @@
+/// \file
+/// Http module: server and client on one event loop.
+#ifndef CICADAWIND_HTTP_HTTP_H
+#define CICADAWIND_HTTP_HTTP_H
+
+#include "Http/HttpClient.h"
+#include "Http/HttpConnection.h"
+#include "Http/HttpFailure.h"
+#include "Http/HttpMessage.h"
+#include "Http/HttpServer.h"
+
+#endif
--- /dev/null
+++ b/src/Http/HttpClient.cpp
@@ -0,0 +1,74 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Http/HttpClient.h"
+
+#include "Http/HttpConnection.h"
+
+#include <algorithm>
+
+namespace cicadawind {
+
+HttpClient::HttpClient(boost::asio::io_context &Loop, Options Opts)
+    : Loop(Loop), Opts(Opts) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpConnection>
+HttpClient::takeIdle(const std::string &Address) {
+  auto It = Idle.find(Address);
+  if (It == Idle.end())
+    return nullptr;
+  TimePoint Now = BootClock::now();
+  std::unique_ptr<HttpConnection> Found;
+  while (!It->second.empty() && !Found) {
+    IdleConnection Last = std::move(It->second.back());
+    It->second.pop_back();
+    bool Fresh = Now - Last.Since < Opts.IdleLimit;
+    if (Fresh && Last.Link->isOpen())
+      Found = std::move(Last.Link);
+  }
+  while (!It->second.empty() &&
+         Now - It->second.front().Since >= Opts.IdleLimit)
+    It->second.pop_front();
+  if (It->second.empty())
+    Idle.erase(It);
+  return Found;
+}
+
+void HttpClient::giveBack(std::unique_ptr<HttpConnection> Link) {
+  if (!Link->isOpen())
+    return;
+  std::deque<IdleConnection> &Queue = Idle[Link->address()];
+  if (Queue.size() >= Opts.MaxIdlePerPeer)
+    Queue.pop_front();
+  Queue.push_back(
+      IdleConnection{.Link = std::move(Link), .Since = BootClock::now()});
+}
+
+boost::asio::awaitable<HttpResult>
+HttpClient::call(std::string Address, HttpRequest Request, Duration Limit) {
+  TimePoint Start = BootClock::now();
+  ++Calls;
+  std::unique_ptr<HttpConnection> Link = takeIdle(Address);
+  if (!Link) {
+    Link = std::make_unique<HttpConnection>(Loop, Address);
+    Duration ConnectLimit = std::min(Opts.ConnectLimit, Limit);
+    bool Connected = co_await Link->connect(ConnectLimit);
+    if (!Connected)
+      co_return HttpFailure{.Message = "cannot connect to " + Address};
+  }
+  Duration Left = Limit - (BootClock::now() - Start);
+  if (Left <= Duration::zero())
+    co_return HttpFailure{.TimedOut = true,
+                          .Message = "no time left to call " + Address};
+  BodyBytes += Request.Body.size();
+  HttpResult Result = co_await Link->call(std::move(Request), Left);
+  if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result)) {
+    BodyBytes += Response->Body.size();
+    giveBack(std::move(Link));
+  }
+  co_return Result;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Http/HttpServer.cpp
@@ -0,0 +1,258 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Http/HttpServer.h"
+
+#include <boost/asio.hpp>
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <map>
+#include <stdexcept>
+
+namespace cicadawind {
+namespace internal {
+
+namespace asio = boost::asio;
+
+/// Bodies that RESTinio still reads, so that they get an answer.
+constexpr std::uint64_t HardBodyLimit = 16 * 1024 * 1024;
+constexpr std::uint64_t MaxUrlBytes = 4096;
+constexpr std::uint64_t MaxHeaderNameBytes = 256;
+constexpr std::uint64_t MaxHeaderValueBytes = 16 * 1024;
+constexpr std::size_t MaxHeaderCount = 64;
+
+/// Counts connections by peer address.
+struct PeerConnections {
+  std::size_t Limit = 0;
+  std::map<std::uint64_t, std::string> ById;
+  std::map<std::string, std::size_t> Count;
+};
+
+/// Tells PeerConnections about opened and closed connections.
+class ConnectionListener {
+public:
+  explicit ConnectionListener(std::shared_ptr<PeerConnections> Peers)
+      : Peers(std::move(Peers)) {}
+
+  // The name is RESTinio's.
+  void state_changed( // NOLINT(readability-identifier-naming)
+      const restinio::connection_state::notice_t &Notice) noexcept {
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+            Notice.cause()))
+      opened(Notice);
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+            Notice.cause()))
+      closed(Notice);
+  }
+
+private:
+  void opened(const restinio::connection_state::notice_t &Notice) {
+    std::string Address = Notice.remote_endpoint().address().to_string();
+    Peers->ById[Notice.connection_id()] = Address;
+    ++Peers->Count[Address];
+  }
+  void closed(const restinio::connection_state::notice_t &Notice) {
+    auto It = Peers->ById.find(Notice.connection_id());
+    if (It == Peers->ById.end())
+      return;
+    auto Counted = Peers->Count.find(It->second);
+    if (--Counted->second == 0)
+      Peers->Count.erase(Counted);
+    Peers->ById.erase(It);
+  }
+
+  std::shared_ptr<PeerConnections> Peers;
+};
+
+/// Refuses peers that hold too many connections.
+class PeerLimiter {
+public:
+  explicit PeerLimiter(std::shared_ptr<PeerConnections> Peers)
+      : Peers(std::move(Peers)) {}
+
+  restinio::ip_blocker::inspection_result_t
+  inspect(const restinio::ip_blocker::incoming_info_t &Info) noexcept {
+    auto It = Peers->Count.find(Info.remote_endpoint().address().to_string());
+    bool Full = It != Peers->Count.end() && It->second >= Peers->Limit;
+    return Full ? restinio::ip_blocker::deny() : restinio::ip_blocker::allow();
+  }
+
+private:
+  std::shared_ptr<PeerConnections> Peers;
+};
+
+/// Configures RESTinio for one thread and the listeners above.
+struct ServerTraits : restinio::default_single_thread_traits_t {
+  using connection_state_listener_t = // NOLINT(readability-identifier-naming)
+      ConnectionListener;
+  using ip_blocker_t = PeerLimiter; // NOLINT(readability-identifier-naming)
+  static constexpr bool
+      use_connection_count_limiter = // NOLINT(readability-identifier-naming)
+      true;
+};
+
+static std::string lowerCase(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Text;
+}
+
+static HttpRequest toRequest(const restinio::request_handle_t &Incoming) {
+  HttpRequest Request;
+  const auto &Header = Incoming->header();
+  Request.Method = Header.method().c_str();
+  Request.Path = std::string(Header.path());
+  Request.Peer = Incoming->remote_endpoint().address().to_string();
+  Request.Body = Incoming->body();
+  Header.for_each_field([&](const auto &Field) {
+    Request.Headers[lowerCase(Field.name())] = Field.value();
+  });
+  auto Query = restinio::try_parse_query<
+      restinio::parse_query_traits::javascript_compatible>(Header.query());
+  if (Query)
+    for (const auto &[Key, Value] : *Query)
+      Request.Query[std::string(Key)] = std::string(Value);
+  return Request;
+}
+
+static std::string reasonOf(int Status) {
+  switch (Status) {
+  case 200:
+    return "OK";
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 413:
+    return "Payload Too Large";
+  case 503:
+    return "Service Unavailable";
+  default:
+    return "Status";
+  }
+}
+
+static void respond(const restinio::request_handle_t &Incoming,
+                    const HttpResponse &Response) {
+  auto Status = restinio::http_status_line_t(
+      restinio::http_status_code_t(static_cast<std::uint16_t>(Response.Status)),
+      reasonOf(Response.Status));
+  auto Builder = Incoming->create_response(Status);
+  Builder.append_header(restinio::http_field::content_type,
+                        Response.ContentType);
+  for (const auto &[Name, Value] : Response.Headers)
+    Builder.append_header(Name, Value);
+  Builder.set_body(Response.Body);
+  Builder.done();
+}
+
+} // namespace internal
+
+class HttpServer::Impl {
+public:
+  using Server = restinio::http_server_t<internal::ServerTraits>;
+
+  Impl(boost::asio::io_context &Loop, Options NewOpts, HttpHandler NewHandler)
+      : Loop(Loop), Opts(std::move(NewOpts)), Handler(std::move(NewHandler)),
+        Peers(std::make_shared<internal::PeerConnections>()) {
+    Peers->Limit = Opts.MaxConnectionsPerPeer;
+    Listener = std::make_unique<Server>(
+        restinio::external_io_context(Loop),
+        [this](auto &Settings) { configure(Settings); });
+    Listener->open_async([] {},
+                         [this](std::exception_ptr E) { OpenError = E; });
+    // Binding is posted to the loop; run it before anything depends on it.
+    while (Port == 0 && !OpenError)
+      Loop.run_one();
+    if (OpenError)
+      std::rethrow_exception(OpenError);
+  }
+
+  std::uint16_t port() const { return Port; }
+
+  void stop() {
+    if (std::exchange(Stopped, true))
+      return;
+    Listener->close_async([] {}, [](std::exception_ptr) {});
+  }
+
+private:
+  template <class Settings> void configure(Settings &S) {
+    S.address(Opts.Address)
+        .port(Opts.Port)
+        .protocol(restinio::asio_ns::ip::tcp::v4())
+        .max_parallel_connections(Opts.MaxConnections)
+        .read_next_http_message_timelimit(Opts.IdleLimit)
+        .handle_request_timeout(Opts.HandleLimit)
+        .write_http_response_timelimit(std::chrono::seconds(30))
+        .buffer_size(4096)
+        .connection_state_listener(
+            std::make_shared<internal::ConnectionListener>(Peers))
+        .ip_blocker(std::make_shared<internal::PeerLimiter>(Peers))
+        .acceptor_options_setter([](auto &Options) {
+          Options.set_option(
+              restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
+        })
+        .socket_options_setter([](auto &Options) {
+          Options.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+        })
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t()
+                .max_url_size(internal::MaxUrlBytes)
+                .max_field_name_size(internal::MaxHeaderNameBytes)
+                .max_field_value_size(internal::MaxHeaderValueBytes)
+                .max_field_count(internal::MaxHeaderCount)
+                .max_body_size(internal::HardBodyLimit))
+        .acceptor_post_bind_hook(
+            [this](auto &Acceptor) { Port = Acceptor.local_endpoint().port(); })
+        .request_handler([this](restinio::request_handle_t Incoming) {
+          boost::asio::co_spawn(Loop, serve(std::move(Incoming)),
+                                boost::asio::detached);
+          return restinio::request_accepted();
+        });
+  }
+
+  boost::asio::awaitable<void> serve(restinio::request_handle_t Incoming) {
+    HttpRequest Request = internal::toRequest(Incoming);
+    HttpResponse Response;
+    if (Request.Body.size() > Opts.MaxBodyBytes) {
+      Response.Status = 413;
+      Response.Body = R"({"verdict":"not_run","error":{"code":"too_large",)"
+                      R"("message":"the body is too large"}})";
+      internal::respond(Incoming, Response);
+      co_return;
+    }
+    try {
+      Response = co_await Handler(std::move(Request));
+    } catch (const std::exception &) {
+      // The handler's own work may have begun, so nothing better can be said.
+      Response.Status = 500;
+      Response.Body = R"({"verdict":"may_have_run","error":{"code":)"
+                      R"("internal","message":"internal error"}})";
+    }
+    internal::respond(Incoming, Response);
+  }
+
+  boost::asio::io_context &Loop;
+  Options Opts;
+  HttpHandler Handler;
+  std::shared_ptr<internal::PeerConnections> Peers;
+  std::unique_ptr<Server> Listener;
+  std::exception_ptr OpenError;
+  std::uint16_t Port = 0;
+  bool Stopped = false;
+};
+
+HttpServer::HttpServer(boost::asio::io_context &Loop, Options Opts,
+                       HttpHandler Handler)
+    : Self(std::make_unique<Impl>(Loop, std::move(Opts), std::move(Handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+std::uint16_t HttpServer::port() const { return Self->port(); }
+
+void HttpServer::stop() { Self->stop(); }
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Membership/MemberTable.h
@@ -0,0 +1,88 @@
+#ifndef CICADAWIND_MEMBERSHIP_MEMBERTABLE_H
+#define CICADAWIND_MEMBERSHIP_MEMBERTABLE_H
+
+#include "Core/Clock.h"
+#include "Core/Random.h"
+#include "Membership/VmEntry.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class MemberTable
+/// \brief The VMs that a daemon knows, merged from every source.
+///
+/// Sources are the platform's lagging list, release notes that withdraw VMs,
+/// what peers say, and the daemon's own failed calls. "Leaving" from any
+/// source wins over "live" of the same incarnation. Suspicion is local and
+/// runs out by itself. O(VMs) memory; not thread safe.
+class MemberTable {
+public:
+  struct Options {
+    std::string OwnVm;
+    std::string FailureDomain;
+    std::string Region;
+    /// How long a failed call keeps a peer from being chosen first.
+    Duration SuspectFor = std::chrono::seconds(3);
+  };
+
+  explicit MemberTable(Options Opts);
+
+  /// Merges one entry from the platform or a peer.
+  void merge(const VmEntry &Entry);
+
+  /// Takes in the platform's list. VMs that its previous version held and this
+  /// one does not are dropped.
+  void replaceAll(const std::vector<VmEntry> &Entries);
+
+  /// Names of VMs that release notes withdraw.
+  void setWithdrawn(std::set<std::string> Names);
+
+  /// A call to \p Vm failed at \p Now.
+  void suspect(const std::string &Vm, TimePoint Now);
+  /// \p Vm answered.
+  void clearSuspicion(const std::string &Vm);
+
+  bool isLeaving(const std::string &Vm) const;
+  bool isSuspected(const std::string &Vm, TimePoint Now) const;
+
+  std::vector<VmEntry> all() const;
+
+  /// VMs that may get new work: known, not leaving, not withdrawn.
+  std::vector<VmEntry> usable() const;
+
+  /// VMs whose poolers may own the target \p Target in \p FailureDomain, best
+  /// first: usable VMs of that failure domain in rendezvous order, suspected
+  /// ones last; VMs of \p Region, then others, when that domain has none.
+  std::vector<VmEntry> ownersOf(const std::string &Target,
+                                const std::string &FailureDomain,
+                                const std::string &Region, TimePoint Now) const;
+
+  /// Whether this VM is among the \p Count first of its failure domain for
+  /// \p Duty; spreads duties such as watching the store.
+  bool hasDuty(const std::string &Duty, std::size_t Count, TimePoint Now) const;
+
+  /// A random peer: one of the own failure domain, or, when \p Elsewhere, one
+  /// outside. Empty when there is none.
+  std::optional<VmEntry> randomPeer(bool Elsewhere, std::uint64_t Random,
+                                    TimePoint Now) const;
+
+private:
+  std::vector<VmEntry> ranked(const std::string &Key,
+                              std::vector<VmEntry> Candidates,
+                              TimePoint Now) const;
+
+  Options Opts;
+  std::map<std::string, VmEntry> Entries;
+  std::set<std::string> Withdrawn;
+  std::set<std::string> LastListed;
+  std::map<std::string, TimePoint> SuspectedUntil;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Peers/NoteStore.cpp
@@ -0,0 +1,136 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Peers/NoteStore.h"
+
+#include "Platform/ObjectStore.h"
+
+#include <cstdlib>
+
+namespace cicadawind {
+namespace internal {
+
+static const std::string NoteKind = "notes";
+static const std::string HeadName = "head";
+static const std::string SnapshotName = "snapshot";
+
+} // namespace internal
+
+NoteStore::NoteStore(ObjectStore &Store, ConfigHistory &History)
+    : Store(Store), History(History) {}
+
+boost::asio::awaitable<Result<NoteDocument>>
+NoteStore::read(std::uint64_t Number, Duration Limit) {
+  std::string Name = std::to_string(Number);
+  Result<StoredObject> Object =
+      co_await Store.read(internal::NoteKind, Name, Limit);
+  if (const Error *E = errorOf(Object))
+    co_return *E;
+  if (!valueOf(Object).exists())
+    co_return NoteDocument();
+  co_return decodeDocument(valueOf(Object).Value);
+}
+
+boost::asio::awaitable<Status> NoteStore::takeSnapshot(Duration Limit) {
+  Result<StoredObject> Object =
+      co_await Store.read(internal::NoteKind, internal::SnapshotName, Limit);
+  if (const Error *E = errorOf(Object))
+    co_return *E;
+  if (!valueOf(Object).exists())
+    co_return std::monostate();
+  Result<ServiceConfig> Config = decodeConfig(valueOf(Object).Value);
+  if (const Error *E = errorOf(Config))
+    co_return *E;
+  History.applySnapshot(valueOf(Config));
+  co_return std::monostate();
+}
+
+boost::asio::awaitable<Status> NoteStore::catchUp(Duration Limit) {
+  if (History.number() == 0) {
+    Status Taken = co_await takeSnapshot(Limit);
+    if (errorOf(Taken))
+      co_return Taken;
+  }
+  for (;;) {
+    Result<NoteDocument> Next = co_await read(History.number() + 1, Limit);
+    if (const Error *E = errorOf(Next))
+      co_return *E;
+    if (valueOf(Next).Number == 0)
+      co_return std::monostate();
+    Status Applied = History.applyNote(valueOf(Next));
+    if (errorOf(Applied))
+      co_return Applied;
+  }
+}
+
+boost::asio::awaitable<Status> NoteStore::watch(Duration Wait) {
+  Result<StoredObject> Head = co_await Store.watch(
+      internal::NoteKind, internal::HeadName, HeadVersion, Wait);
+  if (const Error *E = errorOf(Head))
+    co_return *E;
+  HeadVersion = valueOf(Head).Version;
+  std::uint64_t Stored =
+      std::strtoull(valueOf(Head).Value.c_str(), nullptr, 10);
+  Status Caught = co_await catchUp(Wait);
+  // A submitter may have died between creating its note and moving the head.
+  if (!errorOf(Caught) && History.number() > Stored)
+    co_await moveHead(History.number(), Wait);
+  co_return Caught;
+}
+
+boost::asio::awaitable<NoteStore::CreateEnd>
+NoteStore::create(NoteDocument Document, Duration Limit) {
+  std::uint64_t Number = Document.Number;
+  std::string Name = std::to_string(Number);
+  std::string Text = encodeDocument(Document);
+  WriteAnswer Answer =
+      co_await Store.write(internal::NoteKind, Name, Text, 0, Limit);
+  switch (Answer.End) {
+  case WriteEnd::Conflict:
+    co_return CreateEnd::Taken;
+  case WriteEnd::Unknown:
+    co_return CreateEnd::Unknown;
+  case WriteEnd::NotWritten:
+    co_return CreateEnd::NotWritten;
+  case WriteEnd::Accepted:
+    break;
+  }
+  co_await moveHead(Number, Limit);
+  co_return CreateEnd::Created;
+}
+
+boost::asio::awaitable<void> NoteStore::moveHead(std::uint64_t Number,
+                                                 Duration Limit) {
+  Result<StoredObject> Head =
+      co_await Store.read(internal::NoteKind, internal::HeadName, Limit);
+  if (errorOf(Head))
+    co_return;
+  std::uint64_t Stored =
+      std::strtoull(valueOf(Head).Value.c_str(), nullptr, 10);
+  if (Stored >= Number)
+    co_return;
+  std::string Text = std::to_string(Number);
+  std::uint64_t Version = valueOf(Head).Version;
+  co_await Store.write(internal::NoteKind, internal::HeadName, Text, Version,
+                       Limit);
+  if (Number % SnapshotEvery == 0)
+    co_await writeSnapshot(Limit);
+}
+
+boost::asio::awaitable<void> NoteStore::writeSnapshot(Duration Limit) {
+  Result<StoredObject> Old =
+      co_await Store.read(internal::NoteKind, internal::SnapshotName, Limit);
+  if (errorOf(Old))
+    co_return;
+  std::string Text = encodeConfig(History.config());
+  std::uint64_t Version = valueOf(Old).Version;
+  if (Version != 0) {
+    Result<ServiceConfig> Stored = decodeConfig(valueOf(Old).Value);
+    if (!errorOf(Stored) && valueOf(Stored).Number >= History.number())
+      co_return;
+  }
+  co_await Store.write(internal::NoteKind, internal::SnapshotName, Text,
+                       Version, Limit);
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Peers/NoteSubmitter.cpp
@@ -0,0 +1,158 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Peers/NoteSubmitter.h"
+
+#include "Async/AsyncSignal.h"
+#include "Peers/NoteStore.h"
+#include "ReleaseNotes/ConfigHistory.h"
+#include "StateCharts/ChartInstance.h"
+
+#include <algorithm>
+
+namespace cicadawind {
+namespace internal {
+
+constexpr Duration StoreCallLimit = std::chrono::seconds(2);
+constexpr Duration SettlePause = std::chrono::milliseconds(100);
+
+} // namespace internal
+
+NoteSubmitter::NoteSubmitter(NoteStore &Store, ConfigHistory &History,
+                             std::shared_ptr<const StateChart> Chart)
+    : Store(Store), History(History), Chart(std::move(Chart)) {}
+
+Status NoteSubmitter::check(const std::string &Text,
+                            const std::string &Origin) const {
+  Result<ReleaseNote> Note = ReleaseNote::parse(Text, Origin);
+  if (const Error *E = errorOf(Note))
+    return *E;
+  Result<ServiceConfig> Next = valueOf(Note).apply(History.config(), Origin);
+  if (const Error *E = errorOf(Next))
+    return *E;
+  return std::monostate();
+}
+
+std::uint64_t
+NoteSubmitter::findSubmission(const std::string &Submission) const {
+  std::uint64_t Oldest = History.number() > ConfigHistory::KeptNotes
+                             ? History.number() - ConfigHistory::KeptNotes
+                             : 0;
+  while (Oldest < History.number() && !History.canBridge(Oldest))
+    ++Oldest;
+  for (const NoteDocument &Document : History.documentsAfter(Oldest))
+    if (Document.Submission == Submission)
+      return Document.Number;
+  return 0;
+}
+
+Status NoteSubmitter::checkConflicts(const ReleaseNote &Note,
+                                     std::uint64_t Since) const {
+  std::uint64_t From = Note.Base.value_or(Since);
+  if (From >= History.number())
+    return std::monostate();
+  if (!History.canBridge(From))
+    return Error{.Code = ErrorCode::Conflict,
+                 .Message = "base " + std::to_string(From) +
+                            " is too old; read the configuration again"};
+  for (const NoteDocument &Document : History.documentsAfter(From)) {
+    std::string Number = std::to_string(Document.Number);
+    Result<ReleaseNote> Other =
+        ReleaseNote::parse(Document.Text, "note " + Number);
+    if (errorOf(Other))
+      continue;
+    std::string Subject = Note.conflictWith(valueOf(Other));
+    if (!Subject.empty())
+      return Error{.Code = ErrorCode::Conflict,
+                   .Message = "note " + Number + " by " +
+                              valueOf(Other).Author +
+                              " was accepted first and also names " + Subject};
+  }
+  return std::monostate();
+}
+
+boost::asio::awaitable<Result<std::uint64_t>>
+NoteSubmitter::submit(std::string Text, std::string Origin,
+                      std::string Submission, Duration Limit) {
+  Result<ReleaseNote> Note = ReleaseNote::parse(Text, Origin);
+  if (const Error *E = errorOf(Note))
+    co_return *E;
+  TimePoint End = BootClock::now() + Limit;
+  ChartInstance Walk(Chart);
+  std::optional<std::uint64_t> Since;
+  Error Why{.Code = ErrorCode::StoreUnavailable,
+            .Message = "the platform's store is away; nothing was changed"};
+  // A create without an answer may still take effect later.
+  bool CreateInDoubt = false;
+  NoteDocument Document{
+      .Number = 0, .Submission = Submission, .Text = std::move(Text)};
+  while (!Walk.finished()) {
+    bool Expired = BootClock::now() >= End;
+    if (Walk.is("reading")) {
+      Status Read = co_await Store.catchUp(internal::StoreCallLimit);
+      if (const Error *E = errorOf(Read)) {
+        Why = *E;
+        Walk.fire("unavailable");
+        continue;
+      }
+      Since = Since.value_or(History.number());
+      Walk.fire("read");
+    } else if (Walk.is("checking")) {
+      Document.Number = findSubmission(Submission);
+      if (Document.Number != 0)
+        co_return Document.Number;
+      Document.Number = History.number() + 1;
+      Status Free = checkConflicts(valueOf(Note), *Since);
+      if (const Error *E = errorOf(Free)) {
+        Why = *E;
+        Walk.fire("conflict");
+        continue;
+      }
+      Result<ServiceConfig> Next =
+          valueOf(Note).apply(History.config(), Origin);
+      if (const Error *E = errorOf(Next))
+        Why = *E;
+      Walk.fire(errorOf(Next) ? "invalid" : "valid");
+    } else if (Walk.is("creating")) {
+      NoteStore::CreateEnd Created =
+          co_await Store.create(Document, internal::StoreCallLimit);
+      if (Created == NoteStore::CreateEnd::Created) {
+        Walk.fire("created");
+        History.applyNote(Document);
+      } else if (Created == NoteStore::CreateEnd::Taken) {
+        // Either another note, or an earlier create of this one.
+        Walk.fire("unknown");
+      } else if (Created == NoteStore::CreateEnd::Unknown) {
+        CreateInDoubt = true;
+        Walk.fire("unknown");
+      } else {
+        Walk.fire("unavailable");
+      }
+    } else if (Walk.is("settling")) {
+      Result<NoteDocument> Stored =
+          co_await Store.read(Document.Number, internal::StoreCallLimit);
+      if (errorOf(Stored)) {
+        Walk.fire(Expired ? "expired" : "unknown");
+        co_await sleepFor(internal::SettlePause);
+      } else if (valueOf(Stored).Number == 0) {
+        Walk.fire(Expired ? "expired" : "absent");
+      } else if (valueOf(Stored).Submission == Submission) {
+        Walk.fire("mine");
+        co_await Store.catchUp(internal::StoreCallLimit);
+      } else {
+        CreateInDoubt = false;
+        Walk.fire("other");
+      }
+    }
+  }
+  if (Walk.is("accepted"))
+    co_return Document.Number;
+  if (Walk.is("unsettled") || CreateInDoubt) {
+    Why.Outcome = Verdict::MayHaveRun;
+    Why.Message = "the store did not answer; submit again with the same "
+                  "submission id to learn the outcome";
+  }
+  co_return Why;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Peers/Peers.h
@@ -0,0 +1,10 @@
+/// \file
+/// Peers module: how daemons share release notes and membership.
+#ifndef CICADAWIND_PEERS_PEERS_H
+#define CICADAWIND_PEERS_PEERS_H
+
+#include "Peers/NoteStore.h"
+#include "Peers/NoteSubmitter.h"
+#include "Peers/PeerNode.h"
+
+#endif
--- /dev/null
+++ b/src/Platform/PlatformClient.cpp
@@ -0,0 +1,118 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Platform/PlatformClient.h"
+
+#include "Http/HttpClient.h"
+#include "Membership/VmEntryCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cicadawind {
+namespace internal {
+
+/// Time that a watch's answer may take beyond its wait.
+constexpr Duration WatchSlack = std::chrono::seconds(1);
+
+static Error storeError(const std::string &Message) {
+  return Error{.Code = ErrorCode::StoreUnavailable, .Message = Message};
+}
+
+static Result<StoredObject> readAnswer(const HttpResult &Result) {
+  if (const HttpFailure *Failure = std::get_if<HttpFailure>(&Result))
+    return storeError(Failure->Message);
+  const HttpResponse &Response = std::get<HttpResponse>(Result);
+  if (Response.Status == 404)
+    return StoredObject();
+  if (Response.Status != 200)
+    return storeError("the platform answered " +
+                      std::to_string(Response.Status));
+  nlohmann::json Json = nlohmann::json::parse(Response.Body, nullptr, false);
+  if (!Json.is_object() || !Json.contains("value") ||
+      !Json.contains("version") || !Json["value"].is_string())
+    return storeError("the platform's answer is malformed");
+  return StoredObject{.Value = Json["value"].get<std::string>(),
+                      .Version = Json["version"].get<std::uint64_t>()};
+}
+
+static WriteAnswer writeAnswer(const HttpResult &Result) {
+  if (const HttpFailure *Failure = std::get_if<HttpFailure>(&Result)) {
+    WriteEnd End =
+        Failure->MayHaveBeenSent ? WriteEnd::Unknown : WriteEnd::NotWritten;
+    return WriteAnswer{.End = End, .Message = Failure->Message};
+  }
+  const HttpResponse &Response = std::get<HttpResponse>(Result);
+  nlohmann::json Json = nlohmann::json::parse(Response.Body, nullptr, false);
+  if (Response.Status == 200 && Json.is_object())
+    return WriteAnswer{.End = WriteEnd::Accepted,
+                       .Version = Json.value("version", std::uint64_t{0})};
+  if (Response.Status == 409)
+    return WriteAnswer{.End = WriteEnd::Conflict};
+  // Refusals before the update; a server fault leaves it open.
+  bool Refused = Response.Status == 429 || Response.Status == 503 ||
+                 Response.Status == 413 || Response.Status == 400;
+  return WriteAnswer{.End = Refused ? WriteEnd::NotWritten : WriteEnd::Unknown,
+                     .Message = "the platform answered " +
+                                std::to_string(Response.Status)};
+}
+
+} // namespace internal
+
+PlatformClient::PlatformClient(HttpClient &Http, std::string Address)
+    : Http(Http), Address(std::move(Address)) {}
+
+boost::asio::awaitable<Result<StoredObject>>
+PlatformClient::read(std::string Kind, std::string Name, Duration Limit) {
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Path = "/v1/objects/" + Kind + "/" + Name;
+  HttpResult Answer = co_await Http.call(Address, std::move(Request), Limit);
+  co_return internal::readAnswer(Answer);
+}
+
+boost::asio::awaitable<Result<StoredObject>>
+PlatformClient::watch(std::string Kind, std::string Name, std::uint64_t Known,
+                      Duration Wait) {
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Path = "/v1/objects/" + Kind + "/" + Name;
+  Request.Query["watch"] = std::to_string(Known);
+  Request.Query["wait_ms"] = std::to_string(toMillis(Wait).count());
+  HttpResult Answer = co_await Http.call(Address, std::move(Request),
+                                         Wait + internal::WatchSlack);
+  co_return internal::readAnswer(Answer);
+}
+
+boost::asio::awaitable<WriteAnswer>
+PlatformClient::write(std::string Kind, std::string Name, std::string Value,
+                      std::uint64_t Expected, Duration Limit) {
+  HttpRequest Request;
+  Request.Method = "PUT";
+  Request.Path = "/v1/objects/" + Kind + "/" + Name;
+  Request.Query["version"] = std::to_string(Expected);
+  Request.Body = std::move(Value);
+  HttpResult Answer = co_await Http.call(Address, std::move(Request), Limit);
+  co_return internal::writeAnswer(Answer);
+}
+
+boost::asio::awaitable<Result<std::vector<VmEntry>>>
+PlatformClient::list(Duration Limit) {
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Path = "/v1/vms";
+  HttpResult Answer = co_await Http.call(Address, std::move(Request), Limit);
+  const HttpResponse *Response = std::get_if<HttpResponse>(&Answer);
+  if (!Response || Response->Status != 200)
+    co_return internal::storeError("the VM list cannot be had");
+  std::vector<VmEntry> Entries;
+  try {
+    for (const nlohmann::json &Row : nlohmann::json::parse(Response->Body))
+      Entries.push_back(vmEntryFrom(Row));
+  } catch (const nlohmann::json::exception &E) {
+    co_return internal::storeError(std::string("malformed VM list: ") +
+                                   E.what());
+  }
+  co_return Entries;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Pooler/PoolerTransactions.cpp
@@ -0,0 +1,200 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Pooler/PoolerService.h"
+
+#include "Peers/PeerNode.h"
+#include "Pooler/TargetPool.h"
+
+namespace cicadawind {
+namespace internal {
+
+static Error transactionGone(const std::string &Reason) {
+  if (Reason.empty())
+    return Error{.Code = ErrorCode::TransactionUnknown,
+                 .Outcome = Verdict::NotRun,
+                 .Message = "no such transaction is open here; if it was, it "
+                            "has been rolled back"};
+  return Error{.Code = ErrorCode::TransactionEnded,
+               .Outcome = Verdict::NotRun,
+               .Message = "the transaction was " + Reason};
+}
+
+static ExecuteAnswer failed(const Error &E) {
+  ExecuteAnswer Out;
+  Out.Failure = E;
+  return Out;
+}
+
+} // namespace internal
+
+boost::asio::awaitable<ExecuteAnswer>
+PoolerService::begin(ExecuteRequest Request) {
+  Result<Place> Found = locate(Request);
+  if (const Error *E = errorOf(Found))
+    co_return internal::failed(*E);
+  Place At = valueOf(Found);
+  if (DrainStart)
+    co_return internal::failed(
+        Error{.Code = ErrorCode::Leaving, .Message = "this VM is leaving"});
+  Status Allowed = checkLeaving(At);
+  if (!errorOf(Allowed))
+    Allowed = checkPrimary(At, Request.Target);
+  if (!errorOf(Allowed))
+    Allowed = checkPosition(At, Request.Need.AtLeast);
+  if (const Error *E = errorOf(Allowed))
+    co_return internal::failed(*E);
+  TimePoint Deadline = BootClock::now() + Request.Left;
+  Result<std::unique_ptr<PooledConnection>> Connection =
+      co_await At.Pool->borrow(Deadline);
+  if (const Error *E = errorOf(Connection))
+    co_return internal::failed(*E);
+  std::unique_ptr<PooledConnection> Pinned = std::move(valueOf(Connection));
+  Pinned->walk().fire("pin");
+  Term Believed = At.Monitor->view().Current;
+  Duration Left = Deadline - BootClock::now();
+  Status Begun = co_await Pinned->link().begin(Request.Id, Believed, Left);
+  if (const Error *E = errorOf(Begun)) {
+    Error NothingRan = *E;
+    // A transaction without statements has no effect, begun or not.
+    NothingRan.Outcome = Verdict::NotRun;
+    Pinned->walk().fire("pinned_done");
+    At.Pool->giveBack(std::move(Pinned));
+    co_return internal::failed(NothingRan);
+  }
+  TimePoint Now = BootClock::now();
+  Pinned->answered(Now);
+  std::string Id = Opts.Vm + "-" + std::to_string(Opts.Random());
+  Transactions.add(std::make_shared<OpenTransaction>(
+      OpenTransaction{.Id = Id,
+                      .Database = Request.Database,
+                      .Caller = Request.Caller,
+                      .RunsIn = Believed,
+                      .Pool = At.Pool,
+                      .Connection = std::move(Pinned),
+                      .Walk = ChartInstance(Opts.Charts.Transaction),
+                      .LastUse = Now,
+                      .EndedBecause = {}}));
+  ExecuteAnswer Out;
+  Out.Transaction = Id;
+  fillPrimary(At, Out);
+  co_return Out;
+}
+
+boost::asio::awaitable<ExecuteAnswer>
+PoolerService::inTransaction(ExecuteRequest Request) {
+  TransactionTable::Entry Entry = Transactions.find(Request.Transaction);
+  if (!Entry)
+    co_return internal::failed(
+        internal::transactionGone(Transactions.endReason(Request.Transaction)));
+  if (!Entry->Walk.fire("statement"))
+    co_return internal::failed(
+        Error{.Code = ErrorCode::Conflict,
+              .Message = "another statement of the transaction is running"});
+  TimePoint Deadline = BootClock::now() + Request.Left;
+  ExecuteAnswer Out;
+  TimePoint Start = BootClock::now();
+  Result<WorkId> Slot = co_await Entry->Pool->enter(shapeOf(Request.Statement),
+                                                    Request.Caller, Deadline);
+  Out.Queued = toMillis(BootClock::now() - Start);
+  if (const Error *E = errorOf(Slot)) {
+    Entry->Walk.fire("answered");
+    co_return internal::failed(*E);
+  }
+  StatementCall Call{.Id = Request.Id,
+                     .Text = Request.Statement,
+                     .Kind = Request.Kind,
+                     .Believed = Entry->RunsIn,
+                     .IdempotencyKey = {}};
+  TimePoint Sent = BootClock::now();
+  Result<StatementAnswer> Answer = co_await Entry->Pool->runOn(
+      *Entry->Connection, std::move(Call), Deadline);
+  TimePoint Now = BootClock::now();
+  Entry->Pool->leave(valueOf(Slot), Now - Sent);
+  Entry->LastUse = Now;
+  if (const Error *E = errorOf(Answer)) {
+    bool Lost = !Entry->Connection->link().isOpen() ||
+                E->Code == ErrorCode::StaleTerm ||
+                E->Code == ErrorCode::NotPrimary;
+    if (!Lost) {
+      Entry->Walk.fire("answered");
+      co_return internal::failed(*E);
+    }
+    Transactions.end(Request.Transaction, "lost",
+                     "rolled back when its connection or primary was lost",
+                     Now);
+    Error Gone = *E;
+    Gone.Code = ErrorCode::TransactionEnded;
+    Gone.Message += "; the transaction was rolled back";
+    co_return internal::failed(Gone);
+  }
+  Entry->Walk.fire("answered");
+  auto Monitor = monitorOf(Request.Database);
+  if (!Monitor || !Monitor->leaseValid() ||
+      Monitor->view().Current != Entry->RunsIn)
+    co_return internal::failed(
+        Error{.Code = ErrorCode::LeaseLost,
+              .Outcome = Verdict::MayHaveRun,
+              .Message = "the primary may have been replaced"});
+  Out.Rows = std::move(valueOf(Answer).Rows);
+  Out.Position = valueOf(Answer).Position;
+  if (DrainLimit)
+    Out.EndsIn = toMillis(*DrainLimit - Now);
+  fillPrimary(Place{.Monitor = Monitor, .Pool = Entry->Pool}, Out);
+  co_return Out;
+}
+
+boost::asio::awaitable<ExecuteAnswer>
+PoolerService::commit(ExecuteRequest Request) {
+  TransactionTable::Entry Entry = Transactions.find(Request.Transaction);
+  if (!Entry)
+    co_return internal::failed(
+        internal::transactionGone(Transactions.endReason(Request.Transaction)));
+  if (!Entry->Walk.fire("commit"))
+    co_return internal::failed(
+        Error{.Code = ErrorCode::Conflict,
+              .Message = "a statement of the transaction is running"});
+  TimePoint Deadline = BootClock::now() + Request.Left;
+  Result<StatementAnswer> Answer = co_await Entry->Connection->link().commit(
+      Request.Id, Request.IdempotencyKey, Request.Left);
+  TimePoint Now = BootClock::now();
+  if (const Error *E = errorOf(Answer)) {
+    bool Refused = E->Outcome == Verdict::NotRun;
+    Transactions.end(Request.Transaction, Refused ? "refused" : "lost",
+                     Refused ? "rolled back: its commit was refused"
+                             : "left unknown: its commit had no answer",
+                     Now);
+    co_return internal::failed(*E);
+  }
+  Transactions.end(Request.Transaction, "confirmed", "committed", Now);
+  auto Monitor = monitorOf(Request.Database);
+  ExecuteAnswer Out;
+  Out.Position = valueOf(Answer).Position;
+  Status Confirmed = Error{.Code = ErrorCode::UnknownDatabase,
+                           .Outcome = Verdict::MayHaveRun,
+                           .Message = "the database was withdrawn"};
+  if (Monitor)
+    Confirmed = co_await Monitor->confirm(Out.Position, Deadline);
+  if (const Error *E = errorOf(Confirmed))
+    co_return internal::failed(*E);
+  fillPrimary(Place{.Monitor = Monitor, .Pool = Entry->Pool}, Out);
+  co_return Out;
+}
+
+boost::asio::awaitable<ExecuteAnswer>
+PoolerService::rollback(ExecuteRequest Request) {
+  if (!Transactions.find(Request.Transaction))
+    co_return internal::failed(
+        internal::transactionGone(Transactions.endReason(Request.Transaction)));
+  Transactions.end(Request.Transaction, "rollback", "rolled back",
+                   BootClock::now());
+  if (Transactions.find(Request.Transaction))
+    co_return internal::failed(
+        Error{.Code = ErrorCode::Conflict,
+              .Message = "a statement of the transaction is running"});
+  ExecuteAnswer Out;
+  Out.FromPrimary = true;
+  co_return Out;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Pooler/TransactionTable.cpp
@@ -0,0 +1,63 @@
+#include "Pooler/TransactionTable.h"
+
+#include "Pooler/TargetPool.h"
+
+#include <utility>
+
+namespace cicadawind {
+
+void TransactionTable::add(Entry NewEntry) {
+  Open[NewEntry->Id] = std::move(NewEntry);
+}
+
+TransactionTable::Entry TransactionTable::find(const std::string &Id) const {
+  auto It = Open.find(Id);
+  return It == Open.end() ? nullptr : It->second;
+}
+
+std::string TransactionTable::endReason(const std::string &Id) const {
+  auto It = Recent.find(Id);
+  return It == Recent.end() ? std::string() : It->second.Reason;
+}
+
+void TransactionTable::end(const std::string &Id, const std::string &Event,
+                           const std::string &Reason, TimePoint Now) {
+  auto It = Open.find(Id);
+  if (It == Open.end() || !It->second->Walk.fire(Event))
+    return;
+  Entry Ending = It->second;
+  Open.erase(It);
+  Ending->EndedBecause = Reason;
+  Recent[Id] = Ended{.Reason = Reason, .At = Now};
+  if (!Ending->Connection)
+    return;
+  // A statement still runs on the connection: closing it makes the target
+  // roll back.
+  if (Event != "confirmed" && !Ending->Walk.is("rolled_back"))
+    Ending->Connection->link().close();
+  Ending->Connection->walk().fire("pinned_done");
+  Ending->Pool->giveBack(std::move(Ending->Connection));
+}
+
+std::vector<std::string> TransactionTable::idleSince(TimePoint Before) const {
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Entry] : Open)
+    if (Entry->Walk.is("open") && Entry->LastUse < Before)
+      Ids.push_back(Id);
+  return Ids;
+}
+
+std::vector<std::string> TransactionTable::all() const {
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Entry] : Open)
+    Ids.push_back(Id);
+  return Ids;
+}
+
+void TransactionTable::forget(TimePoint Now) {
+  std::erase_if(Recent, [Now](const auto &Row) {
+    return Now - Row.second.At > RememberFor;
+  });
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/ReleaseNotes/ConfigHistory.cpp
@@ -0,0 +1,63 @@
+#include "ReleaseNotes/ConfigHistory.h"
+
+#include "ReleaseNotes/ReleaseNote.h"
+
+#include <string>
+#include <utility>
+
+namespace cicadawind {
+
+Status ConfigHistory::applyNote(const NoteDocument &Document) {
+  if (Document.Number <= Config.Number)
+    return std::monostate();
+  if (Document.Number != Config.Number + 1)
+    return Error{.Code = ErrorCode::Conflict,
+                 .Message = "note " + std::to_string(Document.Number) +
+                            " does not follow " +
+                            std::to_string(Config.Number)};
+  std::string Origin = "note " + std::to_string(Document.Number);
+  Result<ReleaseNote> Note = ReleaseNote::parse(Document.Text, Origin);
+  if (const Error *E = errorOf(Note))
+    return *E;
+  Result<ServiceConfig> Next = valueOf(Note).apply(Config, Origin);
+  if (const Error *E = errorOf(Next))
+    return *E;
+  Config = std::move(valueOf(Next));
+  Kept.push_back(Document);
+  if (Kept.size() > KeptNotes)
+    Kept.pop_front();
+  announce();
+  return std::monostate();
+}
+
+void ConfigHistory::applySnapshot(const ServiceConfig &Snapshot) {
+  if (Snapshot.Number <= Config.Number)
+    return;
+  Config = Snapshot;
+  Kept.clear();
+  announce();
+}
+
+bool ConfigHistory::canBridge(std::uint64_t Number) const {
+  if (Number >= Config.Number)
+    return true;
+  return !Kept.empty() && Kept.front().Number <= Number + 1;
+}
+
+std::vector<NoteDocument>
+ConfigHistory::documentsAfter(std::uint64_t Number) const {
+  std::vector<NoteDocument> Out;
+  if (!canBridge(Number))
+    return Out;
+  for (const NoteDocument &Document : Kept)
+    if (Document.Number > Number)
+      Out.push_back(Document);
+  return Out;
+}
+
+void ConfigHistory::announce() {
+  for (const ChangeHook &Hook : Hooks)
+    Hook(Config);
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/ReleaseNotes/NoteParser.cpp
@@ -0,0 +1,189 @@
+#include "Core/FaultList.h"
+#include "ReleaseNotes/NoteSchema.h"
+#include "ReleaseNotes/ReleaseNote.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace cicadawind {
+namespace internal {
+
+static constexpr std::array<std::pair<std::string_view, NoteAction>, 3>
+    ActionNames{{{"add", NoteAction::Add},
+                 {"change", NoteAction::Change},
+                 {"withdraw", NoteAction::Withdraw}}};
+static constexpr std::array<std::pair<std::string_view, NoteKind>, 4> KindNames{
+    {{"database", NoteKind::Database},
+     {"target", NoteKind::Target},
+     {"vm", NoteKind::Vm},
+     {"limits", NoteKind::Limits}}};
+
+template <class Rows>
+static auto lookUp(const Rows &Table, std::string_view Name)
+    -> std::optional<typename Rows::value_type::second_type> {
+  for (const auto &[RowName, Value] : Table)
+    if (RowName == Name)
+      return Value;
+  return std::nullopt;
+}
+
+static std::size_t lineOf(const toml::node &Node) {
+  return Node.source().begin.line;
+}
+
+static std::optional<NoteValue>
+readValue(const FieldRule &Rule, const toml::node &Node, FaultList &Faults) {
+  std::string Key = "key '" + std::string(Rule.Name) + "' ";
+  if (Rule.Type == FieldType::Text) {
+    std::optional<std::string> Text = Node.value_exact<std::string>();
+    if (Text && !Text->empty())
+      return *Text;
+    Faults.add(lineOf(Node), Key + "must be non-empty text");
+    return std::nullopt;
+  }
+  if (Rule.Type == FieldType::Flag) {
+    if (std::optional<bool> Flag = Node.value_exact<bool>())
+      return *Flag;
+    Faults.add(lineOf(Node), Key + "must be true or false");
+    return std::nullopt;
+  }
+  std::optional<std::int64_t> Number = Node.value_exact<std::int64_t>();
+  if (Number && *Number >= Rule.Min && *Number <= Rule.Max)
+    return *Number;
+  Faults.add(lineOf(Node), Key + "must be a whole number from " +
+                               std::to_string(Rule.Min) + " to " +
+                               std::to_string(Rule.Max));
+  return std::nullopt;
+}
+
+static NoteEntry readEntry(NoteAction Action, NoteKind Kind,
+                           const toml::table &Table, FaultList &Faults) {
+  NoteEntry Entry{
+      .Action = Action, .Kind = Kind, .Fields = {}, .Line = lineOf(Table)};
+  const std::vector<FieldRule> &Rules = fieldRules(Kind);
+  for (const auto &[Key, Node] : Table) {
+    auto Matches = [&Name = Key](const FieldRule &Rule) {
+      return Rule.Name == Name.str();
+    };
+    auto Rule = std::find_if(Rules.begin(), Rules.end(), Matches);
+    if (Rule == Rules.end()) {
+      Faults.add(lineOf(Node),
+                 "key '" + std::string(Key.str()) + "' is not known here");
+      continue;
+    }
+    if (Action == NoteAction::Withdraw && !Rule->Identity) {
+      Faults.add(lineOf(Node), "key '" + std::string(Key.str()) +
+                                   "' has no meaning when withdrawing");
+      continue;
+    }
+    if (std::optional<NoteValue> Value = readValue(*Rule, Node, Faults))
+      Entry.Fields[std::string(Key.str())] = *Value;
+  }
+  for (const FieldRule &Rule : Rules) {
+    bool Needed =
+        Rule.Identity || (Rule.NeededToAdd && Action == NoteAction::Add);
+    if (Needed && !Table.contains(Rule.Name))
+      Faults.add(Entry.Line, "key '" + std::string(Rule.Name) + "' is missing");
+  }
+  return Entry;
+}
+
+static void readKind(NoteAction Action, std::string_view KindName,
+                     const toml::node &Node, ReleaseNote &Note,
+                     FaultList &Faults) {
+  std::optional<NoteKind> Kind = lookUp(KindNames, KindName);
+  if (!Kind) {
+    Faults.add(lineOf(Node),
+               "key '" + std::string(KindName) +
+                   "' is not one of database, target, vm, limits");
+    return;
+  }
+  bool Fits = true;
+  if (*Kind == NoteKind::Vm)
+    Fits = Action == NoteAction::Withdraw || Action == NoteAction::Add;
+  if (*Kind == NoteKind::Limits)
+    Fits = Action == NoteAction::Change;
+  if (!Fits) {
+    Faults.add(lineOf(Node),
+               "'" + std::string(KindName) + "' does not allow this action");
+    return;
+  }
+  const toml::array *Rows = Node.as_array();
+  if (!Rows) {
+    Faults.add(lineOf(Node), "'" + std::string(KindName) +
+                                 "' must be written as [[action." +
+                                 std::string(KindName) + "]]");
+    return;
+  }
+  for (const toml::node &Row : *Rows) {
+    if (const toml::table *Table = Row.as_table())
+      Note.Entries.push_back(readEntry(Action, *Kind, *Table, Faults));
+    else
+      Faults.add(lineOf(Row), "an entry must be a table");
+  }
+}
+
+static void readTop(const toml::table &Table, ReleaseNote &Note,
+                    FaultList &Faults) {
+  for (const auto &[Key, Node] : Table) {
+    if (Key == "author") {
+      Note.Author = Node.value_or(std::string());
+      continue;
+    }
+    if (Key == "base") {
+      std::optional<std::int64_t> Base = Node.value_exact<std::int64_t>();
+      if (Base && *Base >= 0)
+        Note.Base = static_cast<std::uint64_t>(*Base);
+      else
+        Faults.add(lineOf(Node), "key 'base' must be a note's number");
+      continue;
+    }
+    std::optional<NoteAction> Action = lookUp(ActionNames, Key.str());
+    const toml::table *Kinds = Node.as_table();
+    if (!Action || !Kinds) {
+      Faults.add(lineOf(Node),
+                 "key '" + std::string(Key.str()) +
+                     "' is not one of author, base, add, change, withdraw");
+      continue;
+    }
+    for (const auto &[KindKey, KindNode] : *Kinds)
+      readKind(*Action, KindKey.str(), KindNode, Note, Faults);
+  }
+}
+
+} // namespace internal
+
+Result<ReleaseNote> ReleaseNote::parse(const std::string &Text,
+                                       const std::string &Origin) {
+  FaultList Faults(Origin);
+  if (Text.size() > MaxBytes) {
+    Faults.add(1, "the note is longer than " + std::to_string(MaxBytes) +
+                      " bytes");
+    return Faults.error();
+  }
+  ReleaseNote Note;
+  try {
+    toml::table Table = toml::parse(Text);
+    internal::readTop(Table, Note, Faults);
+  } catch (const toml::parse_error &E) {
+    Faults.add(E.source().begin.line, std::string(E.description()));
+    return Faults.error();
+  }
+  if (Note.Author.empty())
+    Faults.add(1, "key 'author' is missing");
+  if (Note.Entries.empty())
+    Faults.add(1, "the note adds, changes and withdraws nothing");
+  if (!Faults.empty())
+    return Faults.error();
+  auto ByLine = [](const NoteEntry &A, const NoteEntry &B) {
+    return A.Line < B.Line;
+  };
+  std::stable_sort(Note.Entries.begin(), Note.Entries.end(), ByLine);
+  return Note;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/ReleaseNotes/NoteSchema.cpp
@@ -0,0 +1,63 @@
+#include "ReleaseNotes/NoteSchema.h"
+
+namespace cicadawind {
+namespace internal {
+
+static constexpr std::int64_t DayMs = 24LL * 3600 * 1000;
+
+const std::vector<FieldRule> &fieldRules(NoteKind Kind) {
+  static const std::vector<FieldRule> Database{
+      {.Name = "name", .Identity = true},
+      {.Name = "staleness_allowance_ms",
+       .Type = FieldType::Number,
+       .Max = DayMs},
+  };
+  static const std::vector<FieldRule> Target{
+      {.Name = "database", .Identity = true},
+      {.Name = "name", .Identity = true},
+      {.Name = "address", .NeededToAdd = true},
+      {.Name = "failure_domain", .NeededToAdd = true},
+      {.Name = "region", .NeededToAdd = true},
+      {.Name = "slots", .Type = FieldType::Number, .Min = 1, .Max = 1024},
+      {.Name = "connections",
+       .Type = FieldType::Number,
+       .Min = 2,
+       .Max = 65535},
+      {.Name = "leaving", .Type = FieldType::Flag},
+  };
+  static const std::vector<FieldRule> Vm{
+      {.Name = "name", .Identity = true},
+  };
+  static const std::vector<FieldRule> Limits{
+      {.Name = "max_deadline_ms",
+       .Type = FieldType::Number,
+       .Min = 100,
+       .Max = DayMs},
+      {.Name = "idle_transaction_ms",
+       .Type = FieldType::Number,
+       .Min = 100,
+       .Max = DayMs},
+      {.Name = "drain_limit_ms",
+       .Type = FieldType::Number,
+       .Min = 100,
+       .Max = DayMs},
+      {.Name = "queue_limit",
+       .Type = FieldType::Number,
+       .Min = 1,
+       .Max = 65536},
+  };
+  switch (Kind) {
+  case NoteKind::Database:
+    return Database;
+  case NoteKind::Target:
+    return Target;
+  case NoteKind::Vm:
+    return Vm;
+  case NoteKind::Limits:
+    return Limits;
+  }
+  return Limits;
+}
+
+} // namespace internal
+} // namespace cicadawind
--- /dev/null
+++ b/src/Routing/ReadRouter.cpp
@@ -0,0 +1,68 @@
+#include "Routing/ReadRouter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadawind {
+namespace internal {
+
+struct RankedReplica {
+  Duration Cost;
+  std::uint64_t TieBreak;
+  const InstanceView *View;
+};
+
+} // namespace internal
+
+ReadRouter::ReadRouter(Options NewOpts, RandomSource NewRandom)
+    : Opts(std::move(NewOpts)), Random(std::move(NewRandom)) {}
+
+bool ReadRouter::mayMeet(const ReadNeed &Need, const InstanceView &View,
+                         TimePoint Now) const {
+  if (View.Leaving || Now < View.NotBefore)
+    return false;
+  if (!View.Age)
+    return true;
+  Duration SinceSeen = Now - View.SeenAt;
+  // A replica's lag changes slowly: it is taken to be as far behind as it was
+  // at its last answer, unless that answer is older than the lag itself.
+  bool ViewOutdated = SinceSeen > *View.Age + Need.AcceptedAge;
+  if (*View.Age > Need.AcceptedAge && !ViewOutdated)
+    return false;
+  if (View.Applied >= Need.AtLeast)
+    return true;
+  return SinceSeen > *View.Age;
+}
+
+Duration ReadRouter::costOf(const InstanceView &View) const {
+  Duration Cost = View.QueueWait;
+  if (View.Region != Opts.Region)
+    return Cost + Opts.OtherRegionCost;
+  if (View.FailureDomain != Opts.FailureDomain)
+    return Cost + Opts.OtherDomainCost;
+  return Cost;
+}
+
+std::vector<std::string>
+ReadRouter::plan(const ReadNeed &Need,
+                 const std::vector<InstanceView> &Instances,
+                 const std::string &Primary, TimePoint Now) {
+  std::vector<std::string> Plan;
+  if (!Need.needsPrimary()) {
+    std::vector<internal::RankedReplica> Ranked;
+    for (const InstanceView &View : Instances)
+      if (View.Name != Primary && mayMeet(Need, View, Now))
+        Ranked.push_back({costOf(View), Random(), &View});
+    std::sort(Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
+      return std::pair(A.Cost, A.TieBreak) < std::pair(B.Cost, B.TieBreak);
+    });
+    for (const internal::RankedReplica &Replica : Ranked)
+      if (Plan.size() < Opts.MaxReplicaAttempts)
+        Plan.push_back(Replica.View->Name);
+  }
+  if (!Primary.empty())
+    Plan.push_back(Primary);
+  return Plan;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Routing/Routing.h
@@ -0,0 +1,10 @@
+/// \file
+/// Routing module: where a read chooses its target. Pure policy.
+#ifndef CICADAWIND_ROUTING_ROUTING_H
+#define CICADAWIND_ROUTING_ROUTING_H
+
+#include "Routing/InstanceView.h"
+#include "Routing/ReadNeed.h"
+#include "Routing/ReadRouter.h"
+
+#endif
--- /dev/null
+++ b/src/Rpc/Rpc.h
@@ -0,0 +1,8 @@
+/// \file
+/// Rpc module: JSON-RPC control calls between the system's own daemons.
+#ifndef CICADAWIND_RPC_RPC_H
+#define CICADAWIND_RPC_RPC_H
+
+#include "Rpc/RpcDispatcher.h"
+
+#endif
--- /dev/null
+++ b/src/Settings/SettingsReader.cpp
@@ -0,0 +1,115 @@
+#include "Settings/SettingsReader.h"
+
+namespace cicadawind {
+namespace internal {
+
+const toml::node *SettingsReader::find(const std::string &Section,
+                                       const std::string &Key) {
+  Known[Section].insert(Key);
+  return Table[Section][Key].node();
+}
+
+std::size_t SettingsReader::lineOf(const std::string &Section,
+                                   const std::string &Key) const {
+  if (const toml::node *Node = Table[Section][Key].node())
+    return Node->source().begin.line;
+  if (const toml::node *Node = Table[Section].node())
+    return Node->source().begin.line;
+  return 1;
+}
+
+void SettingsReader::fault(const std::string &Section, const std::string &Key,
+                           const std::string &What) {
+  Faults.add(lineOf(Section, Key), Section + "." + Key + ": " + What);
+}
+
+std::string SettingsReader::text(const std::string &Section,
+                                 const std::string &Key) {
+  const toml::node *Node = find(Section, Key);
+  std::optional<std::string> Value;
+  if (Node)
+    Value = Node->value_exact<std::string>();
+  if (Value && !Value->empty())
+    return *Value;
+  fault(Section, Key, Node ? "must be non-empty text" : "is missing");
+  return {};
+}
+
+std::string SettingsReader::textOr(const std::string &Section,
+                                   const std::string &Key,
+                                   const std::string &Fallback) {
+  const toml::node *Node = find(Section, Key);
+  if (!Node)
+    return Fallback;
+  if (auto Value = Node->value_exact<std::string>())
+    return *Value;
+  fault(Section, Key, "must be text");
+  return Fallback;
+}
+
+std::int64_t SettingsReader::numberOr(const std::string &Section,
+                                      const std::string &Key,
+                                      std::int64_t Fallback, std::int64_t Min,
+                                      std::int64_t Max) {
+  if (!find(Section, Key))
+    return Fallback;
+  return number(Section, Key, Min, Max);
+}
+
+std::int64_t SettingsReader::number(const std::string &Section,
+                                    const std::string &Key, std::int64_t Min,
+                                    std::int64_t Max) {
+  const toml::node *Node = find(Section, Key);
+  if (!Node) {
+    fault(Section, Key, "is missing");
+    return Min;
+  }
+  std::optional<std::int64_t> Value = Node->value_exact<std::int64_t>();
+  if (Value && *Value >= Min && *Value <= Max)
+    return *Value;
+  fault(Section, Key,
+        "must be a whole number from " + std::to_string(Min) + " to " +
+            std::to_string(Max));
+  return Min;
+}
+
+std::vector<std::string> SettingsReader::texts(const std::string &Section,
+                                               const std::string &Key) {
+  std::vector<std::string> Out;
+  const toml::node *Node = find(Section, Key);
+  if (!Node)
+    return Out;
+  const toml::array *Items = Node->as_array();
+  if (!Items) {
+    fault(Section, Key, "must be a list of texts");
+    return Out;
+  }
+  for (const toml::node &Item : *Items) {
+    if (auto Value = Item.value_exact<std::string>())
+      Out.push_back(*Value);
+    else
+      fault(Section, Key, "must hold texts only");
+  }
+  return Out;
+}
+
+void SettingsReader::reportUnknown() {
+  for (const auto &[SectionKey, SectionNode] : Table) {
+    std::string Section(SectionKey.str());
+    const toml::table *Keys = SectionNode.as_table();
+    auto KnownKeys = Known.find(Section);
+    if (!Keys || KnownKeys == Known.end()) {
+      Faults.add(SectionNode.source().begin.line,
+                 Section + ": is not a known section");
+      continue;
+    }
+    for (const auto &[Key, Node] : *Keys)
+      if (!KnownKeys->second.count(std::string(Key.str())))
+        Faults.add(Node.source().begin.line, Section + "." +
+                                                 std::string(Key.str()) +
+                                                 ": is not a known key");
+  }
+}
+
+} // namespace internal
+} // namespace cicadawind
--- /dev/null
+++ b/src/StateCharts/ChartInstance.h
@@ -0,0 +1,45 @@
+#ifndef CICADAWIND_STATECHARTS_CHARTINSTANCE_H
+#define CICADAWIND_STATECHARTS_CHARTINSTANCE_H
+
+#include "StateCharts/StateChart.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace cicadawind {
+
+/// \class ChartInstance
+/// \brief One walk through a state chart.
+///
+/// Holds the current state; fire moves it along the chart's transitions and
+/// refuses any other event without changing the state.
+class ChartInstance {
+public:
+  explicit ChartInstance(std::shared_ptr<const StateChart> Chart)
+      : Chart(std::move(Chart)), State(this->Chart->initial()) {}
+
+  const std::string &state() const { return State; }
+  bool is(std::string_view Name) const { return State == Name; }
+  bool finished() const { return Chart->isFinal(State); }
+  bool allows(const std::string &Event) const {
+    return Chart->next(State, Event).has_value();
+  }
+
+  /// Follows \p Event; false and unchanged when the chart does not allow it.
+  bool fire(const std::string &Event) {
+    std::optional<std::string> Next = Chart->next(State, Event);
+    if (!Next)
+      return false;
+    State = *Next;
+    return true;
+  }
+
+private:
+  std::shared_ptr<const StateChart> Chart;
+  std::string State;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/StateCharts/StateCharts.h
@@ -0,0 +1,10 @@
+/// \file
+/// StateCharts module: charts read from files, and walks through them.
+#ifndef CICADAWIND_STATECHARTS_STATECHARTS_H
+#define CICADAWIND_STATECHARTS_STATECHARTS_H
+
+#include "StateCharts/ChartInstance.h"
+#include "StateCharts/ChartSet.h"
+#include "StateCharts/StateChart.h"
+
+#endif
--- /dev/null
+++ b/src/Targets/HttpTargetConnection.cpp
@@ -0,0 +1,147 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Targets/HttpTargetConnection.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cicadawind {
+namespace internal {
+
+static Error transportError(const HttpFailure &Failure) {
+  Error E;
+  E.Code = Failure.TimedOut ? ErrorCode::DeadlineExceeded
+                            : ErrorCode::ConnectionLost;
+  E.Outcome = Failure.MayHaveBeenSent ? Verdict::MayHaveRun : Verdict::NotRun;
+  E.Message = Failure.Message;
+  return E;
+}
+
+static Error targetError(const nlohmann::json &Json) {
+  Error E;
+  nlohmann::json Detail = Json.value("error", nlohmann::json::object());
+  E.Code = parseErrorCode(Detail.value("code", std::string()));
+  E.Message = Detail.value("message", std::string("the target failed"));
+  E.Outcome = parseVerdict(Json.value("verdict", std::string()))
+                  .value_or(Verdict::MayHaveRun);
+  return E;
+}
+
+static Result<StatementAnswer> toAnswer(const Result<nlohmann::json> &R) {
+  if (const Error *E = errorOf(R))
+    return *E;
+  const nlohmann::json &Json = valueOf(R);
+  StatementAnswer Answer;
+  try {
+    Answer.Rows = Json.at("rows").dump();
+    Answer.Position = {.WrittenIn = Json.at("written_in").get<Term>(),
+                       .Index = Json.at("index").get<LogIndex>()};
+    Answer.RanIn = Json.at("term").get<Term>();
+    Answer.Tainted = Json.value("tainted", false);
+  } catch (const nlohmann::json::exception &E) {
+    return Error{.Code = ErrorCode::AnswerMismatch,
+                 .Outcome = Verdict::MayHaveRun,
+                 .Message = std::string("malformed answer: ") + E.what()};
+  }
+  return Answer;
+}
+
+static Status toStatus(const Result<nlohmann::json> &R) {
+  if (const Error *E = errorOf(R))
+    return *E;
+  return std::monostate();
+}
+
+} // namespace internal
+
+HttpTargetConnection::HttpTargetConnection(boost::asio::io_context &Loop,
+                                           std::string Address)
+    : Link(Loop, std::move(Address)) {}
+
+boost::asio::awaitable<Result<nlohmann::json>>
+HttpTargetConnection::call(std::string Path, std::string Id,
+                           nlohmann::json Body, Duration Limit) {
+  HttpRequest Request;
+  Request.Path = std::move(Path);
+  Body["id"] = Id;
+  Request.Body = Body.dump();
+  HttpResult Answer = co_await Link.call(std::move(Request), Limit);
+  if (const HttpFailure *Failure = std::get_if<HttpFailure>(&Answer))
+    co_return internal::transportError(*Failure);
+  const HttpResponse &Response = std::get<HttpResponse>(Answer);
+  nlohmann::json Json = nlohmann::json::parse(Response.Body, nullptr, false);
+  bool Mine = Json.is_object() && Json.value("id", std::string()) == Id;
+  if (!Mine) {
+    // A late or foreign answer: what became of this statement is unknown.
+    Link.close();
+    co_return Error{.Code = ErrorCode::AnswerMismatch,
+                    .Outcome = Verdict::MayHaveRun,
+                    .Message = "the answer belongs to another request"};
+  }
+  if (Response.Status != 200)
+    co_return internal::targetError(Json);
+  co_return Json;
+}
+
+boost::asio::awaitable<Status> HttpTargetConnection::open(Duration Limit) {
+  bool Connected = co_await Link.connect(Limit);
+  if (!Connected)
+    co_return Error{.Code = ErrorCode::Unreachable,
+                    .Message = "cannot connect to " + Link.address()};
+  Result<nlohmann::json> Answer =
+      co_await call("/v1/open", "open", nlohmann::json::object(), Limit);
+  Status Opened = internal::toStatus(Answer);
+  if (const Error *E = errorOf(Opened)) {
+    // No statement was sent on it, whatever became of the connection.
+    Error NotOpened = *E;
+    NotOpened.Outcome = Verdict::NotRun;
+    if (NotOpened.Code != ErrorCode::Overloaded)
+      NotOpened.Code = ErrorCode::Unreachable;
+    co_return NotOpened;
+  }
+  co_return std::monostate();
+}
+
+boost::asio::awaitable<Result<StatementAnswer>>
+HttpTargetConnection::execute(StatementCall Call, Duration Limit) {
+  nlohmann::json Body{
+      {"statement", Call.Text},
+      {"kind", Call.Kind == StatementKind::Write ? "write" : "read"},
+      {"term", Call.Believed}};
+  if (!Call.IdempotencyKey.empty())
+    Body["key"] = Call.IdempotencyKey;
+  Result<nlohmann::json> Answer =
+      co_await call("/v1/execute", std::move(Call.Id), std::move(Body), Limit);
+  co_return internal::toAnswer(Answer);
+}
+
+boost::asio::awaitable<Status>
+HttpTargetConnection::begin(std::string Id, Term Believed, Duration Limit) {
+  nlohmann::json Body{{"term", Believed}};
+  Result<nlohmann::json> Answer =
+      co_await call("/v1/begin", std::move(Id), std::move(Body), Limit);
+  co_return internal::toStatus(Answer);
+}
+
+boost::asio::awaitable<Result<StatementAnswer>>
+HttpTargetConnection::commit(std::string Id, std::string IdempotencyKey,
+                             Duration Limit) {
+  nlohmann::json Body = nlohmann::json::object();
+  if (!IdempotencyKey.empty())
+    Body["key"] = IdempotencyKey;
+  Result<nlohmann::json> Answer =
+      co_await call("/v1/commit", std::move(Id), std::move(Body), Limit);
+  co_return internal::toAnswer(Answer);
+}
+
+boost::asio::awaitable<Status> HttpTargetConnection::reset(std::string Id,
+                                                           Duration Limit) {
+  Result<nlohmann::json> Answer = co_await call(
+      "/v1/reset", std::move(Id), nlohmann::json::object(), Limit);
+  Status Done = internal::toStatus(Answer);
+  if (errorOf(Done))
+    Link.close();
+  co_return Done;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Targets/HttpTargetConnection.h
@@ -0,0 +1,39 @@
+#ifndef CICADAWIND_TARGETS_HTTPTARGETCONNECTION_H
+#define CICADAWIND_TARGETS_HTTPTARGETCONNECTION_H
+
+#include "Http/HttpConnection.h"
+#include "Targets/TargetConnection.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace cicadawind {
+
+/// \class HttpTargetConnection
+/// \brief TargetConnection over one HTTP/1.1 connection.
+class HttpTargetConnection : public TargetConnection {
+public:
+  HttpTargetConnection(boost::asio::io_context &Loop, std::string Address);
+
+  /// Connects and lets the target admit the connection.
+  boost::asio::awaitable<Status> open(Duration Limit);
+
+  boost::asio::awaitable<Result<StatementAnswer>>
+  execute(StatementCall Call, Duration Limit) override;
+  boost::asio::awaitable<Status> begin(std::string Id, Term Believed,
+                                       Duration Limit) override;
+  boost::asio::awaitable<Result<StatementAnswer>>
+  commit(std::string Id, std::string IdempotencyKey, Duration Limit) override;
+  boost::asio::awaitable<Status> reset(std::string Id, Duration Limit) override;
+  bool isOpen() const override { return Link.isOpen(); }
+  void close() override { Link.close(); }
+
+private:
+  boost::asio::awaitable<Result<nlohmann::json>>
+  call(std::string Path, std::string Id, nlohmann::json Body, Duration Limit);
+
+  HttpConnection Link;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Terms/PromotionMachine.cpp
@@ -0,0 +1,225 @@
+#include "Terms/PromotionMachine.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace cicadawind {
+namespace internal {
+
+/// Pause between repeats of a command whose answer is missing.
+constexpr Duration ResendAfter = std::chrono::milliseconds(100);
+
+} // namespace internal
+
+PromotionMachine::PromotionMachine(Options NewOpts, TermRecord Seen,
+                                   std::uint64_t SeenVersion)
+    : Opts(std::move(NewOpts)), Walk(Opts.Chart), Previous(std::move(Seen)),
+      Version(SeenVersion) {
+  assert(!Opts.Members.empty() && "a term needs members");
+  assert(!Opts.Claim.empty() && "a claim tells attempts apart");
+  Record = Previous;
+  Record.Current = Previous.Current + 1;
+  Record.State = TermRecord::Phase::Electing;
+  Record.Claim = Opts.Claim;
+}
+
+PromotionMachine::Commands PromotionMachine::begin(TimePoint Now) {
+  Walk.fire("claim");
+  StepSince = Now;
+  return {WriteTermRecord{Record, Version}};
+}
+
+PromotionMachine::Commands PromotionMachine::onWrite(StoreWriteOutcome Outcome,
+                                                     std::uint64_t NewVersion,
+                                                     TimePoint Now) {
+  if (!Walk.is("claiming") && !Walk.is("opening"))
+    return {};
+  if (Outcome == StoreWriteOutcome::Accepted)
+    return acceptWrite(NewVersion, Now);
+  // A conflict can be this attempt's own write whose answer was lost.
+  Walk.fire("unknown");
+  LastSent = Now;
+  return {ReadTermRecord{}};
+}
+
+PromotionMachine::Commands
+PromotionMachine::acceptWrite(std::uint64_t NewVersion, TimePoint Now) {
+  Version = NewVersion;
+  if (Walk.is("claiming") || Walk.is("settling_claim")) {
+    Walk.fire("claimed");
+    return startFencing(Now);
+  }
+  Walk.fire("opened");
+  StepSince = Now;
+  return tick(Now);
+}
+
+PromotionMachine::Commands PromotionMachine::onRead(const TermRecord &Stored,
+                                                    std::uint64_t StoredVersion,
+                                                    TimePoint Now) {
+  if (!Walk.is("settling_claim") && !Walk.is("settling_open"))
+    return {};
+  if (Stored == Record)
+    return acceptWrite(StoredVersion, Now);
+  if (StoredVersion == Version) {
+    // The write has not taken effect. The same conditional update again is
+    // safe: at most one of the two can succeed.
+    if (Now - StepSince > Opts.StepTimeout) {
+      Walk.fire("conflict");
+      return {};
+    }
+    LastSent = Now;
+    return {WriteTermRecord{Record, Version}, ReadTermRecord{}};
+  }
+  Walk.fire("conflict");
+  return {};
+}
+
+PromotionMachine::Commands PromotionMachine::onReadFailed(TimePoint) {
+  return {};
+}
+
+std::vector<std::string> PromotionMachine::everyone() const {
+  std::vector<std::string> All = Previous.Members;
+  for (const std::string &Member : Opts.Members)
+    if (std::find(All.begin(), All.end(), Member) == All.end())
+      All.push_back(Member);
+  return All;
+}
+
+PromotionMachine::Commands PromotionMachine::startFencing(TimePoint Now) {
+  StepSince = Now;
+  LastSent = Now;
+  Commands Out;
+  for (const std::string &Instance : everyone())
+    if (!Fenced.count(Instance))
+      Out.push_back(FenceInstance{Instance, Record.Current});
+  return Out;
+}
+
+PromotionMachine::Commands
+PromotionMachine::onFenced(const InstanceReport &Report, TimePoint Now) {
+  if (!Walk.is("fencing"))
+    return {};
+  if (Report.Promised > Record.Current) {
+    Walk.fire("superseded");
+    return {};
+  }
+  if (Report.Promised < Record.Current)
+    return {};
+  Fenced[Report.Instance] = Report;
+  LastFence = Now;
+  return openIfFenced(Now);
+}
+
+bool PromotionMachine::majorityFenced(
+    const std::vector<std::string> &Group) const {
+  auto IsFenced = [this](const std::string &Member) {
+    return Fenced.count(Member) != 0;
+  };
+  auto Count = std::count_if(Group.begin(), Group.end(), IsFenced);
+  return static_cast<std::size_t>(Count) >= quorumOf(Group.size());
+}
+
+bool PromotionMachine::allFenced() const {
+  return Fenced.size() == everyone().size();
+}
+
+bool PromotionMachine::isCandidate(const std::string &Member) const {
+  return std::find(Opts.Candidates.begin(), Opts.Candidates.end(), Member) !=
+         Opts.Candidates.end();
+}
+
+const InstanceReport *PromotionMachine::mostAdvanced() const {
+  const InstanceReport *Best = nullptr;
+  for (const std::string &Member : Opts.Members) {
+    auto It = Fenced.find(Member);
+    if (It == Fenced.end())
+      continue;
+    bool Preferred = isCandidate(Member) && Best &&
+                     !isCandidate(Best->Instance) &&
+                     It->second.Received == Best->Received;
+    if (!Best || It->second.Received > Best->Received || Preferred)
+      Best = &It->second;
+  }
+  return Best;
+}
+
+PromotionMachine::Commands PromotionMachine::openIfFenced(TimePoint Now) {
+  if (!majorityFenced(Opts.Members))
+    return {};
+  if (!Previous.Members.empty() && !majorityFenced(Previous.Members))
+    return {};
+  if (!allFenced() && Now - StepSince < Opts.FenceGrace)
+    return {};
+  // A member that joins with this term may hold less than one that leaves;
+  // it may only be chosen when it is as advanced as every fenced log.
+  const InstanceReport *Best = mostAdvanced();
+  for (const auto &[Name, Report] : Fenced)
+    if (Report.Received > Best->Received)
+      return {};
+  Record.State = TermRecord::Phase::Open;
+  Record.Primary = Best->Instance;
+  Record.Members = Opts.Members;
+  Record.addEnd(
+      {.Ended = Record.Current - 1, .LastIndex = Best->Received.Index});
+  Walk.fire("fenced");
+  StepSince = Now;
+  return {WriteTermRecord{Record, Version}};
+}
+
+PromotionMachine::Commands
+PromotionMachine::onPromoted(const InstanceReport &Report, TimePoint) {
+  if (!Walk.is("promoting"))
+    return {};
+  if (Report.Promised > Record.Current)
+    Walk.fire("superseded");
+  else if (Report.Promised == Record.Current && Report.IsPrimary)
+    Walk.fire("promoted");
+  return {};
+}
+
+PromotionMachine::Commands PromotionMachine::tick(TimePoint Now) {
+  if (Walk.is("fencing")) {
+    Commands Out = openIfFenced(Now);
+    if (!Out.empty() || Walk.finished())
+      return Out;
+    if (Now - StepSince > Opts.StepTimeout) {
+      Walk.fire("expired");
+      return {};
+    }
+    if (Now - LastSent < internal::ResendAfter)
+      return {};
+    TimePoint Since = StepSince;
+    Out = startFencing(Now);
+    StepSince = Since;
+    return Out;
+  }
+  if (Walk.is("waiting") && Now - LastFence >= Opts.LeaseLength) {
+    Walk.fire("lease_passed");
+    StepSince = Now;
+    LastSent = Now;
+    return {PromoteInstance{Record.Primary, Record.Current}};
+  }
+  bool Resend = Now - LastSent >= internal::ResendAfter;
+  if (Walk.is("promoting") && Now - StepSince > Opts.StepTimeout) {
+    Walk.fire("expired");
+    return {};
+  }
+  if (Walk.is("promoting") && Resend) {
+    LastSent = Now;
+    return {PromoteInstance{Record.Primary, Record.Current}};
+  }
+  if ((Walk.is("settling_claim") || Walk.is("settling_open")) && Resend) {
+    if (Now - StepSince > Opts.StepTimeout) {
+      Walk.fire("conflict");
+      return {};
+    }
+    LastSent = Now;
+    return {ReadTermRecord{}};
+  }
+  return {};
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Wire/ExecuteAnswer.h
@@ -0,0 +1,51 @@
+#ifndef CICADAWIND_WIRE_EXECUTEANSWER_H
+#define CICADAWIND_WIRE_EXECUTEANSWER_H
+
+#include "Core/Clock.h"
+#include "Core/LogPosition.h"
+#include "Core/Result.h"
+#include "Wire/GroupView.h"
+
+#include <optional>
+#include <string>
+
+namespace cicadawind {
+
+/// \class ExecuteAnswer
+/// \brief A pooler's answer to a router.
+struct ExecuteAnswer {
+  /// Set when the request failed.
+  std::optional<Error> Failure;
+  /// JSON text of the rows.
+  std::string Rows = "[]";
+  /// Log position seen or written.
+  LogPosition Position;
+  /// Handle of a transaction that was begun.
+  std::string Transaction;
+  bool FromPrimary = false;
+  /// Time up to which the answer is known to be current: the lease's anchor
+  /// on a primary, the freshness of the data on a replica. Not sent.
+  TimePoint EvidenceAt;
+  /// Age of that time when the answer left the pooler.
+  Millis EvidenceAge = Millis::zero();
+  /// Lease length that EvidenceAge is to be compared with.
+  Millis LeaseLength = Millis::zero();
+  /// Time that the pooler spent on the request.
+  Millis Handled = Millis::zero();
+  /// Time that it waited for a slot.
+  Millis Queued = Millis::zero();
+  /// Time until an open transaction is ended by a drain, when one is near.
+  std::optional<Millis> EndsIn;
+  GroupView View;
+};
+
+/// JSON text of \p Answer.
+std::string encode(const ExecuteAnswer &Answer);
+
+/// Inverse of encode. A malformed text is an AnswerMismatch failure with
+/// verdict MayHaveRun.
+ExecuteAnswer decodeExecuteAnswer(const std::string &Text);
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Wire/ExecuteCodec.cpp
@@ -0,0 +1,161 @@
+#include "Wire/ExecuteAnswer.h"
+#include "Wire/ExecuteRequest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace cicadawind {
+namespace internal {
+
+static constexpr std::array<std::pair<ExecuteAction, std::string_view>, 5>
+    ActionNames{{{ExecuteAction::Statement, "statement"},
+                 {ExecuteAction::Begin, "begin"},
+                 {ExecuteAction::Commit, "commit"},
+                 {ExecuteAction::Rollback, "rollback"},
+                 {ExecuteAction::Confirm, "confirm"}}};
+
+static nlohmann::json positionJson(LogPosition Position) {
+  return nlohmann::json::array({Position.WrittenIn, Position.Index});
+}
+
+static LogPosition positionFrom(const nlohmann::json &Json) {
+  return {.WrittenIn = Json.at(0).get<Term>(),
+          .Index = Json.at(1).get<LogIndex>()};
+}
+
+static Millis millisFrom(const nlohmann::json &Json, const char *Key) {
+  return Millis(Json.value(Key, std::int64_t{0}));
+}
+
+static nlohmann::json errorJson(const Error &E) {
+  nlohmann::json Json{{"code", toString(E.Code)},
+                      {"verdict", toString(E.Outcome)},
+                      {"message", E.Message}};
+  if (E.RetryAfter)
+    Json["retry_after_ms"] = E.RetryAfter->count();
+  return Json;
+}
+
+static Error errorFrom(const nlohmann::json &Json) {
+  Error E;
+  E.Code = parseErrorCode(Json.value("code", std::string()));
+  E.Outcome = parseVerdict(Json.value("verdict", std::string()))
+                  .value_or(Verdict::MayHaveRun);
+  E.Message = Json.value("message", std::string());
+  if (Json.contains("retry_after_ms"))
+    E.RetryAfter = millisFrom(Json, "retry_after_ms");
+  return E;
+}
+
+} // namespace internal
+
+std::string encode(const ExecuteRequest &Request) {
+  nlohmann::json Json{{"id", Request.Id},
+                      {"database", Request.Database},
+                      {"target", Request.Target},
+                      {"caller", Request.Caller},
+                      {"left_ms", Request.Left.count()},
+                      {"known_term", Request.Known}};
+  for (const auto &[Action, Name] : internal::ActionNames)
+    if (Action == Request.Action)
+      Json["action"] = Name;
+  if (!Request.Statement.empty())
+    Json["statement"] = Request.Statement;
+  if (Request.Kind == StatementKind::Write)
+    Json["write"] = true;
+  if (!Request.IdempotencyKey.empty())
+    Json["key"] = Request.IdempotencyKey;
+  if (!Request.Transaction.empty())
+    Json["transaction"] = Request.Transaction;
+  if (Request.Need.AcceptedAge > Millis::zero())
+    Json["accepted_age_ms"] = Request.Need.AcceptedAge.count();
+  if (Request.Need.AtLeast != LogPosition())
+    Json["at_least"] = internal::positionJson(Request.Need.AtLeast);
+  return Json.dump();
+}
+
+Result<ExecuteRequest> decodeExecuteRequest(const std::string &Text) {
+  try {
+    nlohmann::json Json = nlohmann::json::parse(Text);
+    ExecuteRequest Request;
+    std::string Action = Json.at("action");
+    for (const auto &[Value, Name] : internal::ActionNames)
+      if (Name == Action)
+        Request.Action = Value;
+    Json.at("id").get_to(Request.Id);
+    Json.at("database").get_to(Request.Database);
+    Json.at("target").get_to(Request.Target);
+    Json.at("caller").get_to(Request.Caller);
+    Json.at("known_term").get_to(Request.Known);
+    Request.Left = internal::millisFrom(Json, "left_ms");
+    Request.Statement = Json.value("statement", std::string());
+    Request.Kind =
+        Json.value("write", false) ? StatementKind::Write : StatementKind::Read;
+    Request.IdempotencyKey = Json.value("key", std::string());
+    Request.Transaction = Json.value("transaction", std::string());
+    Request.Need.AcceptedAge = internal::millisFrom(Json, "accepted_age_ms");
+    if (Json.contains("at_least"))
+      Request.Need.AtLeast = internal::positionFrom(Json.at("at_least"));
+    return Request;
+  } catch (const nlohmann::json::exception &E) {
+    return Error{.Code = ErrorCode::BadRequest,
+                 .Message = std::string("malformed request: ") + E.what()};
+  }
+}
+
+std::string encode(const ExecuteAnswer &Answer) {
+  nlohmann::json Json{{"handled_ms", Answer.Handled.count()},
+                      {"queued_ms", Answer.Queued.count()},
+                      {"term", Answer.View.Current},
+                      {"primary", Answer.View.Primary}};
+  if (Answer.EndsIn)
+    Json["ends_in_ms"] = Answer.EndsIn->count();
+  if (Answer.Failure) {
+    Json["error"] = internal::errorJson(*Answer.Failure);
+    return Json.dump();
+  }
+  Json["position"] = internal::positionJson(Answer.Position);
+  Json["from_primary"] = Answer.FromPrimary;
+  Json["evidence_age_ms"] = Answer.EvidenceAge.count();
+  Json["lease_ms"] = Answer.LeaseLength.count();
+  if (!Answer.Transaction.empty())
+    Json["transaction"] = Answer.Transaction;
+  // The rows come last, as raw text, to spare parsing large answers twice.
+  std::string Text = Json.dump();
+  Text.pop_back();
+  return Text + ",\"rows\":" + Answer.Rows + "}";
+}
+
+ExecuteAnswer decodeExecuteAnswer(const std::string &Text) {
+  ExecuteAnswer Answer;
+  try {
+    nlohmann::json Json = nlohmann::json::parse(Text);
+    Answer.Handled = internal::millisFrom(Json, "handled_ms");
+    Answer.Queued = internal::millisFrom(Json, "queued_ms");
+    Json.at("term").get_to(Answer.View.Current);
+    Json.at("primary").get_to(Answer.View.Primary);
+    if (Json.contains("ends_in_ms"))
+      Answer.EndsIn = internal::millisFrom(Json, "ends_in_ms");
+    if (Json.contains("error")) {
+      Answer.Failure = internal::errorFrom(Json.at("error"));
+      return Answer;
+    }
+    Answer.Position = internal::positionFrom(Json.at("position"));
+    Json.at("from_primary").get_to(Answer.FromPrimary);
+    Answer.EvidenceAge = internal::millisFrom(Json, "evidence_age_ms");
+    Answer.LeaseLength = internal::millisFrom(Json, "lease_ms");
+    Answer.Transaction = Json.value("transaction", std::string());
+    Answer.Rows = Json.at("rows").dump();
+  } catch (const nlohmann::json::exception &E) {
+    Answer.Failure =
+        Error{.Code = ErrorCode::AnswerMismatch,
+              .Outcome = Verdict::MayHaveRun,
+              .Message = std::string("malformed answer: ") + E.what()};
+  }
+  return Answer;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Wire/Wire.h
@@ -0,0 +1,10 @@
+/// \file
+/// Wire module: typed messages between routers and poolers.
+#ifndef CICADAWIND_WIRE_WIRE_H
+#define CICADAWIND_WIRE_WIRE_H
+
+#include "Wire/ExecuteAnswer.h"
+#include "Wire/ExecuteRequest.h"
+#include "Wire/GroupView.h"
+
+#endif
