Move the decisions about a primary into GroupController and try them

Change: GroupController takes reports, store answers and time, and returns commands; GroupMonitor only carries them out. GroupWorld runs the same object file in virtual time with cuts, freezes, slow nodes and lost store answers, and GroupHistory checks what was promised.

--- a/src/Pooler/FreshnessMarks.cpp
+++ b/src/Groups/FreshnessMarks.cpp
@@ -1,4 +1,4 @@
-#include "Pooler/FreshnessMarks.h"
+#include "Groups/FreshnessMarks.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/src/Groups/Groups.h
@@ -0,0 +1,10 @@
+/// \file
+/// Groups module: all decisions about one database's primary. Pure policy.
+#ifndef CICADAWIND_GROUPS_GROUPS_H
+#define CICADAWIND_GROUPS_GROUPS_H
+
+#include "Groups/FreshnessMarks.h"
+#include "Groups/GroupCommand.h"
+#include "Groups/GroupController.h"
+
+#endif
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -46,8 +46,8 @@
   Peers.rpc().add("peer.term", [this](const nlohmann::json &Params) {
     nlohmann::json Out = nlohmann::json::object();
     auto It = Monitors.find(Params.at("database").get<std::string>());
-    if (It != Monitors.end() && It->second->record())
-      Out["record"] = encodeTermRecord(*It->second->record());
+    if (It != Monitors.end() && It->second->control().record())
+      Out["record"] = encodeTermRecord(*It->second->control().record());
     return Out;
   });
 }
@@ -108,10 +108,10 @@
   if (Config == Databases.end())
     return nullptr;
   GroupMonitor::Options MonitorOpts;
-  MonitorOpts.Vm = Opts.Vm;
-  MonitorOpts.PromotionChart = Opts.Charts.Promotion;
-  MonitorOpts.Random = Opts.Random;
-  MonitorOpts.Trigger.RankDelay = rankDelay(Config->second);
+  MonitorOpts.Control.Claimant = Opts.Vm;
+  MonitorOpts.Control.PromotionChart = Opts.Charts.Promotion;
+  MonitorOpts.Control.Random = Opts.Random;
+  MonitorOpts.Control.Trigger.RankDelay = rankDelay(Config->second);
   auto Monitor = std::make_shared<GroupMonitor>(Loop, MonitorOpts, Group, Store,
                                                 Meter, Config->second);
   Monitor->setPeerRecordHook(
@@ -192,11 +192,11 @@
       bool Owned = !Owners.empty() && Owners.front().Vm == Opts.Vm;
       if (!Owned)
         continue;
-      std::shared_ptr<GroupMonitor> Monitor = monitorOf(Name);
+      monitorOf(Name);
       poolOf(Name, TargetName);
-      if (Target.Leaving && Monitor->isPrimary(TargetName))
-        Monitor->requestHandover(TargetName);
     }
+  for (const auto &[Name, Monitor] : Monitors)
+    requestHandover(*Monitor);
   std::erase_if(Monitors, [&](auto &Row) {
     if (Now - LastUse[Row.first] < Opts.UnusedLimit)
       return false;
@@ -206,6 +206,14 @@
   endTransactions(Now);
 }
 
+void PoolerService::requestHandover(GroupMonitor &Monitor) {
+  std::string Primary = Monitor.control().primary();
+  const auto &Targets = Monitor.config().Targets;
+  auto It = Targets.find(Primary);
+  bool Leaves = It != Targets.end() && It->second.Leaving;
+  Monitor.control().requestHandover(Leaves ? Primary : std::string());
+}
+
 void PoolerService::endTransactions(TimePoint Now) {
   Duration IdleLimit = Peers.history().config().Limits.IdleTransaction;
   for (const std::string &Id : Transactions.idleSince(Now - IdleLimit))
@@ -255,7 +263,7 @@
 
 Status PoolerService::checkPrimary(const Place &At,
                                    const std::string &Target) const {
-  if (!At.Monitor->isPrimary(Target))
+  if (!At.Monitor->control().isPrimary(Target))
     return Error{.Code = ErrorCode::NotPrimary,
                  .Message = "the target is not the primary"};
   if (!At.Monitor->leaseValid())
@@ -269,7 +277,7 @@
                                     LogPosition AtLeast) const {
   if (AtLeast == LogPosition())
     return std::monostate();
-  const std::optional<TermRecord> &Record = At.Monitor->record();
+  const std::optional<TermRecord> &Record = At.Monitor->control().record();
   PositionFate Fate = Record ? Record->fateOf(AtLeast) : PositionFate::Unknown;
   if (Fate == PositionFate::Survives)
     return std::monostate();
@@ -285,8 +293,8 @@
 
 void PoolerService::fillPrimary(const Place &At, ExecuteAnswer &Out) const {
   Out.FromPrimary = true;
-  Out.EvidenceAt = BootClock::now() - At.Monitor->leaseAge();
-  Out.LeaseLength = toMillis(At.Monitor->leaseLength());
+  Out.EvidenceAt = At.Monitor->control().leaseAnchor();
+  Out.LeaseLength = toMillis(At.Monitor->control().leaseLength());
 }
 
 boost::asio::awaitable<ExecuteAnswer>
@@ -354,7 +362,7 @@
   }
   bool OnPrimary = Request.Kind == StatementKind::Write ||
                    Request.Need.needsPrimary() ||
-                   valueOf(At).Monitor->isPrimary(Request.Target);
+                   valueOf(At).Monitor->control().isPrimary(Request.Target);
   if (OnPrimary)
     co_return co_await usePrimary(std::move(Request), valueOf(At));
   co_return co_await readReplica(std::move(Request), valueOf(At));
@@ -435,8 +443,8 @@
   TimePoint Now = BootClock::now();
   TimePoint End = std::min(Deadline, Now + Opts.CatchUpWait);
   for (;;) {
-    std::optional<InstanceReport> Report = At.Monitor->reportOf(Request.Target);
-    const std::optional<TermRecord> &Record = At.Monitor->record();
+    std::optional<InstanceReport> Report = At.Monitor->control().reportOf(Request.Target);
+    const std::optional<TermRecord> &Record = At.Monitor->control().record();
     bool InTerm = Report && Record && Record->isOpen() &&
                   Report->Promised == Record->Current;
     if (!InTerm)
@@ -463,7 +471,7 @@
                                          const Place &At,
                                          const StatementAnswer &Answer,
                                          ExecuteAnswer &Out) const {
-  const std::optional<TermRecord> &Record = At.Monitor->record();
+  const std::optional<TermRecord> &Record = At.Monitor->control().record();
   bool SameTerm = Record && Answer.RanIn == Record->Current;
   std::optional<Duration> Age = At.Monitor->ageOf(Answer.Position);
   bool Covers = Answer.Position.Index >= Request.Need.AtLeast.Index;
--- a/src/Pooler/PoolerService.h
+++ b/src/Pooler/PoolerService.h
@@ -100,6 +100,7 @@
   boost::asio::awaitable<void> maintainLoop();
   void maintain();
   void reconfigure();
+  static void requestHandover(GroupMonitor &Monitor);
   Duration rankDelay(const DatabaseConfig &Database) const;
   boost::asio::awaitable<std::optional<TermRecord>>
   askPeers(std::string Database);
--- /dev/null
+++ b/test/Groups/FaultSchedulesTest.cpp
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE FaultSchedules
+#include "Groups/GroupWorld.h"
+#include "StateCharts/ChartSet.h"
+#include "TestFlags.h"
+
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+
+namespace rc {
+
+/// Times of the whole range in every schedule, whatever RapidCheck's size is.
+static Gen<Millis> millisIn(int Min, int Max) {
+  return gen::map(gen::resize(kNominalSize, gen::inRange(Min, Max)),
+                  [](int Ms) { return Millis(Ms); });
+}
+
+/// Faults begin in the first 2.5 s and have ended after 5 s.
+template <> struct Arbitrary<Fault> {
+  static Gen<Fault> arbitrary() {
+    return gen::build<Fault>(
+        gen::set(&Fault::Kind,
+                 gen::weightedElement<FaultKind>({{3, FaultKind::Cut},
+                                                  {3, FaultKind::Freeze},
+                                                  {1, FaultKind::LoseAnswers},
+                                                  {1, FaultKind::Slow}})),
+        gen::set(&Fault::At,
+                 gen::weightedElement<Node>({{5, Node::InstanceA},
+                                             {4, Node::InstanceB},
+                                             {3, Node::InstanceC},
+                                             {2, Node::ControllerA},
+                                             {2, Node::ControllerB},
+                                             {2, Node::Store}})),
+        gen::set(&Fault::Start, millisIn(0, 2500)),
+        gen::set(&Fault::Length, millisIn(20, 2500)));
+  }
+};
+
+} // namespace rc
+
+namespace cicadawind::test {
+
+static void showValue(const Fault &F, std::ostream &Out) {
+  Out << "fault " << static_cast<int>(F.Kind) << " at node "
+      << static_cast<int>(F.At) << " from " << F.Start.count() << " for "
+      << F.Length.count() << " ms";
+}
+
+} // namespace cicadawind::test
+
+static std::shared_ptr<const StateChart> promotionChart() {
+  Result<ChartSet> Charts = ChartSet::load(chartFolder());
+  BOOST_REQUIRE(!errorOf(Charts));
+  return valueOf(Charts).Promotion;
+}
+
+static void useSeed(std::uint64_t Schedules) {
+  std::uint64_t Seed = numberFlag("seed", 20261204);
+  std::cout << "seed " << Seed << ", schedules " << Schedules
+            << " (repeat with -- --seed=" << Seed
+            << " --schedules=" << Schedules << ")\n";
+  std::string Params = "seed=" + std::to_string(Seed) +
+                       " max_success=" + std::to_string(Schedules);
+  setenv("RC_PARAMS", Params.c_str(), 1);
+}
+
+static GroupWorld::Options worldOf(const std::vector<Fault> &Faults,
+                                   std::uint64_t Seed) {
+  GroupWorld::Options Opts;
+  Opts.Seed = Seed;
+  Opts.Faults = Faults;
+  static std::shared_ptr<const StateChart> Chart = promotionChart();
+  Opts.PromotionChart = Chart;
+  return Opts;
+}
+
+BOOST_AUTO_TEST_CASE(PromisesHoldUnderRandomFaults) {
+  useSeed(numberFlag("schedules", 2000));
+  std::uint64_t Acks = 0;
+  std::uint64_t Reads = 0;
+  std::uint64_t Terms = 0;
+  bool Held = rc::check("promises hold", [&] {
+    auto Count = *rc::gen::resize(100, rc::gen::inRange(0, 8));
+    auto Faults = *rc::gen::container<std::vector<Fault>>(
+        Count, rc::gen::arbitrary<Fault>());
+    auto Seed = *rc::gen::resize(100, rc::gen::arbitrary<std::uint64_t>());
+    GroupWorld World(worldOf(Faults, Seed));
+    std::string Broken = World.run();
+    Acks += World.history().acknowledgedCount();
+    Reads += World.history().readCount();
+    Terms += World.lastTerm();
+    if (!Broken.empty())
+      RC_FAIL(Broken);
+  });
+  std::cout << "acknowledged " << Acks << ", reads " << Reads
+            << ", terms opened " << Terms << "\n";
+  BOOST_TEST(Held);
+}
+
+/// Whether the checker finds the flaw within \p Schedules schedules.
+static bool finds(PlantedFlaw Flaw, std::uint64_t Schedules,
+                  std::string &Example) {
+  for (std::uint64_t Seed = 1; Seed <= Schedules; ++Seed) {
+    std::mt19937_64 Engine(Seed);
+    std::vector<Fault> Faults;
+    for (int I = 0; I < 3; ++I) {
+      Fault F;
+      F.Kind = Engine() % 2 == 0 ? FaultKind::Cut : FaultKind::Freeze;
+      F.At = static_cast<Node>(Engine() % 3);
+      F.Start = Millis(Engine() % 2500);
+      F.Length = Millis(800 + Engine() % 400);
+      Faults.push_back(F);
+    }
+    GroupWorld::Options Opts = worldOf(Faults, Seed);
+    Opts.Flaw = Flaw;
+    Example = GroupWorld(Opts).run();
+    if (!Example.empty()) {
+      std::cout << "found with seed " << Seed << ": " << Example << "\n";
+      return true;
+    }
+  }
+  return false;
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsUnconfirmedAcknowledgement) {
+  std::string Example;
+  BOOST_TEST(finds(PlantedFlaw::AcknowledgeUnconfirmed, 200, Example));
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsOpeningWithoutWait) {
+  std::string Example;
+  BOOST_TEST(finds(PlantedFlaw::OpenAtOnce, 2000, Example));
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsIgnoredTravelTime) {
+  std::string Example;
+  BOOST_TEST(finds(PlantedFlaw::IgnoreTravelTime, 200, Example));
+}
--- /dev/null
+++ b/test/Groups/GroupWorld.cpp
@@ -0,0 +1,420 @@
+#include "Groups/GroupWorld.h"
+
+#include <algorithm>
+
+namespace cicadawind::test {
+
+constexpr Millis PollPeriod(25);
+constexpr Millis PullPeriod(10);
+constexpr Millis OperationPeriod(15);
+constexpr Millis ConfirmCheck(5);
+constexpr Millis OperationLimit(1000);
+constexpr TimePoint Epoch = TimePoint(std::chrono::hours(1));
+
+GroupWorld::GroupWorld(Options NewOpts)
+    : Opts(std::move(NewOpts)), Engine(Opts.Seed), Timers(Epoch) {
+  std::vector<std::string> Names;
+  for (std::size_t I = 0; I < 3; ++I) {
+    Names.push_back(instanceName(I));
+    Instances.emplace_back(instanceName(I));
+  }
+  for (std::size_t C = 0; C < 2; ++C) {
+    GroupController::Options ControlOpts;
+    ControlOpts.Claimant = "controller-" + std::to_string(C);
+    ControlOpts.PromotionChart = Opts.PromotionChart;
+    ControlOpts.Random = [this] { return Engine(); };
+    ControlOpts.Trigger.RankDelay = Millis(150) * C;
+    Controllers.push_back(
+        std::make_unique<GroupController>(ControlOpts, Names));
+  }
+}
+
+std::string GroupWorld::instanceName(std::size_t I) {
+  return std::string("db-") + static_cast<char>('a' + I);
+}
+
+std::size_t GroupWorld::instanceIndex(const std::string &Name) const {
+  return static_cast<std::size_t>(Name.back() - 'a');
+}
+
+std::uint64_t GroupWorld::random(std::uint64_t Below) {
+  return Engine() % Below;
+}
+
+void GroupWorld::later(Duration Delay, std::function<void()> Run) {
+  std::uint64_t Id = ++LastPending;
+  Pending[Id] = Timers.after(Delay, [this, Id, Run = std::move(Run)](
+                                        TimePoint) {
+    auto Ended = Pending.extract(Id);
+    Run();
+  });
+}
+
+void GroupWorld::deliver(Node At, std::function<void()> Run) {
+  if (state(At).Frozen)
+    state(At).Waiting.push_back(std::move(Run));
+  else
+    Run();
+}
+
+void GroupWorld::send(Node From, Node To, std::function<void()> Run) {
+  if (state(From).Cut || state(To).Cut)
+    return;
+  bool Slow = state(From).Slow || state(To).Slow;
+  Duration Delay = std::chrono::microseconds(500 + random(4000));
+  if (Slow)
+    Delay += Millis(random(300));
+  later(Delay, [this, To, Run = std::move(Run)] {
+    if (!state(To).Cut)
+      deliver(To, Run);
+  });
+}
+
+void GroupWorld::toRouter(Node From, std::function<void()> Run) {
+  if (state(From).Cut)
+    return;
+  // Now and then the router, or its connection, pauses for long.
+  bool Pauses = random(20) == 0;
+  Duration Delay = Millis(1 + random(4)) + Millis(Pauses ? random(1500) : 0);
+  later(Delay, std::move(Run));
+}
+
+void GroupWorld::schedule(const Fault &F) {
+  later(F.Start, [this, F] {
+    NodeState &N = state(F.At);
+    if (F.Kind == FaultKind::Cut)
+      N.Cut = true;
+    if (F.Kind == FaultKind::Freeze)
+      N.Frozen = true;
+    if (F.Kind == FaultKind::Slow)
+      N.Slow = true;
+    if (F.Kind == FaultKind::LoseAnswers)
+      Store.LosesAnswers = true;
+  });
+  later(F.Start + F.Length, [this, F] {
+    NodeState &N = state(F.At);
+    if (F.Kind == FaultKind::Cut)
+      N.Cut = false;
+    if (F.Kind == FaultKind::Slow)
+      N.Slow = false;
+    if (F.Kind == FaultKind::LoseAnswers)
+      Store.LosesAnswers = false;
+    if (F.Kind != FaultKind::Freeze)
+      return;
+    N.Frozen = false;
+    std::vector<std::function<void()>> Waiting = std::move(N.Waiting);
+    N.Waiting.clear();
+    for (std::function<void()> &Run : Waiting)
+      Run();
+  });
+}
+
+void GroupWorld::startLoops() {
+  for (std::size_t C = 0; C < 2; ++C) {
+    Loops.push_back(Timers.every(PollPeriod, [this, C](TimePoint Now) {
+      if (state(controllerNode(C)).Frozen)
+        return;
+      carryOut(C, Controllers[C]->tick(Now));
+      for (std::size_t I = 0; I < 3; ++I)
+        pollInstance(C, I);
+    }));
+  }
+  for (std::size_t I = 0; I < 3; ++I)
+    Loops.push_back(Timers.every(PullPeriod, [this, I](TimePoint Now) {
+      if (state(instanceNode(I)).Frozen)
+        return;
+      replicate(I);
+      Instances[I].apply(Now, Opts.ApplyLag);
+    }));
+  Loops.push_back(Timers.every(OperationPeriod,
+                               [this](TimePoint) { startOperation(); }));
+}
+
+void GroupWorld::pollInstance(std::size_t C, std::size_t I) {
+  TimePoint Sent = Timers.now();
+  send(controllerNode(C), instanceNode(I), [this, C, I, Sent] {
+    InstanceReport Report = Instances[I].report(Timers.now());
+    send(instanceNode(I), controllerNode(C), [this, C, Report, Sent] {
+      carryOut(C, Controllers[C]->onReport(Report, Sent, Timers.now()));
+    });
+  });
+}
+
+void GroupWorld::replicate(std::size_t I) {
+  std::string Primary = Instances[I].following();
+  if (Primary.empty())
+    return;
+  std::size_t P = instanceIndex(Primary);
+  fakes::PullRequest Pull = Instances[I].pullRequest();
+  TimePoint Sent = Timers.now();
+  send(instanceNode(I), instanceNode(P), [this, I, P, Pull, Sent] {
+    fakes::PullAnswer Answer = Instances[P].answerPull(Pull);
+    send(instanceNode(P), instanceNode(I), [this, I, Answer, Sent] {
+      Instances[I].takePull(Answer, Sent, Timers.now());
+    });
+  });
+}
+
+void GroupWorld::noteOpened(const fakes::InstanceModel &Model) {
+  if (!Model.isPrimary())
+    return;
+  LastOpened = std::max(LastOpened, Model.promised());
+  History.opened(Model.promised(), Timers.now());
+}
+
+void GroupWorld::control(std::size_t C, std::size_t I,
+                         std::function<void(fakes::InstanceModel &)> Change,
+                         std::function<void(const InstanceReport &)> Answer) {
+  send(controllerNode(C), instanceNode(I), [this, C, I, Change, Answer] {
+    Change(Instances[I]);
+    noteOpened(Instances[I]);
+    InstanceReport Report = Instances[I].report(Timers.now());
+    send(instanceNode(I), controllerNode(C),
+         [Answer, Report] { Answer(Report); });
+  });
+}
+
+void GroupWorld::carryOut(std::size_t C, GroupController::Commands Commands) {
+  for (const GroupCommand &Command : Commands)
+    carryOutOne(C, Command);
+}
+
+void GroupWorld::carryOutOne(std::size_t C, const GroupCommand &Command) {
+  GroupController &Control = *Controllers[C];
+  TimePoint Sent = Timers.now();
+  if (auto *Write = std::get_if<WriteTermRecord>(&Command)) {
+    writeStore(C, *Write);
+  } else if (std::holds_alternative<ReadTermRecord>(Command)) {
+    send(controllerNode(C), Node::Store, [this, C] {
+      send(Node::Store, controllerNode(C),
+           [this, C, Record = Store.Record, Version = Store.Version] {
+             carryOut(C, Controllers[C]->onRecord(Record, Version,
+                                                  Timers.now()));
+           });
+    });
+  } else if (auto *Fence = std::get_if<FenceInstance>(&Command)) {
+    control(
+        C, instanceIndex(Fence->Instance),
+        [T = Fence->NewTerm](fakes::InstanceModel &M) { M.fence(T); },
+        [this, C, &Control](const InstanceReport &Report) {
+          carryOut(C, Control.onFenced(Report, Timers.now()));
+        });
+  } else if (auto *Promote = std::get_if<PromoteInstance>(&Command)) {
+    control(
+        C, instanceIndex(Promote->Instance),
+        [this, T = Promote->NewTerm](fakes::InstanceModel &M) {
+          M.promote(T, Timers.now());
+        },
+        [this, C, &Control, Sent](const InstanceReport &Report) {
+          carryOut(C, Control.onPromoted(Report, Sent, Timers.now()));
+        });
+  } else if (auto *Follow = std::get_if<FollowPrimary>(&Command)) {
+    control(
+        C, instanceIndex(Follow->Instance),
+        [this, F = *Follow](fakes::InstanceModel &M) {
+          M.follow(F.Of, F.Primary, F.LastIndex, Timers.now());
+        },
+        [this, C, &Control, Sent](const InstanceReport &Report) {
+          carryOut(C, Control.onReport(Report, Sent, Timers.now()));
+        });
+  }
+}
+
+void GroupWorld::writeStore(std::size_t C, const WriteTermRecord &Command) {
+  std::string Claim = Command.Record.Claim;
+  auto Answered = std::make_shared<bool>(false);
+  send(controllerNode(C), Node::Store, [this, C, Command, Claim, Answered] {
+    StoreWriteOutcome Outcome = StoreWriteOutcome::Conflict;
+    if (Store.Version == Command.ExpectedVersion) {
+      Store.Record = Command.Record;
+      ++Store.Version;
+      Outcome = StoreWriteOutcome::Accepted;
+      bool Opens = Opts.Flaw == PlantedFlaw::OpenAtOnce &&
+                   Command.Record.isOpen();
+      if (Opens)
+        carryOutOne(C, PromoteInstance{Command.Record.Primary,
+                                       Command.Record.Current});
+    }
+    if (Store.LosesAnswers)
+      return;
+    send(Node::Store, controllerNode(C),
+         [this, C, Outcome, Claim, Answered, Version = Store.Version] {
+           *Answered = true;
+           carryOut(C, Controllers[C]->onWrite(Claim, Outcome, Version,
+                                               Timers.now()));
+         });
+  });
+  later(Millis(700), [this, C, Claim, Answered] {
+    if (*Answered)
+      return;
+    deliver(controllerNode(C), [this, C, Claim] {
+      carryOut(C, Controllers[C]->onWrite(Claim, StoreWriteOutcome::Unknown, 0,
+                                          Timers.now()));
+    });
+  });
+}
+
+void GroupWorld::startOperation() {
+  auto Op = std::make_shared<Operation>();
+  std::uint64_t Kind = random(4);
+  Op->Write = Kind < 2;
+  Op->AcceptedAge = Kind == 3 ? Millis(200 + random(1000)) : Millis(0);
+  Op->Id = Op->Write ? ++LastId : 0;
+  Op->Via = random(2);
+  Op->RouterSent = Timers.now();
+  Op->Deadline = Timers.now() + OperationLimit;
+  Node At = controllerNode(Op->Via);
+  if (state(At).Cut)
+    return;
+  later(Millis(1 + random(3)), [this, Op, At] {
+    deliver(At, [this, Op] { atController(Op); });
+  });
+}
+
+void GroupWorld::atController(Shared Op) {
+  GroupController &Control = *Controllers[Op->Via];
+  TimePoint Now = Timers.now();
+  Op->Received = Now;
+  bool FromReplica = Op->AcceptedAge > Millis(0);
+  std::string Primary = Control.primary();
+  if (Primary.empty() || (!FromReplica && !Control.leaseValidAt(Now))) {
+    if (Op->Write)
+      History.notRun(Op->Id);
+    return;
+  }
+  Op->Under = Control.term();
+  Op->Target = FromReplica ? random(3) : instanceIndex(Primary);
+  send(controllerNode(Op->Via), instanceNode(Op->Target),
+       [this, Op] { atInstance(Op); });
+}
+
+void GroupWorld::atInstance(Shared Op) {
+  fakes::InstanceModel &Model = Instances[Op->Target];
+  Node From = instanceNode(Op->Target);
+  Node To = controllerNode(Op->Via);
+  if (errorOf(Model.check(Op->Under, Op->Write))) {
+    if (Op->Write)
+      send(From, To, [this, Op] { History.notRun(Op->Id); });
+    return;
+  }
+  if (Op->Write) {
+    fakes::LogEntry Entry;
+    Entry.Puts.emplace_back(std::to_string(Op->Id), "");
+    Op->Position = Model.append(std::move(Entry), Timers.now());
+    History.appended(Op->Id);
+  } else {
+    Op->Position = Model.applied();
+    for (const auto &[Key, Value] : Model.values())
+      Op->Seen.insert(std::stoull(Key));
+  }
+  send(From, To, [this, Op] { awaitHeld(Op); });
+}
+
+void GroupWorld::awaitHeld(Shared Op) {
+  GroupController &Control = *Controllers[Op->Via];
+  TimePoint Now = Timers.now();
+  if (Op->AcceptedAge > Millis(0)) {
+    std::optional<Duration> Age = Control.ageOf(Op->Position, Now);
+    if (!Age || *Age > Op->AcceptedAge || Control.term() != Op->Under)
+      return;
+    Op->EvidenceAt = Now - *Age;
+    letOut(Op);
+    return;
+  }
+  PositionState State = Control.stateOf(Op->Position, Now);
+  if (Opts.Flaw == PlantedFlaw::AcknowledgeUnconfirmed)
+    State = PositionState::Held;
+  if (State == PositionState::Lost || Now > Op->Deadline)
+    return;
+  if (State == PositionState::Held) {
+    Op->EvidenceAt = Control.leaseAnchor();
+    Op->Under = Control.term();
+    letOut(Op);
+    return;
+  }
+  later(ConfirmCheck, [this, Op] {
+    deliver(controllerNode(Op->Via), [this, Op] { awaitHeld(Op); });
+  });
+}
+
+void GroupWorld::letOut(Shared Op) {
+  Duration Handled = Timers.now() - Op->Received;
+  Duration Age = Timers.now() - Op->EvidenceAt;
+  toRouter(controllerNode(Op->Via), [this, Op, Handled, Age] {
+    Op->EvidenceAt = Timers.now() - Age; // as the router computes it
+    atRouter(Op, Handled + Age);
+  });
+}
+
+void GroupWorld::atRouter(Shared Op, Duration HandledAndAge) {
+  // HandledAndAge is Handled + Age; the router knows the whole round trip.
+  TimePoint Now = Timers.now();
+  Duration Age = Now - Op->EvidenceAt;
+  Duration Handled = HandledAndAge - Age;
+  Duration Transit = (Now - Op->RouterSent) - Handled;
+  Duration Evidence = Age + Transit;
+  bool Replica = Op->AcceptedAge > Millis(0);
+  Duration Limit = Replica ? Duration(Op->AcceptedAge)
+                           : Controllers[0]->leaseLength();
+  bool Good = Replica ? Evidence <= Limit : Evidence < Limit;
+  if (Opts.Flaw == PlantedFlaw::IgnoreTravelTime)
+    Good = true;
+  if (Good)
+    finish(Op);
+  else if (Op->Write)
+    reconfirm(Op);
+}
+
+void GroupWorld::reconfirm(Shared Op) {
+  if (Timers.now() > Op->Deadline + OperationLimit)
+    return;
+  Op->Via = random(2);
+  Op->RouterSent = Timers.now();
+  Op->Deadline = Timers.now() + OperationLimit;
+  Node At = controllerNode(Op->Via);
+  if (state(At).Cut)
+    return;
+  later(Millis(1 + random(3)), [this, Op, At] {
+    deliver(At, [this, Op] {
+      Op->Received = Timers.now();
+      awaitHeld(Op);
+    });
+  });
+}
+
+void GroupWorld::finish(Shared Op) {
+  TimePoint Now = Timers.now();
+  if (Op->Write) {
+    History.acknowledged(Op->Id, Now, Op->Under);
+    return;
+  }
+  bool Replica = Op->AcceptedAge > Millis(0);
+  // A read must reflect what was acknowledged before it was sent, less the
+  // age that it accepts when it is let out.
+  TimePoint AsOf = Replica ? Now - Op->AcceptedAge : Op->RouterSent;
+  History.read(Op->Seen, AsOf, Now, Op->Under);
+}
+
+std::string GroupWorld::run() {
+  startLoops();
+  for (const Fault &F : Opts.Faults)
+    schedule(F);
+  TimePoint End = Epoch + Opts.FaultTime + Opts.HealTime;
+  // Step by step: a service that is advanced late skips periods.
+  while (Timers.nextDue() && *Timers.nextDue() <= End)
+    Timers.advanceTo(*Timers.nextDue());
+  std::optional<TimePoint> Last = History.lastAcknowledged();
+  if (!Last || *Last < End - Millis(500))
+    return "writes did not come back after the faults had ended";
+  std::size_t Primary = 0;
+  for (std::size_t I = 0; I < 3; ++I)
+    if (Instances[I].isPrimary() &&
+        Instances[I].promised() >= Instances[Primary].promised())
+      Primary = I;
+  std::vector<WriteId> Final;
+  for (const auto &[Key, Value] : Instances[Primary].values())
+    Final.push_back(std::stoull(Key));
+  return History.check(Final);
+}
+
+} // namespace cicadawind::test
