--- a/src/Core/Clock.h
+++ b/src/Core/Clock.h
@@ -16,7 +16,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = // NOLINT(readability-identifier-naming)
+      true;
 
   /// Current time. Thread safe.
   static time_point now() noexcept;
--- a/src/Core/LogPosition.h
+++ b/src/Core/LogPosition.h
@@ -21,6 +21,7 @@
   Term WrittenIn = 0;
   LogIndex Index = 0;
 
+  // NOLINTNEXTLINE
   auto operator<=>(const LogPosition &) const = default;
 };
 
--- a/src/Daemons/DaemonRuntime.cpp
+++ b/src/Daemons/DaemonRuntime.cpp
@@ -235,7 +235,7 @@
   HttpServer::Options ServerOpts;
   ServerOpts.Address = Opts.Settings.Address;
   ServerOpts.Port = peerPort();
-  ServerOpts.MaxBodyBytes = 8 * 1024 * 1024;
+  ServerOpts.MaxBodyBytes = std::size_t{8} * 1024 * 1024;
   PeerServer = std::make_unique<HttpServer>(
       Loop, ServerOpts, [this](HttpRequest Request) {
         return servePeerPort(std::move(Request));
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -17,10 +17,10 @@
 namespace asio = boost::asio;
 
 /// Bodies that RESTinio still reads, so that they get an answer.
-constexpr std::uint64_t HardBodyLimit = 16 * 1024 * 1024;
+constexpr std::uint64_t HardBodyLimit = std::size_t{16} * 1024 * 1024;
 constexpr std::uint64_t MaxUrlBytes = 4096;
 constexpr std::uint64_t MaxHeaderNameBytes = 256;
-constexpr std::uint64_t MaxHeaderValueBytes = 16 * 1024;
+constexpr std::uint64_t MaxHeaderValueBytes = std::size_t{16} * 1024;
 constexpr std::size_t MaxHeaderCount = 64;
 
 /// Counts connections by peer address.
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -33,7 +33,7 @@
     std::string Address = "127.0.0.1";
     /// 0 takes a free port.
     std::uint16_t Port = 0;
-    std::size_t MaxBodyBytes = 256 * 1024;
+    std::size_t MaxBodyBytes = std::size_t{256} * 1024;
     std::size_t MaxConnectionsPerPeer = 4096;
     std::size_t MaxConnections = 20000;
     /// An idle connection, or one whose header or body stalls, is closed.
--- a/src/ReleaseNotes/ReleaseNote.h
+++ b/src/ReleaseNotes/ReleaseNote.h
@@ -27,7 +27,7 @@
 /// \endcode
 struct ReleaseNote {
   /// Longest note, in bytes.
-  static constexpr std::size_t MaxBytes = 256 * 1024;
+  static constexpr std::size_t MaxBytes = std::size_t{256} * 1024;
 
   std::string Author;
   std::optional<std::uint64_t> Base;
