Let queued work wait for half of its deadline only

Cause: with nine tenths of the deadline spent waiting, every answer at the crest came within 2 ms of its deadline and none was left for the way back.

Change: DeadlineShare 0.9 -> 0.5.

What it costs: a single burst that would fit into the whole deadline but not into half of it is partly refused.

--- a/src/Admission/SlotScheduler.h
+++ b/src/Admission/SlotScheduler.h
@@ -36,7 +36,7 @@
     /// Part of one slot that waiting long work is given.
     double LongShare = 0.85;
     /// Part of a deadline's remaining time that waiting may take.
-    double DeadlineShare = 0.9;
+    double DeadlineShare = 0.5;
     ServiceTimes::Options Times;
   };
 
