Learn a replica's state from its refusals, and how fast it applies

Excluded: polling the poolers for positions (940 routers times 1,100 databases).

Change: refusals carry position and age; the router extrapolates the applied index and tries a replica that was too old again once the excess has passed.

--- a/bench/ReplicaShareBench.cpp
+++ b/bench/ReplicaShareBench.cpp
@@ -152,15 +152,14 @@
     for (int Replica : plan(Need, Now)) {
       bool Served = P == Policy::Oracle || accepts(Replica, Need, Now);
       InstanceView &View = Views[static_cast<std::size_t>(Replica)];
+      LogIndex Applied = Log.applied(Replica, Now);
+      View.learn({.WrittenIn = 1, .Index = Applied},
+                 toMillis(Log.ageOf(Applied, Now) + EvidenceDelay), Now);
       if (!Served) {
         Counts.Refused += Counted;
         View.NotBefore = Now + 50ms;
         continue;
       }
-      LogIndex Applied = Log.applied(Replica, Now);
-      View.Applied = {.WrittenIn = 1, .Index = Applied};
-      View.Age = toMillis(Log.ageOf(Applied, Now) + EvidenceDelay);
-      View.SeenAt = Now;
       Counts.ByReplica += Counted;
       Counts.Stale += Counted && !meets(Replica, Need, Now);
       return;
--- a/src/Admission/SlotScheduler.h
+++ b/src/Admission/SlotScheduler.h
@@ -21,8 +21,8 @@
 /// left to work known to be short. Long work is served by caller in turn, and
 /// holds one slot for LongShare of the time while it waits. Short work is
 /// served by deadline, refused on arrival when the work before it would make
-/// it late, and given up when it can no longer end in time. With a single slot, long work runs when no short work waits
-/// or its share is due.
+/// it late, and given up when it can no longer end in time. With a single slot,
+/// long work runs when no short work waits or its share is due.
 ///
 /// Callers' own declarations are not used. O(log n) a start, O(n) an offer,
 /// n at most QueueLimit. Not thread safe.
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -485,6 +485,18 @@
   return std::monostate();
 }
 
+void PoolerService::tellReplicaState(const std::string &Target, const Place &At,
+                                     ExecuteAnswer &Out) {
+  std::optional<InstanceReport> Report = At.Monitor->control().reportOf(Target);
+  if (!Report)
+    return;
+  std::optional<Duration> Age = At.Monitor->ageOf(Report->Applied);
+  if (!Age)
+    return;
+  Out.Position = Report->Applied;
+  Out.EvidenceAt = BootClock::now() - *Age;
+}
+
 boost::asio::awaitable<ExecuteAnswer>
 PoolerService::readReplica(ExecuteRequest Request, Place At) {
   ExecuteAnswer Out;
@@ -492,6 +504,7 @@
   Status Ready = co_await awaitReplica(Request, At, Deadline);
   if (const Error *E = errorOf(Ready)) {
     Out.Failure = *E;
+    tellReplicaState(Request.Target, At, Out);
     co_return Out;
   }
   Term Believed = At.Monitor->view().Current;
--- a/src/Pooler/PoolerService.h
+++ b/src/Pooler/PoolerService.h
@@ -92,6 +92,8 @@
   Status checkReplicaAnswer(const ExecuteRequest &Request, const Place &At,
                             const StatementAnswer &Answer,
                             ExecuteAnswer &Out) const;
+  static void tellReplicaState(const std::string &Target, const Place &At,
+                               ExecuteAnswer &Out);
   void fillPrimary(const Place &At, ExecuteAnswer &Out) const;
 
   std::shared_ptr<GroupMonitor> monitorOf(const std::string &Database);
--- a/src/Router/DatabaseDirectory.cpp
+++ b/src/Router/DatabaseDirectory.cpp
@@ -8,15 +8,12 @@
   Known &K = Databases[Database];
   if (Answer.View.Current >= K.View.Current && Answer.View.Current > 0)
     K.View = Answer.View;
-  if (Answer.Failure)
-    return;
   InstanceView &View = K.Instances[Target];
-  View.SeenAt = Now;
-  View.QueueWait = Answer.Queued;
-  if (Answer.FromPrimary)
-    return;
-  View.Applied = Answer.Position;
-  View.Age = Answer.EvidenceAge;
+  if (!Answer.Failure)
+    View.QueueWait = Answer.Queued;
+  // Refusals by a replica tell its state as well.
+  if (!Answer.FromPrimary && Answer.EvidenceAge > Millis::zero())
+    View.learn(Answer.Position, Answer.EvidenceAge, Now);
 }
 
 void DatabaseDirectory::avoid(const std::string &Database,
--- a/src/Routing/ReadRouter.cpp
+++ b/src/Routing/ReadRouter.cpp
@@ -24,14 +24,16 @@
   if (!View.Age)
     return true;
   Duration SinceSeen = Now - View.SeenAt;
-  // A replica's lag changes slowly: it is taken to be as far behind as it was
-  // at its last answer, unless that answer is older than the lag itself.
-  bool ViewOutdated = SinceSeen > *View.Age + Need.AcceptedAge;
-  if (*View.Age > Need.AcceptedAge && !ViewOutdated)
-    return false;
-  if (View.Applied >= Need.AtLeast)
+  // Lag changes slowly: data that was too old by some excess is worth another
+  // try once that excess has passed.
+  if (*View.Age > Need.AcceptedAge) {
+    Duration Excess = *View.Age - Need.AcceptedAge;
+    return SinceSeen > std::max<Duration>(Excess, Opts.ProbePause);
+  }
+  if (View.Applied >= Need.AtLeast || SinceSeen > *View.Age)
     return true;
-  return SinceSeen > *View.Age;
+  bool SameTerm = View.Applied.WrittenIn == Need.AtLeast.WrittenIn;
+  return SameTerm && View.expectedIndex(Now) >= Need.AtLeast.Index;
 }
 
 Duration ReadRouter::costOf(const InstanceView &View) const {
--- a/src/Routing/ReadRouter.h
+++ b/src/Routing/ReadRouter.h
@@ -27,6 +27,8 @@
     std::string Region;
     /// Replicas tried before the primary.
     std::size_t MaxReplicaAttempts = 2;
+    /// Least pause between tries of a replica that was too far behind.
+    Millis ProbePause = Millis(100);
     /// Added cost of an instance in another failure domain of the region.
     Millis OtherDomainCost = Millis(3);
     /// Added cost of an instance in another region.
--- a/src/Wire/ExecuteAnswer.h
+++ b/src/Wire/ExecuteAnswer.h
@@ -18,7 +18,8 @@
   std::optional<Error> Failure;
   /// JSON text of the rows.
   std::string Rows = "[]";
-  /// Log position seen or written.
+  /// Log position seen or written; on a refusal by a replica what it has
+  /// applied.
   LogPosition Position;
   /// Handle of a transaction that was begun.
   std::string Transaction;
@@ -26,7 +27,8 @@
   /// Time up to which the answer is known to be current: the lease's anchor
   /// on a primary, the freshness of the data on a replica. Not sent.
   TimePoint EvidenceAt;
-  /// Age of that time when the answer left the pooler.
+  /// Age of that time when the answer left the pooler; also set on a refusal
+  /// by a replica.
   Millis EvidenceAge = Millis::zero();
   /// Lease length that EvidenceAge is to be compared with.
   Millis LeaseLength = Millis::zero();
--- a/src/Wire/ExecuteCodec.cpp
+++ b/src/Wire/ExecuteCodec.cpp
@@ -115,6 +115,10 @@
     Json["ends_in_ms"] = Answer.EndsIn->count();
   if (Answer.Failure) {
     Json["error"] = internal::errorJson(*Answer.Failure);
+    if (Answer.EvidenceAge > Millis::zero()) {
+      Json["position"] = internal::positionJson(Answer.Position);
+      Json["evidence_age_ms"] = Answer.EvidenceAge.count();
+    }
     return Json.dump();
   }
   Json["position"] = internal::positionJson(Answer.Position);
@@ -141,6 +145,9 @@
       Answer.EndsIn = internal::millisFrom(Json, "ends_in_ms");
     if (Json.contains("error")) {
       Answer.Failure = internal::errorFrom(Json.at("error"));
+      Answer.EvidenceAge = internal::millisFrom(Json, "evidence_age_ms");
+      if (Json.contains("position"))
+        Answer.Position = internal::positionFrom(Json.at("position"));
       return Answer;
     }
     Answer.Position = internal::positionFrom(Json.at("position"));
