Never call a repeated commit "not run", and give refused callers no token

Cause: read as a newcomer, the golden sessions showed four wrong answers. A commit repeated after its answer was lost got "not_run" although it had taken effect, so a caller would pay twice. A commit whose pooler was gone got the same. A request with a refused session token got a fresh, empty token, with which the session would have forgotten its writes. A faulty request did not get its id back.

Excluded: leaving the verdict and changing the message (callers act on the verdict).

Change: ended transactions keep their final state and position; a commit of a committed one confirms that position and answers "ran", of an unknown one "may_have_run", of one rolled back "not_run". Refusals before the session is known carry no token. Submissions pause before they create again.

Conclusion: golden files are worth reading, not only comparing.

--- a/src/Daemons/DaemonRuntime.cpp
+++ b/src/Daemons/DaemonRuntime.cpp
@@ -130,6 +130,7 @@
   Json["note"] = Self.history().number();
   Json["ready"] = readiness().Status == 200;
   Json["drain"] = Drain->state();
+  Json["control_bytes"] = Http.bytes();
   Json["members"] = std::move(Members);
   return Json;
 }
--- a/src/Http/HttpClient.cpp
+++ b/src/Http/HttpClient.cpp
@@ -49,7 +49,6 @@
 boost::asio::awaitable<HttpResult>
 HttpClient::call(std::string Address, HttpRequest Request, Duration Limit) {
   TimePoint Start = BootClock::now();
-  ++Calls;
   std::unique_ptr<HttpConnection> Link = takeIdle(Address);
   if (!Link) {
     Link = std::make_unique<HttpConnection>(Loop, Address);
@@ -62,10 +61,9 @@
   if (Left <= Duration::zero())
     co_return HttpFailure{.TimedOut = true,
                           .Message = "no time left to call " + Address};
-  BodyBytes += Request.Body.size();
   HttpResult Result = co_await Link->call(std::move(Request), Left);
   if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result)) {
-    BodyBytes += Response->Body.size();
+    Bytes += Link->lastCallBytes();
     giveBack(std::move(Link));
   }
   co_return Result;
--- a/src/Http/HttpClient.h
+++ b/src/Http/HttpClient.h
@@ -44,9 +44,8 @@
   boost::asio::awaitable<HttpResult> call(std::string Address,
                                           HttpRequest Request, Duration Limit);
 
-  /// Bytes of bodies sent and received so far.
-  std::uint64_t bodyBytes() const { return BodyBytes; }
-  std::uint64_t calls() const { return Calls; }
+  /// Bytes sent and received so far, headers included.
+  std::uint64_t bytes() const { return Bytes; }
 
 private:
   struct IdleConnection {
@@ -60,8 +59,7 @@
   boost::asio::io_context &Loop;
   Options Opts;
   std::map<std::string, std::deque<IdleConnection>> Idle;
-  std::uint64_t BodyBytes = 0;
-  std::uint64_t Calls = 0;
+  std::uint64_t Bytes = 0;
 };
 
 } // namespace cicadawind
--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -91,14 +91,14 @@
     Out.prepare_payload();
     boost::system::error_code Code;
     Stream.expires_after(Limit);
-    co_await http::async_write(
+    LastBytes = co_await http::async_write(
         Stream, Out,
         boost::asio::redirect_error(boost::asio::use_awaitable, Code));
     if (Code)
       co_return failure(Code);
     http::response_parser<http::string_body> Parser;
     Parser.body_limit(internal::MaxAnswerBytes);
-    co_await http::async_read(
+    LastBytes += co_await http::async_read(
         Stream, Buffer, Parser,
         boost::asio::redirect_error(boost::asio::use_awaitable, Code));
     if (Code)
@@ -131,6 +131,7 @@
   }
 
   const std::string Address;
+  std::uint64_t LastBytes = 0;
 
 private:
   HttpFailure failure(const boost::system::error_code &Code) {
@@ -167,6 +168,8 @@
 
 void HttpConnection::close() { Self->close(); }
 
+std::uint64_t HttpConnection::lastCallBytes() const { return Self->LastBytes; }
+
 const std::string &HttpConnection::address() const { return Self->Address; }
 
 } // namespace cicadawind
--- a/src/Http/HttpConnection.h
+++ b/src/Http/HttpConnection.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -42,6 +43,9 @@
 
   const std::string &address() const;
 
+  /// Bytes that the last complete call sent and received.
+  std::uint64_t lastCallBytes() const;
+
 private:
   class Impl;
   // Shared, so that a call in progress survives the connection's owner.
--- a/src/Peers/NoteSubmitter.cpp
+++ b/src/Peers/NoteSubmitter.cpp
@@ -135,6 +135,8 @@
         Walk.fire(Expired ? "expired" : "unknown");
         co_await sleepFor(internal::SettlePause);
       } else if (valueOf(Stored).Number == 0) {
+        // The store has trouble: give it time before the next create.
+        co_await sleepFor(internal::SettlePause);
         Walk.fire(Expired ? "expired" : "absent");
       } else if (valueOf(Stored).Submission == Submission) {
         Walk.fire("mine");
--- a/src/Pooler/PoolerService.h
+++ b/src/Pooler/PoolerService.h
@@ -80,6 +80,7 @@
   boost::asio::awaitable<ExecuteAnswer> begin(ExecuteRequest Request);
   boost::asio::awaitable<ExecuteAnswer> inTransaction(ExecuteRequest Request);
   boost::asio::awaitable<ExecuteAnswer> commit(ExecuteRequest Request);
+  boost::asio::awaitable<ExecuteAnswer> commitAgain(ExecuteRequest Request);
   boost::asio::awaitable<ExecuteAnswer> rollback(ExecuteRequest Request);
   boost::asio::awaitable<Result<StatementAnswer>>
   runInSlot(std::shared_ptr<TargetPool> Pool, ExecuteRequest Request,
--- a/src/Pooler/PoolerTransactions.cpp
+++ b/src/Pooler/PoolerTransactions.cpp
@@ -9,15 +9,19 @@
 namespace cicadawind {
 namespace internal {
 
-static Error transactionGone(const std::string &Reason) {
-  if (Reason.empty())
-    return Error{.Code = ErrorCode::TransactionUnknown,
-                 .Outcome = Verdict::NotRun,
-                 .Message = "no such transaction is open here; if it was, it "
-                            "has been rolled back"};
-  return Error{.Code = ErrorCode::TransactionEnded,
-               .Outcome = Verdict::NotRun,
-               .Message = "the transaction was " + Reason};
+/// Refusal of a call on a transaction that is not open. A commit may be the
+/// repeat of one that took effect, so it is only "not run" when the
+/// transaction is known to have been rolled back.
+static Error transactionGone(const TransactionTable::Ended *Ended,
+                             bool IsCommit) {
+  bool RolledBack = Ended && Ended->State == "rolled_back";
+  Error E;
+  E.Outcome = IsCommit && !RolledBack ? Verdict::MayHaveRun : Verdict::NotRun;
+  E.Code = Ended ? ErrorCode::TransactionEnded : ErrorCode::TransactionUnknown;
+  E.Message = Ended ? "the transaction was " + Ended->Reason
+                    : "no such transaction is open here; unless it was "
+                      "committed before, it has been rolled back";
+  return E;
 }
 
 static ExecuteAnswer failed(const Error &E) {
@@ -85,8 +89,8 @@
 PoolerService::inTransaction(ExecuteRequest Request) {
   TransactionTable::Entry Entry = Transactions.find(Request.Transaction);
   if (!Entry)
-    co_return internal::failed(
-        internal::transactionGone(Transactions.endReason(Request.Transaction)));
+    co_return internal::failed(internal::transactionGone(
+        Transactions.ended(Request.Transaction), false));
   if (!Entry->Walk.fire("statement"))
     co_return internal::failed(
         Error{.Code = ErrorCode::Conflict,
@@ -148,8 +152,7 @@
 PoolerService::commit(ExecuteRequest Request) {
   TransactionTable::Entry Entry = Transactions.find(Request.Transaction);
   if (!Entry)
-    co_return internal::failed(
-        internal::transactionGone(Transactions.endReason(Request.Transaction)));
+    co_return co_await commitAgain(std::move(Request));
   if (!Entry->Walk.fire("commit"))
     co_return internal::failed(
         Error{.Code = ErrorCode::Conflict,
@@ -167,6 +170,7 @@
     co_return internal::failed(*E);
   }
   Transactions.end(Request.Transaction, "confirmed", "committed", Now);
+  Transactions.setCommitted(Request.Transaction, valueOf(Answer).Position);
   auto Monitor = monitorOf(Request.Database);
   ExecuteAnswer Out;
   Out.Position = valueOf(Answer).Position;
@@ -181,11 +185,21 @@
   co_return Out;
 }
 
+boost::asio::awaitable<ExecuteAnswer>
+PoolerService::commitAgain(ExecuteRequest Request) {
+  const TransactionTable::Ended *Ended =
+      Transactions.ended(Request.Transaction);
+  if (!Ended || Ended->State != "committed")
+    co_return internal::failed(internal::transactionGone(Ended, true));
+  Request.Need.AtLeast = Ended->Committed;
+  co_return co_await confirm(std::move(Request));
+}
+
 boost::asio::awaitable<ExecuteAnswer>
 PoolerService::rollback(ExecuteRequest Request) {
   if (!Transactions.find(Request.Transaction))
-    co_return internal::failed(
-        internal::transactionGone(Transactions.endReason(Request.Transaction)));
+    co_return internal::failed(internal::transactionGone(
+        Transactions.ended(Request.Transaction), false));
   Transactions.end(Request.Transaction, "rollback", "rolled back",
                    BootClock::now());
   if (Transactions.find(Request.Transaction))
--- a/src/Pooler/TransactionTable.cpp
+++ b/src/Pooler/TransactionTable.cpp
@@ -15,9 +15,17 @@
   return It == Open.end() ? nullptr : It->second;
 }
 
-std::string TransactionTable::endReason(const std::string &Id) const {
+const TransactionTable::Ended *
+TransactionTable::ended(const std::string &Id) const {
   auto It = Recent.find(Id);
-  return It == Recent.end() ? std::string() : It->second.Reason;
+  return It == Recent.end() ? nullptr : &It->second;
+}
+
+void TransactionTable::setCommitted(const std::string &Id,
+                                    LogPosition Position) {
+  auto It = Recent.find(Id);
+  if (It != Recent.end())
+    It->second.Committed = Position;
 }
 
 void TransactionTable::end(const std::string &Id, const std::string &Event,
@@ -28,7 +36,10 @@
   Entry Ending = It->second;
   Open.erase(It);
   Ending->EndedBecause = Reason;
-  Recent[Id] = Ended{.Reason = Reason, .At = Now};
+  Recent[Id] = Ended{.State = Ending->Walk.state(),
+                     .Reason = Reason,
+                     .Committed = {},
+                     .At = Now};
   if (!Ending->Connection)
     return;
   // A statement still runs on the connection: closing it makes the target
--- a/src/Pooler/TransactionTable.h
+++ b/src/Pooler/TransactionTable.h
@@ -47,8 +47,21 @@
   /// The open transaction, or null.
   Entry find(const std::string &Id) const;
 
-  /// Why the transaction \p Id ended; empty when unknown.
-  std::string endReason(const std::string &Id) const;
+  /// How a transaction ended.
+  struct Ended {
+    /// Final state of the chart: "committed", "rolled_back" or "unknown".
+    std::string State;
+    std::string Reason;
+    /// Position of the commit, once its answer was received.
+    LogPosition Committed;
+    TimePoint At;
+  };
+
+  /// How the transaction \p Id ended; null when it is open or not known.
+  const Ended *ended(const std::string &Id) const;
+
+  /// Remembers the position that the commit of \p Id wrote.
+  void setCommitted(const std::string &Id, LogPosition Position);
 
   /// Ends \p Id through \p Event of the chart and returns its connection to
   /// its pool. Does nothing when the chart does not allow the event now, such
@@ -68,11 +81,6 @@
   void forget(TimePoint Now);
 
 private:
-  struct Ended {
-    std::string Reason;
-    TimePoint At;
-  };
-
   std::map<std::string, Entry> Open;
   std::map<std::string, Ended> Recent;
 };
--- a/src/Router/CallerRequest.cpp
+++ b/src/Router/CallerRequest.cpp
@@ -95,6 +95,14 @@
   return Repeatable ? Repeatability::Repeatable : Repeatability::Once;
 }
 
+std::string CallerRequest::requestIdOf(const std::string &Body) {
+  nlohmann::json Json = nlohmann::json::parse(Body, nullptr, false);
+  if (!Json.is_object())
+    return {};
+  return internal::MemberReader(Json).text("request_id",
+                                           internal::MaxNameBytes);
+}
+
 Result<CallerRequest> CallerRequest::parse(const std::string &Path,
                                            const std::string &Body) {
   nlohmann::json Json = nlohmann::json::parse(Body, nullptr, false);
--- a/src/Router/CallerRequest.h
+++ b/src/Router/CallerRequest.h
@@ -35,6 +35,9 @@
   /// Reads the JSON \p Body of a call to \p Path. The error lists every fault.
   static Result<CallerRequest> parse(const std::string &Path,
                                      const std::string &Body);
+
+  /// The request id of a body that may be faulty otherwise; empty if none.
+  static std::string requestIdOf(const std::string &Body);
 };
 
 } // namespace cicadawind
--- a/src/Router/RouterService.cpp
+++ b/src/Router/RouterService.cpp
@@ -36,8 +36,10 @@
   Flow Work;
   Work.Traceparent = Context.traceparent();
   Result<CallerRequest> Parsed = CallerRequest::parse(In.Path, In.Body);
-  if (const Error *E = errorOf(Parsed))
+  if (const Error *E = errorOf(Parsed)) {
+    Work.Request.RequestId = CallerRequest::requestIdOf(In.Body);
     co_return failure(Work, *E);
+  }
   Work.Request = std::move(valueOf(Parsed));
   std::string Caller = In.header("x-caller");
   Work.Request.Caller = Caller.empty() ? In.Peer : Caller;
@@ -47,6 +49,7 @@
   if (const Error *E = errorOf(Session))
     co_return failure(Work, *E);
   Work.Session = std::move(valueOf(Session));
+  Work.SessionKnown = true;
   TimePoint Start = BootClock::now();
   Duration Limit =
       std::min(Work.Request.Deadline, History.config().Limits.MaxDeadline);
@@ -325,7 +328,10 @@
   nlohmann::ordered_json Json;
   Json["request_id"] = Work.Request.RequestId;
   Json["verdict"] = toString(E.Outcome);
-  Json["session"] = Tokens.encode(Work.Session);
+  // Without the caller's own session, a new token would make it forget what
+  // it has written.
+  if (Work.SessionKnown)
+    Json["session"] = Tokens.encode(Work.Session);
   nlohmann::ordered_json Detail{{"code", toString(E.Code)},
                                 {"message", E.Message}};
   if (E.RetryAfter)
--- a/src/Router/RouterService.h
+++ b/src/Router/RouterService.h
@@ -58,6 +58,8 @@
   struct Flow {
     CallerRequest Request;
     SessionState Session;
+    /// The session token was read; refusals before that return none.
+    bool SessionKnown = false;
     TimePoint Deadline;
     std::string Traceparent;
   };
--- a/src/Router/RouterTransactions.cpp
+++ b/src/Router/RouterTransactions.cpp
@@ -103,9 +103,11 @@
   if (Got.Answer.Failure && Got.Answer.Failure->Code == ErrorCode::Unreachable)
     Got.Answer.Failure =
         Error{.Code = ErrorCode::TransactionEnded,
-              .Outcome = Verdict::NotRun,
-              .Message = "the pooler that held the transaction is gone; the "
-                         "transaction is rolled back"};
+              // This may repeat a commit that took effect.
+              .Outcome = Commit ? Verdict::MayHaveRun : Verdict::NotRun,
+              .Message = "the pooler that held the transaction is gone; "
+                         "unless it was committed before, it is rolled "
+                         "back"};
   if (Request.Action != ExecuteAction::Rollback) {
     Request.Kind = Commit ? StatementKind::Write : StatementKind::Read;
     co_await checkEvidence(Work, Request, Handle->Target, Got);
--- /dev/null
+++ b/test/Fakes/MemoryStore.h
@@ -0,0 +1,78 @@
+#ifndef CICADAWIND_TEST_FAKES_MEMORYSTORE_H
+#define CICADAWIND_TEST_FAKES_MEMORYSTORE_H
+
+#include "Async/AsyncSignal.h"
+#include "Platform/ObjectStore.h"
+
+#include <map>
+#include <string>
+
+namespace cicadawind::fakes {
+
+/// \class MemoryStore
+/// \brief ObjectStore in memory, with the faults of the platform.
+class MemoryStore : public ObjectStore {
+public:
+  explicit MemoryStore(boost::asio::io_context &Loop) : Changed(Loop) {}
+
+  bool Outage = false;
+  /// Writes to come that take effect and lose their answer.
+  int LoseAnswers = 0;
+  /// Writes to come that are lost before they take effect.
+  int LoseRequests = 0;
+
+  boost::asio::awaitable<Result<StoredObject>>
+  read(std::string Kind, std::string Name, Duration) override {
+    if (Outage)
+      co_return away();
+    co_return Objects[Kind + "/" + Name];
+  }
+
+  boost::asio::awaitable<Result<StoredObject>> watch(std::string Kind,
+                                                     std::string Name,
+                                                     std::uint64_t Known,
+                                                     Duration Wait) override {
+    TimePoint End = BootClock::now() + Wait;
+    std::string Key = Kind + "/" + Name;
+    while (Objects[Key].Version == Known && BootClock::now() < End)
+      co_await Changed.wait(End - BootClock::now());
+    if (Outage)
+      co_return away();
+    co_return Objects[Key];
+  }
+
+  boost::asio::awaitable<WriteAnswer> write(std::string Kind, std::string Name,
+                                            std::string Value,
+                                            std::uint64_t Expected,
+                                            Duration) override {
+    if (Outage)
+      co_return WriteAnswer{.End = WriteEnd::NotWritten, .Message = "away"};
+    if (LoseRequests > 0) {
+      --LoseRequests;
+      co_return WriteAnswer{.End = WriteEnd::Unknown};
+    }
+    StoredObject &Object = Objects[Kind + "/" + Name];
+    if (Object.Version != Expected)
+      co_return WriteAnswer{.End = WriteEnd::Conflict};
+    Object.Value = std::move(Value);
+    ++Object.Version;
+    Changed.notifyAll();
+    if (LoseAnswers > 0) {
+      --LoseAnswers;
+      co_return WriteAnswer{.End = WriteEnd::Unknown};
+    }
+    co_return WriteAnswer{.End = WriteEnd::Accepted, .Version = Object.Version};
+  }
+
+private:
+  static Error away() {
+    return Error{.Code = ErrorCode::StoreUnavailable, .Message = "away"};
+  }
+
+  std::map<std::string, StoredObject> Objects;
+  AsyncSignal Changed;
+};
+
+} // namespace cicadawind::fakes
+
+#endif
--- a/test/System/ProcessFleet.cpp
+++ b/test/System/ProcessFleet.cpp
@@ -234,6 +234,18 @@
   return "127.0.0.1:" + std::to_string(InstancePorts.at(Name));
 }
 
+std::string ProcessFleet::callerAddress(std::size_t Vm) const {
+  return "127.0.0.1:" + std::to_string(Vms[Vm].Caller);
+}
+
+double ProcessFleet::storeCalls() {
+  double Sum = 0;
+  Json Counters = platform("/v1/counters", Json::object());
+  for (const auto &[Kind, Count] : Counters.items())
+    Sum += Count.get<double>();
+  return Sum;
+}
+
 ProcessFleet::Json ProcessFleet::instance(const std::string &Name,
                                           const std::string &Path,
                                           const Json &Body) {
--- a/test/System/ProcessFleet.h
+++ b/test/System/ProcessFleet.h
@@ -81,6 +81,13 @@
   /// Settings file of a VM.
   std::string settingsOf(std::size_t Vm) const;
   std::string addressOf(const std::string &Name) const;
+  /// Callers' interface of VM \p Vm, "ip:port".
+  std::string callerAddress(std::size_t Vm) const;
+  pid_t pidOf(const std::string &Process) const {
+    return Processes.at(Process);
+  }
+  /// Calls that the platform has served so far.
+  double storeCalls();
   std::string firstNote() const;
 
 private:
