Find a target's owner without walking and copying the whole fleet

Excluded: caching owners by target (3,300 entries to void at each change, for a look-up that need not cost much).

Change: an index of usable VMs by failure domain, name hashes kept, the best few chosen without copying the rest; poolers walk all targets only when the table changes or every 5 s. A pooler that no longer owns a target lets its connections go after 3 s, so that the new owner can open its own.

--- a/src/Membership/MemberTable.cpp
+++ b/src/Membership/MemberTable.cpp
@@ -18,14 +18,21 @@
 
 MemberTable::MemberTable(Options NewOpts) : Opts(std::move(NewOpts)) {}
 
+void MemberTable::changed() { ++Version; }
+
 void MemberTable::merge(const VmEntry &Entry) {
-  VmEntry &Known = Entries[Entry.Vm];
-  if (Entry.Incarnation < Known.Incarnation) {
+  Row &Known = Rows[Entry.Vm];
+  if (Entry.Incarnation < Known.Entry.Incarnation)
     return;
-  }
-  bool WasLeaving = Known.Leaving && Known.Incarnation == Entry.Incarnation;
-  Known = Entry;
-  Known.Leaving = Entry.Leaving || WasLeaving;
+  bool WasLeaving =
+      Known.Entry.Leaving && Known.Entry.Incarnation == Entry.Incarnation;
+  VmEntry Merged = Entry;
+  Merged.Leaving = Entry.Leaving || WasLeaving;
+  if (Known.Entry == Merged)
+    return;
+  Known.Entry = std::move(Merged);
+  Known.NameHash = internal::hashText(Entry.Vm);
+  changed();
 }
 
 void MemberTable::replaceAll(const std::vector<VmEntry> &List) {
@@ -33,35 +40,43 @@
   for (const VmEntry &Entry : List) {
     Listed.insert(Entry.Vm);
     VmEntry Merged = Entry;
-    auto It = Entries.find(Entry.Vm);
+    auto It = Rows.find(Entry.Vm);
     // The platform knows no incarnations: keep what peers said.
-    if (It != Entries.end())
-      Merged.Incarnation = std::max(Merged.Incarnation, It->second.Incarnation);
+    if (It != Rows.end())
+      Merged.Incarnation =
+          std::max(Merged.Incarnation, It->second.Entry.Incarnation);
     merge(Merged);
   }
   // A VM that the list never held may be too new for it.
-  std::erase_if(Entries, [&](const auto &Row) {
-    bool Dropped = LastListed.count(Row.first) && !Listed.count(Row.first);
-    return Dropped && Row.first != Opts.OwnVm;
+  std::size_t Erased = std::erase_if(Rows, [&](const auto &Item) {
+    bool Dropped = LastListed.count(Item.first) && !Listed.count(Item.first);
+    return Dropped && Item.first != Opts.OwnVm;
   });
+  if (Erased > 0)
+    changed();
   LastListed = std::move(Listed);
 }
 
 void MemberTable::setWithdrawn(std::set<std::string> Names) {
+  if (Names == Withdrawn)
+    return;
   Withdrawn = std::move(Names);
+  changed();
 }
 
 void MemberTable::suspect(const std::string &Vm, TimePoint Now) {
   SuspectedUntil[Vm] = Now + Opts.SuspectFor;
+  changed();
 }
 
 void MemberTable::clearSuspicion(const std::string &Vm) {
-  SuspectedUntil.erase(Vm);
+  if (SuspectedUntil.erase(Vm) > 0)
+    changed();
 }
 
 bool MemberTable::isLeaving(const std::string &Vm) const {
-  auto It = Entries.find(Vm);
-  bool Announced = It != Entries.end() && It->second.Leaving;
+  auto It = Rows.find(Vm);
+  bool Announced = It != Rows.end() && It->second.Entry.Leaving;
   return Announced || Withdrawn.count(Vm) != 0;
 }
 
@@ -72,94 +87,115 @@
 
 std::vector<VmEntry> MemberTable::all() const {
   std::vector<VmEntry> Out;
-  for (const auto &[Name, Entry] : Entries)
-    Out.push_back(Entry);
+  for (const auto &[Name, Item] : Rows)
+    Out.push_back(Item.Entry);
   return Out;
 }
 
 std::vector<VmEntry> MemberTable::usable() const {
   std::vector<VmEntry> Out;
-  for (const auto &[Name, Entry] : Entries)
+  for (const auto &[Name, Item] : Rows)
     if (!isLeaving(Name))
-      Out.push_back(Entry);
+      Out.push_back(Item.Entry);
   return Out;
 }
 
-std::vector<VmEntry> MemberTable::ranked(const std::string &Key,
-                                         std::vector<VmEntry> Candidates,
-                                         TimePoint Now) const {
+void MemberTable::reindex() const {
+  if (IndexVersion == Version)
+    return;
+  Index.clear();
+  for (const auto &[Name, Item] : Rows)
+    if (!isLeaving(Name))
+      Index[Item.Entry.FailureDomain].push_back(&Item);
+  IndexVersion = Version;
+}
+
+void MemberTable::keepBest(const std::string &Key, std::size_t Count,
+                           TimePoint Now, Candidates &From) const {
+  using Rank = std::tuple<bool, std::uint64_t, const Row *>;
   std::uint64_t KeyHash = internal::hashText(Key);
-  auto Rank = [&](const VmEntry &Entry) {
-    return std::tuple(isSuspected(Entry.Vm, Now),
-                      mix(KeyHash, internal::hashText(Entry.Vm)), Entry.Vm);
-  };
-  std::sort(
-      Candidates.begin(), Candidates.end(),
-      [&](const VmEntry &A, const VmEntry &B) { return Rank(A) < Rank(B); });
-  return Candidates;
+  std::vector<Rank> Ranked;
+  Ranked.reserve(From.size());
+  bool AnySuspected = !SuspectedUntil.empty();
+  for (const Row *Item : From) {
+    bool Suspected = AnySuspected && isSuspected(Item->Entry.Vm, Now);
+    Ranked.emplace_back(Suspected, mix(KeyHash, Item->NameHash), Item);
+  }
+  std::size_t Kept = std::min(Count, Ranked.size());
+  auto Middle = Ranked.begin() + static_cast<std::ptrdiff_t>(Kept);
+  std::partial_sort(Ranked.begin(), Middle, Ranked.end());
+  From.clear();
+  for (auto It = Ranked.begin(); It != Middle; ++It)
+    From.push_back(std::get<const Row *>(*It));
 }
 
 std::vector<VmEntry> MemberTable::ownersOf(const std::string &Target,
                                            const std::string &FailureDomain,
                                            const std::string &Region,
-                                           TimePoint Now) const {
-  std::vector<VmEntry> Local;
-  std::vector<VmEntry> Near;
-  std::vector<VmEntry> Far;
-  for (const VmEntry &Entry : usable()) {
-    if (Entry.FailureDomain == FailureDomain)
-      Local.push_back(Entry);
-    else if (Entry.Region == Region)
-      Near.push_back(Entry);
-    else
-      Far.push_back(Entry);
+                                           TimePoint Now,
+                                           std::size_t Count) const {
+  reindex();
+  auto Answers = [&](const Row *Item) {
+    return !isSuspected(Item->Entry.Vm, Now);
+  };
+  Candidates Best;
+  auto Local = Index.find(FailureDomain);
+  if (Local != Index.end()) {
+    Best = Local->second;
+    keepBest(Target, Count, Now, Best);
   }
-  bool LocalAnswers =
-      std::any_of(Local.begin(), Local.end(), [&](const VmEntry &Entry) {
-        return !isSuspected(Entry.Vm, Now);
-      });
-  std::vector<VmEntry> Out = ranked(Target, Local, Now);
-  if (LocalAnswers)
-    return Out;
-  for (auto *Group : {&Near, &Far})
-    for (const VmEntry &Entry : ranked(Target, *Group, Now))
-      Out.push_back(Entry);
-  // Suspected local poolers come after all that may answer.
-  std::stable_partition(Out.begin(), Out.end(), [&](const VmEntry &Entry) {
-    return !isSuspected(Entry.Vm, Now);
-  });
+  if (Best.empty() || !Answers(Best.front())) {
+    Candidates Near;
+    Candidates Far;
+    for (const auto &[Domain, Members] : Index) {
+      if (Domain == FailureDomain || Members.empty())
+        continue;
+      bool SameRegion = Members.front()->Entry.Region == Region;
+      Candidates &Group = SameRegion ? Near : Far;
+      Group.insert(Group.end(), Members.begin(), Members.end());
+    }
+    for (Candidates *Group : {&Near, &Far}) {
+      keepBest(Target, Count, Now, *Group);
+      Best.insert(Best.end(), Group->begin(), Group->end());
+    }
+    // Suspected local poolers come after all that may answer.
+    std::stable_partition(Best.begin(), Best.end(), Answers);
+  }
+  std::vector<VmEntry> Out;
+  for (std::size_t I = 0; I < Best.size() && I < Count; ++I)
+    Out.push_back(Best[I]->Entry);
   return Out;
 }
 
 bool MemberTable::hasDuty(const std::string &Duty, std::size_t Count,
                           TimePoint Now) const {
-  std::vector<VmEntry> Candidates;
-  for (const VmEntry &Entry : usable())
-    if (Entry.FailureDomain == Opts.FailureDomain)
-      Candidates.push_back(Entry);
-  std::vector<VmEntry> Order = ranked(Duty, std::move(Candidates), Now);
+  reindex();
+  Candidates Holders;
+  auto Local = Index.find(Opts.FailureDomain);
+  if (Local != Index.end())
+    Holders = Local->second;
   // A daemon that knows no peers takes every duty itself.
-  if (Order.size() <= Count)
+  if (Holders.size() <= Count)
     return true;
-  for (std::size_t I = 0; I < Count; ++I)
-    if (Order[I].Vm == Opts.OwnVm)
-      return true;
-  return false;
+  keepBest(Duty, Count, Now, Holders);
+  return std::any_of(Holders.begin(), Holders.end(), [this](const Row *Item) {
+    return Item->Entry.Vm == Opts.OwnVm;
+  });
 }
 
 std::optional<VmEntry> MemberTable::randomPeer(bool Elsewhere,
                                                std::uint64_t Random,
                                                TimePoint Now) const {
-  std::vector<const VmEntry *> Candidates;
-  for (const auto &[Name, Entry] : Entries) {
-    bool Same = Entry.FailureDomain == Opts.FailureDomain;
+  Candidates Peers;
+  for (const auto &[Name, Item] : Rows) {
+    bool Same = Item.Entry.FailureDomain == Opts.FailureDomain;
     if (Name == Opts.OwnVm || Same == Elsewhere || isSuspected(Name, Now))
       continue;
-    Candidates.push_back(&Entry);
+    Peers.push_back(&Item);
   }
-  if (Candidates.empty())
+  if (Peers.empty())
     return std::nullopt;
-  return *Candidates[Random % Candidates.size()];
+  return Peers[Random % Peers.size()]->Entry;
 }
 
 } // namespace cicadawind
--- a/src/Membership/MemberTable.h
+++ b/src/Membership/MemberTable.h
@@ -55,12 +55,18 @@
   /// VMs that may get new work: known, not leaving, not withdrawn.
   std::vector<VmEntry> usable() const;
 
-  /// VMs whose poolers may own the target \p Target in \p FailureDomain, best
-  /// first: usable VMs of that failure domain in rendezvous order, suspected
-  /// ones last; VMs of \p Region, then others, when that domain has none.
+  /// The first \p Count VMs whose poolers may own the target \p Target in
+  /// \p FailureDomain: usable VMs of that failure domain in rendezvous order,
+  /// suspected ones last; VMs of \p Region, then others, when none of that
+  /// domain answers. O(VMs of the failure domain), without copying more than
+  /// \p Count entries.
   std::vector<VmEntry> ownersOf(const std::string &Target,
                                 const std::string &FailureDomain,
-                                const std::string &Region, TimePoint Now) const;
+                                const std::string &Region, TimePoint Now,
+                                std::size_t Count = 3) const;
+
+  /// Grows with every change of what the table says.
+  std::uint64_t version() const { return Version; }
 
   /// Whether this VM is among the \p Count first of its failure domain for
   /// \p Duty; spreads duties such as watching the store.
@@ -72,15 +78,27 @@
                                     TimePoint Now) const;
 
 private:
-  std::vector<VmEntry> ranked(const std::string &Key,
-                              std::vector<VmEntry> Candidates,
-                              TimePoint Now) const;
+  struct Row {
+    VmEntry Entry;
+    std::uint64_t NameHash = 0;
+  };
+  using Candidates = std::vector<const Row *>;
+
+  /// Puts the best \p Count of \p From for \p Key first and drops the rest.
+  void keepBest(const std::string &Key, std::size_t Count, TimePoint Now,
+                Candidates &From) const;
+  void reindex() const;
+  void changed();
 
   Options Opts;
-  std::map<std::string, VmEntry> Entries;
+  std::map<std::string, Row> Rows;
   std::set<std::string> Withdrawn;
   std::set<std::string> LastListed;
   std::map<std::string, TimePoint> SuspectedUntil;
+  std::uint64_t Version = 1;
+  /// Usable VMs by failure domain, as of IndexVersion.
+  mutable std::map<std::string, Candidates> Index;
+  mutable std::uint64_t IndexVersion = 0;
 };
 
 } // namespace cicadawind
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -20,6 +20,10 @@
 constexpr Duration MaintainPeriod = std::chrono::milliseconds(250);
 /// Owners of a target that are asked for a term record.
 constexpr std::size_t PeersAsked = 2;
+/// Pause between walks over all targets without a change of members.
+constexpr Duration OwnershipPeriod = std::chrono::seconds(5);
+/// Connections to a target that another pooler owns are kept this long.
+constexpr Duration ReleaseAfter = std::chrono::seconds(3);
 /// Age beyond the accepted one that newer evidence may take away.
 constexpr Duration EvidenceMargin = std::chrono::milliseconds(150);
 constexpr Duration RankStep = std::chrono::milliseconds(150);
@@ -63,8 +67,7 @@
   TimePoint Now = BootClock::now();
   for (const auto &[Name, Target] : It->second.Targets) {
     std::vector<VmEntry> Owners = Peers.members().ownersOf(
-        Name, Target.FailureDomain, Target.Region, Now);
-    Owners.resize(std::min(Owners.size(), internal::PeersAsked));
+        Name, Target.FailureDomain, Target.Region, Now, internal::PeersAsked);
     for (const VmEntry &Owner : Owners)
       if (Owner.Vm != Opts.Vm)
         Addresses.insert(Owner.PoolerPeer);
@@ -175,6 +178,7 @@
       else
         LeavingSince.erase(Key);
     }
+  takeOwnership();
   maintain();
 }
 
@@ -185,19 +189,31 @@
   }
 }
 
-void PoolerService::maintain() {
+void PoolerService::takeOwnership() {
   TimePoint Now = BootClock::now();
-  const ServiceConfig &Config = Peers.history().config();
-  for (const auto &[Name, Database] : Config.Databases)
+  Owned.clear();
+  for (const auto &[Name, Database] : Peers.history().config().Databases)
     for (const auto &[TargetName, Target] : Database.Targets) {
       std::vector<VmEntry> Owners = Peers.members().ownersOf(
-          TargetName, Target.FailureDomain, Target.Region, Now);
-      bool Owned = !Owners.empty() && Owners.front().Vm == Opts.Vm;
-      if (!Owned)
-        continue;
-      monitorOf(Name);
-      poolOf(Name, TargetName);
+          TargetName, Target.FailureDomain, Target.Region, Now, 1);
+      if (!Owners.empty() && Owners.front().Vm == Opts.Vm)
+        Owned.emplace_back(Name, TargetName);
     }
+  OwnedVersion = Peers.members().version();
+  OwnedSince = Now;
+}
+
+void PoolerService::maintain() {
+  TimePoint Now = BootClock::now();
+  // Walking all targets is kept to changes, and to the end of suspicions.
+  bool Outdated = OwnedVersion != Peers.members().version() ||
+                  Now - OwnedSince > internal::OwnershipPeriod;
+  if (Outdated)
+    takeOwnership();
+  for (const auto &[Database, Target] : Owned) {
+    monitorOf(Database);
+    poolOf(Database, Target);
+  }
   for (const auto &[Name, Monitor] : Monitors)
     requestHandover(*Monitor);
   std::erase_if(Monitors, [&](auto &Row) {
@@ -206,9 +222,25 @@
     Row.second->stop();
     return true;
   });
+  releasePools(Now);
   endTransactions(Now);
 }
 
+void PoolerService::releasePools(TimePoint Now) {
+  // The new owner can open connections only as the old one lets go.
+  std::erase_if(Pools, [&](auto &Row) {
+    const std::string &Key = Row.first;
+    bool Mine = std::any_of(Owned.begin(), Owned.end(), [&](const auto &Own) {
+      return internal::poolKey(Own.first, Own.second) == Key;
+    });
+    bool Used = Now - Row.second->lastUse() < internal::ReleaseAfter;
+    if (Mine || Used)
+      return false;
+    Row.second->stop();
+    return true;
+  });
+}
+
 void PoolerService::requestHandover(GroupMonitor &Monitor) {
   std::string Primary = Monitor.control().primary();
   const auto &Targets = Monitor.config().Targets;
--- a/src/Pooler/PoolerService.h
+++ b/src/Pooler/PoolerService.h
@@ -104,6 +104,8 @@
                                      const std::string &Target);
   boost::asio::awaitable<void> maintainLoop();
   void maintain();
+  void takeOwnership();
+  void releasePools(TimePoint Now);
   void reconfigure();
   static void requestHandover(GroupMonitor &Monitor);
   Duration rankDelay(const DatabaseConfig &Database) const;
@@ -124,6 +126,10 @@
   std::map<std::string, TimePoint> LastUse;
   std::map<std::string, TimePoint> LeavingSince;
   TransactionTable Transactions;
+  /// Databases and targets that this pooler owns.
+  std::vector<std::pair<std::string, std::string>> Owned;
+  std::uint64_t OwnedVersion = 0;
+  TimePoint OwnedSince;
   std::size_t Serving = 0;
   std::optional<TimePoint> DrainStart;
   std::optional<TimePoint> DrainLimit;
--- a/src/Pooler/TargetPool.cpp
+++ b/src/Pooler/TargetPool.cpp
@@ -94,7 +94,6 @@
     --Total;
     co_return *E;
   }
-  ++Opened;
   Meter.count("connections_opened_total", {{"target", Opts.Target.Name}});
   co_return std::make_unique<PooledConnection>(
       std::move(valueOf(Link)), Opts.ConnectionChart, BootClock::now());
--- a/src/Pooler/TargetPool.h
+++ b/src/Pooler/TargetPool.h
@@ -78,7 +78,8 @@
   Duration expectedWait() const { return Scheduler.expectedWait(); }
   std::size_t queued() const { return Scheduler.queued(); }
   std::size_t connections() const { return Total; }
-  std::uint64_t opened() const { return Opened; }
+  /// When a statement last asked for a slot.
+  TimePoint lastUse() const { return LastUse; }
 
 private:
   struct Waiter {
@@ -111,7 +112,6 @@
   std::deque<std::unique_ptr<PooledConnection>> Idle;
   AsyncSignal Returned;
   std::size_t Total = 0;
-  std::uint64_t Opened = 0;
   TimePoint SilentBefore;
   TimePoint LastUse;
   bool Stopped = false;
