Try work whose estimate exceeds its deadline when nothing else waits

The statement was new, the estimate of an unseen shape is 10 ms, and half of its deadline of 20 ms is 10 ms. It was refused before it could run, so the estimate was never corrected. A shape that was slow once had the same fate.

Excluded: a smaller first estimate (any estimate has deadlines below it); forgetting old estimates (a stream of refusals would go on until then).

Change: work that nothing is ahead of is admitted and tried whatever its estimate says.

--- a/src/Admission/SlotScheduler.cpp
+++ b/src/Admission/SlotScheduler.cpp
@@ -92,6 +92,8 @@
   if (isLong(Item))
     return std::monostate();
   Duration Wait = waitBefore(Item);
+  if (Wait == Duration::zero())
+    return std::monostate();
   auto Budget = std::chrono::duration_cast<Duration>(Left * Opts.DeadlineShare);
   if (Wait + Times.expected(Item.Shape) > Budget)
     return internal::refusal("the work ahead would make this one late", Wait);
@@ -111,7 +113,11 @@
     Long[Item.Caller].push_back(Item);
     ++LongCount;
   } else {
-    Short.emplace(std::pair(Item.Deadline, Item.Id), Item);
+    WorkItem Queued = Item;
+    // An estimate beyond the deadline is only corrected by running the work,
+    // so it is tried when nothing else waits.
+    Queued.AlwaysTried = waitBefore(Item) == Duration::zero();
+    Short.emplace(std::pair(Item.Deadline, Item.Id), std::move(Queued));
   }
   return std::monostate();
 }
@@ -192,7 +198,9 @@
     if (Item.Deadline > Now + Opts.LongThreshold)
       break;
     // Work that cannot end in time would only take a slot from work that can.
-    if (Now + Times.expected(Item.Shape) > Item.Deadline)
+    Duration Needs =
+        Item.AlwaysTried ? Duration::zero() : Times.expected(Item.Shape);
+    if (Now + Needs > Item.Deadline || Now >= Item.Deadline)
       Late.push_back(Item.Id);
   }
   for (const auto &[Caller, Items] : Long)
--- a/src/Admission/WorkItem.h
+++ b/src/Admission/WorkItem.h
@@ -21,6 +21,8 @@
   /// Who asked, for fairness.
   std::string Caller;
   TimePoint Deadline;
+  /// Set by the scheduler: tried whatever its estimate says.
+  bool AlwaysTried = false;
 };
 
 } // namespace cicadawind
--- a/test/Admission/SlotSchedulerTest.cpp
+++ b/test/Admission/SlotSchedulerTest.cpp
@@ -80,6 +80,22 @@
   BOOST_TEST(Accepted <= 20U);
 }
 
+BOOST_AUTO_TEST_CASE(EstimatesBeyondTheDeadlineAreTriedWhenNothingWaits) {
+  // A shape that was slow once, and one never seen, must not be refused for
+  // good: only running them can correct the estimate.
+  SlotScheduler Scheduler({.Slots = 1});
+  BOOST_REQUIRE(!errorOf(Scheduler.offer(item(1, 5, 1h), Start)));
+  Scheduler.start(Start);
+  Scheduler.finish(1, 90ms, Start);
+  WorkId Id = 10;
+  for (std::uint64_t Shape : {5, 6}) {
+    BOOST_TEST(!errorOf(Scheduler.offer(item(++Id, Shape, 8ms), Start)));
+    BOOST_TEST(Scheduler.expire(Start).empty());
+    BOOST_REQUIRE((Scheduler.start(Start) == std::vector<WorkId>{Id}));
+    Scheduler.finish(Id, 2ms, Start);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ExpiredWorkLeavesTheQueue) {
   SlotScheduler Scheduler = trained({.Slots = 1});
   Scheduler.offer(item(1, ShortShape, 1h), Start);
