--- a/src/Daemons/DaemonRuntime.cpp
+++ b/src/Daemons/DaemonRuntime.cpp
@@ -119,15 +119,14 @@
 }
 
 nlohmann::json DaemonRuntime::statusJson() const {
-  auto &Self = const_cast<PeerNode &>(Peers);
   nlohmann::json Members = nlohmann::json::array();
-  for (const VmEntry &Entry : Self.members().all())
+  for (const VmEntry &Entry : Peers.members().all())
     Members.push_back(toJson(Entry));
   nlohmann::json Json = RoleStatus();
   Json["vm"] = Opts.Settings.Vm;
   Json["failure_domain"] = Opts.Settings.FailureDomain;
   Json["role"] = Opts.Role == DaemonRole::Router ? "router" : "pooler";
-  Json["note"] = Self.history().number();
+  Json["note"] = Peers.history().number();
   Json["ready"] = readiness().Status == 200;
   Json["drain"] = Drain->state();
   Json["control_bytes"] = Http.bytes();
@@ -167,7 +166,7 @@
 }
 
 HttpResponse DaemonRuntime::listNotes(const HttpRequest &Request) const {
-  const ConfigHistory &History = const_cast<PeerNode &>(Peers).history();
+  const ConfigHistory &History = Peers.history();
   std::uint64_t After = 0;
   auto Query = Request.Query.find("after");
   if (Query != Request.Query.end())
--- a/src/Daemons/PoolerMain.cpp
+++ b/src/Daemons/PoolerMain.cpp
@@ -44,10 +44,10 @@
 static void serve(DaemonRuntime &Runtime) {
   HttpDatabaseGroup Group(Runtime.loop(), Runtime.http());
   PoolerService::Options Opts;
-  Opts.Vm = Runtime.settings().Vm;
-  Opts.Charts = Runtime.charts();
-  Opts.Random = Runtime.random();
-  Opts.SuspectAfter = Runtime.settings().SuspectAfter;
+  Opts.Targets.Vm = Runtime.settings().Vm;
+  Opts.Targets.Charts = Runtime.charts();
+  Opts.Targets.Random = Runtime.random();
+  Opts.Targets.SuspectAfter = Runtime.settings().SuspectAfter;
   PoolerService Service(Runtime.loop(), Opts, Runtime.peers(), Group,
                         Runtime.platform(), Runtime.metrics());
   Runtime.setPeerHandler([&](HttpRequest Request) {
--- a/src/Peers/PeerNode.h
+++ b/src/Peers/PeerNode.h
@@ -60,7 +60,9 @@
   void start();
 
   ConfigHistory &history() { return History; }
+  const ConfigHistory &history() const { return History; }
   MemberTable &members() { return Members; }
+  const MemberTable &members() const { return Members; }
   NoteStore &notes() { return Notes; }
   RpcDispatcher &rpc() { return Rpc; }
 
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -18,237 +18,29 @@
 namespace internal {
 
 constexpr Duration MaintainPeriod = std::chrono::milliseconds(250);
-/// Owners of a target that are asked for a term record.
-constexpr std::size_t PeersAsked = 2;
-/// Pause between walks over all targets without a change of members.
-constexpr Duration OwnershipPeriod = std::chrono::seconds(5);
-/// Connections to a target that another pooler owns are kept this long.
-constexpr Duration ReleaseAfter = std::chrono::seconds(3);
 /// Age beyond the accepted one that newer evidence may take away.
 constexpr Duration EvidenceMargin = std::chrono::milliseconds(150);
-constexpr Duration RankStep = std::chrono::milliseconds(150);
-
-static std::string poolKey(const std::string &Database,
-                           const std::string &Target) {
-  return Database + "/" + Target;
-}
 
 } // namespace internal
 
 PoolerService::PoolerService(boost::asio::io_context &Loop, Options NewOpts,
                              PeerNode &Peers, DatabaseGroup &Group,
                              ObjectStore &Store, Metrics &Meter)
-    : Loop(Loop), Opts(std::move(NewOpts)), Peers(Peers), Group(Group),
-      Store(Store), Meter(Meter) {
-  Peers.history().onChange([this](const ServiceConfig &) { reconfigure(); });
-  registerMethods();
-}
+    : Loop(Loop), Opts(std::move(NewOpts)), Peers(Peers), Meter(Meter),
+      Targets(Loop, Opts.Targets, Peers, Group, Store, Meter) {}
 
 PoolerService::~PoolerService() = default;
 
 void PoolerService::start() { spawn(Loop, maintainLoop()); }
 
-void PoolerService::registerMethods() {
-  Peers.rpc().add("peer.term", [this](const nlohmann::json &Params) {
-    nlohmann::json Out = nlohmann::json::object();
-    auto It = Monitors.find(Params.at("database").get<std::string>());
-    if (It != Monitors.end() && It->second->control().record())
-      Out["record"] = encodeTermRecord(*It->second->control().record());
-    return Out;
-  });
-}
-
-boost::asio::awaitable<std::optional<TermRecord>>
-PoolerService::askPeers(std::string Database) {
-  std::set<std::string> Addresses;
-  auto It = Peers.history().config().Databases.find(Database);
-  if (It == Peers.history().config().Databases.end())
-    co_return std::nullopt;
-  TimePoint Now = BootClock::now();
-  for (const auto &[Name, Target] : It->second.Targets) {
-    std::vector<VmEntry> Owners = Peers.members().ownersOf(
-        Name, Target.FailureDomain, Target.Region, Now, internal::PeersAsked);
-    for (const VmEntry &Owner : Owners)
-      if (Owner.Vm != Opts.Vm)
-        Addresses.insert(Owner.PoolerPeer);
-  }
-  std::optional<TermRecord> Best;
-  for (const std::string &Address : Addresses) {
-    nlohmann::json Params{{"database", Database}};
-    nlohmann::json Answer =
-        co_await Peers.callPeer(Address, "peer.term", std::move(Params));
-    if (!Answer.is_object() || !Answer.contains("record"))
-      continue;
-    Result<TermRecord> Told =
-        decodeTermRecord(Answer["record"].get<std::string>());
-    if (errorOf(Told))
-      continue;
-    if (!Best || valueOf(Told).Current > Best->Current)
-      Best = valueOf(Told);
-  }
-  co_return Best;
-}
-
-Duration PoolerService::rankDelay(const DatabaseConfig &Database) const {
-  std::vector<std::string> Vms;
-  TimePoint Now = BootClock::now();
-  for (const auto &[Name, Target] : Database.Targets) {
-    std::vector<VmEntry> Owners = Peers.members().ownersOf(
-        Name, Target.FailureDomain, Target.Region, Now);
-    if (!Owners.empty())
-      Vms.push_back(Owners.front().Vm);
-  }
-  auto It = std::find(Vms.begin(), Vms.end(), Opts.Vm);
-  return internal::RankStep * (It - Vms.begin());
-}
-
-std::shared_ptr<GroupMonitor>
-PoolerService::monitorOf(const std::string &Database) {
-  LastUse[Database] = BootClock::now();
-  auto It = Monitors.find(Database);
-  if (It != Monitors.end())
-    return It->second;
-  const auto &Databases = Peers.history().config().Databases;
-  auto Config = Databases.find(Database);
-  if (Config == Databases.end())
-    return nullptr;
-  GroupMonitor::Options MonitorOpts;
-  MonitorOpts.Control.Claimant = Opts.Vm;
-  MonitorOpts.Control.PromotionChart = Opts.Charts.Promotion;
-  MonitorOpts.Control.Random = Opts.Random;
-  MonitorOpts.Control.Trigger.SuspectAfter = Opts.SuspectAfter;
-  MonitorOpts.Control.Trigger.RankDelay = rankDelay(Config->second);
-  auto Monitor = std::make_shared<GroupMonitor>(Loop, MonitorOpts, Group, Store,
-                                                Meter, Config->second);
-  Monitor->setPeerRecordHook(
-      [this](std::string Name) { return askPeers(std::move(Name)); });
-  Monitors[Database] = Monitor;
-  Monitor->start();
-  return Monitor;
-}
-
-std::shared_ptr<TargetPool> PoolerService::poolOf(const std::string &Database,
-                                                  const std::string &Target) {
-  std::string Key = internal::poolKey(Database, Target);
-  auto It = Pools.find(Key);
-  if (It != Pools.end())
-    return It->second;
-  const ServiceConfig &Config = Peers.history().config();
-  const TargetConfig *Found = Config.findTarget(Database, Target);
-  if (!Found)
-    return nullptr;
-  TargetPool::Options PoolOpts;
-  PoolOpts.Target = *Found;
-  PoolOpts.QueueLimit = Config.Limits.QueueLimit;
-  PoolOpts.ConnectionChart = Opts.Charts.Connection;
-  auto Pool = std::make_shared<TargetPool>(Loop, PoolOpts, Group, Meter);
-  Pools[Key] = Pool;
-  Pool->start();
-  return Pool;
-}
-
-void PoolerService::reconfigure() {
-  const ServiceConfig &Config = Peers.history().config();
-  TimePoint Now = BootClock::now();
-  std::erase_if(Monitors, [&](auto &Row) {
-    auto It = Config.Databases.find(Row.first);
-    if (It == Config.Databases.end()) {
-      Row.second->stop();
-      return true;
-    }
-    Row.second->reconfigure(It->second);
-    return false;
-  });
-  std::erase_if(Pools, [&](auto &Row) {
-    const TargetConfig &Old = Row.second->target();
-    std::string Database = Row.first.substr(0, Row.first.find('/'));
-    const TargetConfig *New = Config.findTarget(Database, Old.Name);
-    bool Same = New && New->Address == Old.Address && New->Slots == Old.Slots;
-    if (Same)
-      Row.second->reconfigure(*New);
-    else
-      Row.second->stop();
-    return !Same;
-  });
-  for (const auto &[Name, Database] : Config.Databases)
-    for (const auto &[TargetName, Target] : Database.Targets) {
-      std::string Key = internal::poolKey(Name, TargetName);
-      if (Target.Leaving)
-        LeavingSince.try_emplace(Key, Now);
-      else
-        LeavingSince.erase(Key);
-    }
-  takeOwnership();
-  maintain();
-}
-
 boost::asio::awaitable<void> PoolerService::maintainLoop() {
   for (;;) {
     co_await sleepFor(internal::MaintainPeriod);
-    maintain();
+    Targets.maintain();
+    endTransactions(BootClock::now());
   }
 }
 
-void PoolerService::takeOwnership() {
-  TimePoint Now = BootClock::now();
-  Owned.clear();
-  for (const auto &[Name, Database] : Peers.history().config().Databases)
-    for (const auto &[TargetName, Target] : Database.Targets) {
-      std::vector<VmEntry> Owners = Peers.members().ownersOf(
-          TargetName, Target.FailureDomain, Target.Region, Now, 1);
-      if (!Owners.empty() && Owners.front().Vm == Opts.Vm)
-        Owned.emplace_back(Name, TargetName);
-    }
-  OwnedVersion = Peers.members().version();
-  OwnedSince = Now;
-}
-
-void PoolerService::maintain() {
-  TimePoint Now = BootClock::now();
-  // Walking all targets is kept to changes, and to the end of suspicions.
-  bool Outdated = OwnedVersion != Peers.members().version() ||
-                  Now - OwnedSince > internal::OwnershipPeriod;
-  if (Outdated)
-    takeOwnership();
-  for (const auto &[Database, Target] : Owned) {
-    monitorOf(Database);
-    poolOf(Database, Target);
-  }
-  for (const auto &[Name, Monitor] : Monitors)
-    requestHandover(*Monitor);
-  std::erase_if(Monitors, [&](auto &Row) {
-    if (Now - LastUse[Row.first] < Opts.UnusedLimit)
-      return false;
-    Row.second->stop();
-    return true;
-  });
-  releasePools(Now);
-  endTransactions(Now);
-}
-
-void PoolerService::releasePools(TimePoint Now) {
-  // The new owner can open connections only as the old one lets go.
-  std::erase_if(Pools, [&](auto &Row) {
-    const std::string &Key = Row.first;
-    bool Mine = std::any_of(Owned.begin(), Owned.end(), [&](const auto &Own) {
-      return internal::poolKey(Own.first, Own.second) == Key;
-    });
-    bool Used = Now - Row.second->lastUse() < internal::ReleaseAfter;
-    if (Mine || Used)
-      return false;
-    Row.second->stop();
-    return true;
-  });
-}
-
-void PoolerService::requestHandover(GroupMonitor &Monitor) {
-  std::string Primary = Monitor.control().primary();
-  const auto &Targets = Monitor.config().Targets;
-  auto It = Targets.find(Primary);
-  bool Leaves = It != Targets.end() && It->second.Leaving;
-  Monitor.control().requestHandover(Leaves ? Primary : std::string());
-}
-
 void PoolerService::endTransactions(TimePoint Now) {
   Duration IdleLimit = Peers.history().config().Limits.IdleTransaction;
   for (const std::string &Id : Transactions.idleSince(Now - IdleLimit))
@@ -274,9 +66,9 @@
     return Error{.Code = ErrorCode::NoReleaseNote,
                  .Message = "no release note is in force here yet"};
   Place At;
-  At.Monitor = monitorOf(Request.Database);
+  At.Monitor = Targets.monitorOf(Request.Database);
   if (At.Monitor)
-    At.Pool = poolOf(Request.Database, Request.Target);
+    At.Pool = Targets.poolOf(Request.Database, Request.Target);
   if (!At.Monitor || !At.Pool)
     return Error{.Code = ErrorCode::UnknownDatabase,
                  .Message = "no such database or target in force"};
@@ -288,9 +80,9 @@
   if (DrainStart && Now - *DrainStart > Opts.LeaveGrace)
     return Error{.Code = ErrorCode::Leaving, .Message = "this VM is leaving"};
   const TargetConfig &Target = At.Pool->target();
-  auto It = LeavingSince.find(
-      internal::poolKey(At.Monitor->config().Name, Target.Name));
-  if (It != LeavingSince.end() && Now - It->second > Opts.LeaveGrace)
+  std::optional<TimePoint> Since =
+      Targets.leavingSince(At.Monitor->config().Name, Target.Name);
+  if (Since && Now - *Since > Opts.LeaveGrace)
     return Error{.Code = ErrorCode::Leaving,
                  .Message = "the target is leaving"};
   return std::monostate();
@@ -344,9 +136,8 @@
   if (Answer.EvidenceAt != TimePoint())
     Answer.EvidenceAge =
         toMillis(BootClock::now() - Answer.EvidenceAt) + Millis(1);
-  auto It = Monitors.find(Database);
-  if (It != Monitors.end())
-    Answer.View = It->second->view();
+  if (auto Monitor = Targets.knownMonitor(Database))
+    Answer.View = Monitor->view();
   std::string Verdict =
       Answer.Failure ? std::string(toString(Answer.Failure->Outcome)) : "ran";
   std::string Code =
@@ -587,23 +378,10 @@
 }
 
 nlohmann::json PoolerService::status() const {
-  nlohmann::json Databases = nlohmann::json::array();
-  for (const auto &[Name, Monitor] : Monitors) {
-    GroupView View = Monitor->view();
-    Databases.push_back({{"database", Name},
-                         {"term", View.Current},
-                         {"primary", View.Primary},
-                         {"lease", Monitor->leaseValid()}});
-  }
-  nlohmann::json Owned = nlohmann::json::array();
-  for (const auto &[Key, Pool] : Pools)
-    Owned.push_back({{"target", Key},
-                     {"connections", Pool->connections()},
-                     {"queued", Pool->queued()}});
-  return {{"databases", Databases},
-          {"targets", Owned},
-          {"in_flight", Serving},
-          {"transactions", Transactions.size()}};
+  nlohmann::json Json = Targets.status();
+  Json["in_flight"] = Serving;
+  Json["transactions"] = Transactions.size();
+  return Json;
 }
 
 } // namespace cicadawind
--- a/src/Pooler/PoolerService.h
+++ b/src/Pooler/PoolerService.h
@@ -1,18 +1,15 @@
 #ifndef CICADAWIND_POOLER_POOLERSERVICE_H
 #define CICADAWIND_POOLER_POOLERSERVICE_H
 
-#include "Core/Random.h"
-#include "Observability/Log.h"
 #include "Pooler/GroupMonitor.h"
+#include "Pooler/TargetRegistry.h"
 #include "Pooler/TransactionTable.h"
-#include "StateCharts/ChartSet.h"
 #include "Wire/ExecuteAnswer.h"
 #include "Wire/ExecuteRequest.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <nlohmann/json_fwd.hpp>
 
-#include <map>
 #include <memory>
 #include <string>
 
@@ -27,23 +24,16 @@
 /// \class PoolerService
 /// \brief Serves routers' requests to the targets that this pooler owns.
 ///
-/// Ownership comes from rendezvous hashing over the failure domain's poolers
-/// and is a hint: a request for any target is served, and safety rests on the
+/// A request for any target is served, owned or not: safety rests on the
 /// target's term check and the lease alone. Runs on the loop's thread.
 class PoolerService {
 public:
   struct Options {
-    std::string Vm;
-    ChartSet Charts;
-    RandomSource Random;
-    /// Silence of a primary after which it is replaced.
-    Duration SuspectAfter = std::chrono::milliseconds(600);
+    TargetRegistry::Options Targets;
     /// Wait for a lagging replica to reach a session's position.
     Duration CatchUpWait = std::chrono::milliseconds(20);
     /// How long a leaving target or VM still gets new work.
     Duration LeaveGrace = std::chrono::seconds(2);
-    /// An unowned and unused database is no longer watched after this time.
-    Duration UnusedLimit = std::chrono::seconds(30);
   };
 
   PoolerService(boost::asio::io_context &Loop, Options Opts, PeerNode &Peers,
@@ -99,37 +89,15 @@
                                ExecuteAnswer &Out);
   void fillPrimary(const Place &At, ExecuteAnswer &Out) const;
 
-  std::shared_ptr<GroupMonitor> monitorOf(const std::string &Database);
-  std::shared_ptr<TargetPool> poolOf(const std::string &Database,
-                                     const std::string &Target);
   boost::asio::awaitable<void> maintainLoop();
-  void maintain();
-  void takeOwnership();
-  void releasePools(TimePoint Now);
-  void reconfigure();
-  static void requestHandover(GroupMonitor &Monitor);
-  Duration rankDelay(const DatabaseConfig &Database) const;
-  boost::asio::awaitable<std::optional<TermRecord>>
-  askPeers(std::string Database);
-  void registerMethods();
   void endTransactions(TimePoint Now);
 
   boost::asio::io_context &Loop;
   Options Opts;
   PeerNode &Peers;
-  DatabaseGroup &Group;
-  ObjectStore &Store;
   Metrics &Meter;
-  Log Logger{"pooler"};
-  std::map<std::string, std::shared_ptr<GroupMonitor>> Monitors;
-  std::map<std::string, std::shared_ptr<TargetPool>> Pools;
-  std::map<std::string, TimePoint> LastUse;
-  std::map<std::string, TimePoint> LeavingSince;
+  TargetRegistry Targets;
   TransactionTable Transactions;
-  /// Databases and targets that this pooler owns.
-  std::vector<std::pair<std::string, std::string>> Owned;
-  std::uint64_t OwnedVersion = 0;
-  TimePoint OwnedSince;
   std::size_t Serving = 0;
   std::optional<TimePoint> DrainStart;
   std::optional<TimePoint> DrainLimit;
--- a/src/Pooler/PoolerTransactions.cpp
+++ b/src/Pooler/PoolerTransactions.cpp
@@ -68,7 +68,8 @@
   }
   TimePoint Now = BootClock::now();
   Pinned->answered(Now);
-  std::string Id = Opts.Vm + "-" + std::to_string(Opts.Random());
+  std::string Id =
+      Opts.Targets.Vm + "-" + std::to_string(Opts.Targets.Random());
   Transactions.add(std::make_shared<OpenTransaction>(
       OpenTransaction{.Id = Id,
                       .Database = Request.Database,
@@ -76,7 +77,7 @@
                       .RunsIn = Believed,
                       .Pool = At.Pool,
                       .Connection = std::move(Pinned),
-                      .Walk = ChartInstance(Opts.Charts.Transaction),
+                      .Walk = ChartInstance(Opts.Targets.Charts.Transaction),
                       .LastUse = Now,
                       .EndedBecause = {}}));
   ExecuteAnswer Out;
@@ -133,7 +134,7 @@
     co_return internal::failed(Gone);
   }
   Entry->Walk.fire("answered");
-  auto Monitor = monitorOf(Request.Database);
+  auto Monitor = Targets.monitorOf(Request.Database);
   if (!Monitor || !Monitor->leaseValid() ||
       Monitor->view().Current != Entry->RunsIn)
     co_return internal::failed(
@@ -171,7 +172,7 @@
   }
   Transactions.end(Request.Transaction, "confirmed", "committed", Now);
   Transactions.setCommitted(Request.Transaction, valueOf(Answer).Position);
-  auto Monitor = monitorOf(Request.Database);
+  auto Monitor = Targets.monitorOf(Request.Database);
   ExecuteAnswer Out;
   Out.Position = valueOf(Answer).Position;
   Status Confirmed = Error{.Code = ErrorCode::UnknownDatabase,
--- /dev/null
+++ b/src/Pooler/TargetRegistry.cpp
@@ -0,0 +1,268 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Pooler/TargetRegistry.h"
+
+#include "Peers/PeerNode.h"
+#include "Pooler/GroupMonitor.h"
+#include "Pooler/TargetPool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cicadawind {
+namespace internal {
+
+/// Owners of a target that are asked for a term record.
+constexpr std::size_t PeersAsked = 2;
+/// Pause between walks over all targets without a change of members.
+constexpr Duration OwnershipPeriod = std::chrono::seconds(5);
+/// Connections to a target that another pooler owns are kept this long.
+constexpr Duration ReleaseAfter = std::chrono::seconds(3);
+constexpr Duration RankStep = std::chrono::milliseconds(150);
+
+static std::string poolKey(const std::string &Database,
+                           const std::string &Target) {
+  return Database + "/" + Target;
+}
+
+static void requestHandover(GroupMonitor &Monitor) {
+  std::string Primary = Monitor.control().primary();
+  const auto &Targets = Monitor.config().Targets;
+  auto It = Targets.find(Primary);
+  bool Leaves = It != Targets.end() && It->second.Leaving;
+  Monitor.control().requestHandover(Leaves ? Primary : std::string());
+}
+
+} // namespace internal
+
+TargetRegistry::TargetRegistry(boost::asio::io_context &Loop, Options NewOpts,
+                               PeerNode &Peers, DatabaseGroup &Group,
+                               ObjectStore &Store, Metrics &Meter)
+    : Loop(Loop), Opts(std::move(NewOpts)), Peers(Peers), Group(Group),
+      Store(Store), Meter(Meter) {
+  Peers.history().onChange([this](const ServiceConfig &) { reconfigure(); });
+  registerMethods();
+}
+
+void TargetRegistry::registerMethods() {
+  Peers.rpc().add("peer.term", [this](const nlohmann::json &Params) {
+    nlohmann::json Out = nlohmann::json::object();
+    auto It = Monitors.find(Params.at("database").get<std::string>());
+    if (It != Monitors.end() && It->second->control().record())
+      Out["record"] = encodeTermRecord(*It->second->control().record());
+    return Out;
+  });
+}
+
+boost::asio::awaitable<std::optional<TermRecord>>
+TargetRegistry::askPeers(std::string Database) {
+  std::set<std::string> Addresses;
+  auto It = Peers.history().config().Databases.find(Database);
+  if (It == Peers.history().config().Databases.end())
+    co_return std::nullopt;
+  TimePoint Now = BootClock::now();
+  for (const auto &[Name, Target] : It->second.Targets) {
+    std::vector<VmEntry> Owners = Peers.members().ownersOf(
+        Name, Target.FailureDomain, Target.Region, Now, internal::PeersAsked);
+    for (const VmEntry &Owner : Owners)
+      if (Owner.Vm != Opts.Vm)
+        Addresses.insert(Owner.PoolerPeer);
+  }
+  std::optional<TermRecord> Best;
+  for (const std::string &Address : Addresses) {
+    nlohmann::json Params{{"database", Database}};
+    nlohmann::json Answer =
+        co_await Peers.callPeer(Address, "peer.term", std::move(Params));
+    if (!Answer.is_object() || !Answer.contains("record"))
+      continue;
+    Result<TermRecord> Told =
+        decodeTermRecord(Answer["record"].get<std::string>());
+    if (errorOf(Told))
+      continue;
+    if (!Best || valueOf(Told).Current > Best->Current)
+      Best = valueOf(Told);
+  }
+  co_return Best;
+}
+
+Duration TargetRegistry::rankDelay(const DatabaseConfig &Database) const {
+  std::vector<std::string> Vms;
+  TimePoint Now = BootClock::now();
+  for (const auto &[Name, Target] : Database.Targets) {
+    std::vector<VmEntry> Owners = Peers.members().ownersOf(
+        Name, Target.FailureDomain, Target.Region, Now);
+    if (!Owners.empty())
+      Vms.push_back(Owners.front().Vm);
+  }
+  auto It = std::find(Vms.begin(), Vms.end(), Opts.Vm);
+  return internal::RankStep * (It - Vms.begin());
+}
+
+std::shared_ptr<GroupMonitor>
+TargetRegistry::monitorOf(const std::string &Database) {
+  LastUse[Database] = BootClock::now();
+  auto It = Monitors.find(Database);
+  if (It != Monitors.end())
+    return It->second;
+  const auto &Databases = Peers.history().config().Databases;
+  auto Config = Databases.find(Database);
+  if (Config == Databases.end())
+    return nullptr;
+  GroupMonitor::Options MonitorOpts;
+  MonitorOpts.Control.Claimant = Opts.Vm;
+  MonitorOpts.Control.PromotionChart = Opts.Charts.Promotion;
+  MonitorOpts.Control.Random = Opts.Random;
+  MonitorOpts.Control.Trigger.SuspectAfter = Opts.SuspectAfter;
+  MonitorOpts.Control.Trigger.RankDelay = rankDelay(Config->second);
+  auto Monitor = std::make_shared<GroupMonitor>(Loop, MonitorOpts, Group, Store,
+                                                Meter, Config->second);
+  Monitor->setPeerRecordHook(
+      [this](std::string Name) { return askPeers(std::move(Name)); });
+  Monitors[Database] = Monitor;
+  Monitor->start();
+  return Monitor;
+}
+
+std::shared_ptr<TargetPool> TargetRegistry::poolOf(const std::string &Database,
+                                                   const std::string &Target) {
+  std::string Key = internal::poolKey(Database, Target);
+  auto It = Pools.find(Key);
+  if (It != Pools.end())
+    return It->second;
+  const ServiceConfig &Config = Peers.history().config();
+  const TargetConfig *Found = Config.findTarget(Database, Target);
+  if (!Found)
+    return nullptr;
+  TargetPool::Options PoolOpts;
+  PoolOpts.Target = *Found;
+  PoolOpts.QueueLimit = Config.Limits.QueueLimit;
+  PoolOpts.ConnectionChart = Opts.Charts.Connection;
+  auto Pool = std::make_shared<TargetPool>(Loop, PoolOpts, Group, Meter);
+  Pools[Key] = Pool;
+  Pool->start();
+  return Pool;
+}
+
+void TargetRegistry::reconfigure() {
+  const ServiceConfig &Config = Peers.history().config();
+  TimePoint Now = BootClock::now();
+  std::erase_if(Monitors, [&](auto &Row) {
+    auto It = Config.Databases.find(Row.first);
+    if (It == Config.Databases.end()) {
+      Row.second->stop();
+      return true;
+    }
+    Row.second->reconfigure(It->second);
+    return false;
+  });
+  std::erase_if(Pools, [&](auto &Row) {
+    const TargetConfig &Old = Row.second->target();
+    std::string Database = Row.first.substr(0, Row.first.find('/'));
+    const TargetConfig *New = Config.findTarget(Database, Old.Name);
+    bool Same = New && New->Address == Old.Address && New->Slots == Old.Slots;
+    if (Same)
+      Row.second->reconfigure(*New);
+    else
+      Row.second->stop();
+    return !Same;
+  });
+  for (const auto &[Name, Database] : Config.Databases)
+    for (const auto &[TargetName, Target] : Database.Targets) {
+      std::string Key = internal::poolKey(Name, TargetName);
+      if (Target.Leaving)
+        LeavingSince.try_emplace(Key, Now);
+      else
+        LeavingSince.erase(Key);
+    }
+  takeOwnership();
+  maintain();
+}
+
+void TargetRegistry::takeOwnership() {
+  TimePoint Now = BootClock::now();
+  Owned.clear();
+  for (const auto &[Name, Database] : Peers.history().config().Databases)
+    for (const auto &[TargetName, Target] : Database.Targets) {
+      std::vector<VmEntry> Owners = Peers.members().ownersOf(
+          TargetName, Target.FailureDomain, Target.Region, Now, 1);
+      if (!Owners.empty() && Owners.front().Vm == Opts.Vm)
+        Owned.emplace_back(Name, TargetName);
+    }
+  OwnedVersion = Peers.members().version();
+  OwnedSince = Now;
+}
+
+void TargetRegistry::maintain() {
+  TimePoint Now = BootClock::now();
+  // Walking all targets is kept to changes, and to the end of suspicions.
+  bool Outdated = OwnedVersion != Peers.members().version() ||
+                  Now - OwnedSince > internal::OwnershipPeriod;
+  if (Outdated)
+    takeOwnership();
+  for (const auto &[Database, Target] : Owned) {
+    monitorOf(Database);
+    poolOf(Database, Target);
+  }
+  for (const auto &[Name, Monitor] : Monitors)
+    internal::requestHandover(*Monitor);
+  std::erase_if(Monitors, [&](auto &Row) {
+    if (Now - LastUse[Row.first] < Opts.UnusedLimit)
+      return false;
+    Row.second->stop();
+    return true;
+  });
+  releasePools(Now);
+}
+
+void TargetRegistry::releasePools(TimePoint Now) {
+  // The new owner can open connections only as the old one lets go.
+  std::erase_if(Pools, [&](auto &Row) {
+    const std::string &Key = Row.first;
+    bool Mine = std::any_of(Owned.begin(), Owned.end(), [&](const auto &Own) {
+      return internal::poolKey(Own.first, Own.second) == Key;
+    });
+    bool Used = Now - Row.second->lastUse() < internal::ReleaseAfter;
+    if (Mine || Used)
+      return false;
+    Row.second->stop();
+    return true;
+  });
+}
+
+std::shared_ptr<GroupMonitor>
+TargetRegistry::knownMonitor(const std::string &Database) const {
+  auto It = Monitors.find(Database);
+  return It == Monitors.end() ? nullptr : It->second;
+}
+
+std::optional<TimePoint>
+TargetRegistry::leavingSince(const std::string &Database,
+                             const std::string &Target) const {
+  auto It = LeavingSince.find(internal::poolKey(Database, Target));
+  if (It == LeavingSince.end())
+    return std::nullopt;
+  return It->second;
+}
+
+nlohmann::json TargetRegistry::status() const {
+  nlohmann::json Databases = nlohmann::json::array();
+  for (const auto &[Name, Monitor] : Monitors) {
+    GroupView View = Monitor->view();
+    Databases.push_back({{"database", Name},
+                         {"term", View.Current},
+                         {"primary", View.Primary},
+                         {"lease", Monitor->leaseValid()}});
+  }
+  nlohmann::json Targets = nlohmann::json::array();
+  for (const auto &[Key, Pool] : Pools)
+    Targets.push_back({{"target", Key},
+                       {"connections", Pool->connections()},
+                       {"queued", Pool->queued()}});
+  return {{"databases", Databases}, {"targets", Targets}};
+}
+
+} // namespace cicadawind
--- a/test/Groups/GroupWorld.cpp
+++ b/test/Groups/GroupWorld.cpp
@@ -340,17 +340,13 @@
   Duration Handled = Timers.now() - Op->Received;
   Duration Age = Timers.now() - Op->EvidenceAt;
   toRouter(controllerNode(Op->Via), [this, Op, Handled, Age] {
-    Op->EvidenceAt = Timers.now() - Age; // as the router computes it
-    atRouter(Op, Handled + Age);
+    atRouter(Op, Handled, Age);
   });
 }
 
-void GroupWorld::atRouter(Shared Op, Duration HandledAndAge) {
-  // HandledAndAge is Handled + Age; the router knows the whole round trip.
-  TimePoint Now = Timers.now();
-  Duration Age = Now - Op->EvidenceAt;
-  Duration Handled = HandledAndAge - Age;
-  Duration Transit = (Now - Op->RouterSent) - Handled;
+void GroupWorld::atRouter(Shared Op, Duration Handled, Duration Age) {
+  // The router knows its own round trip and what the controller reported.
+  Duration Transit = (Timers.now() - Op->RouterSent) - Handled;
   Duration Evidence = Age + Transit;
   bool Replica = Op->AcceptedAge > Millis(0);
   Duration Limit =
--- a/test/Groups/GroupWorld.h
+++ b/test/Groups/GroupWorld.h
@@ -144,7 +144,7 @@
   void atInstance(Shared Op);
   void awaitHeld(Shared Op);
   void letOut(Shared Op);
-  void atRouter(Shared Op, Duration Handled);
+  void atRouter(Shared Op, Duration Handled, Duration Age);
   void finish(Shared Op);
   void reconfirm(Shared Op);
 
