--- a/src/Cli/StatusCommands.cpp
+++ b/src/Cli/StatusCommands.cpp
@@ -52,6 +52,13 @@
   }
 }
 
+/// Whether writes are served, as far as a pooler knows.
+static const char *writesOf(const nlohmann::json &Row) {
+  if (Row["lease"].get<bool>())
+    return "served";
+  return Row["in_use"].get<bool>() ? "refused" : "not in use";
+}
+
 static void printDatabases(const nlohmann::json &Daemons) {
   // The highest term that any pooler knows is the current one.
   std::map<std::string, nlohmann::json> Best;
@@ -72,8 +79,7 @@
   for (const auto &[Name, Row] : Best)
     std::cout << std::setw(NameWidth) << Name << std::setw(ColumnWidth)
               << Row["term"].get<std::uint64_t>() << std::setw(NameWidth)
-              << Row["primary"].get<std::string>()
-              << (Row["lease"].get<bool>() ? "served" : "refused") << "\n";
+              << Row["primary"].get<std::string>() << writesOf(Row) << "\n";
 }
 
 } // namespace internal
--- a/src/Peers/PeerNode.h
+++ b/src/Peers/PeerNode.h
@@ -43,7 +43,7 @@
 public:
   struct Options {
     DaemonRole Role = DaemonRole::Router;
-    Duration ExchangePeriod = std::chrono::seconds(1);
+    Duration ExchangePeriod = std::chrono::milliseconds(1500);
     /// Pause between reads of the VM list by a daemon with that duty.
     Duration DutyListPeriod = std::chrono::seconds(1);
     /// The same for other daemons.
--- a/src/Pooler/GroupMonitor.h
+++ b/src/Pooler/GroupMonitor.h
@@ -66,6 +66,8 @@
   GroupView view() const;
 
   bool leaseValid() const;
+  /// Whether the primary was used lately; without that no lease is kept.
+  bool isBusy() const { return Cadence.isBusy(BootClock::now()); }
   bool writesPaused() const;
 
   /// Notes a use of the primary and waits for a lease, if one is to be had
--- a/src/Pooler/TargetRegistry.cpp
+++ b/src/Pooler/TargetRegistry.cpp
@@ -256,7 +256,8 @@
     Databases.push_back({{"database", Name},
                          {"term", View.Current},
                          {"primary", View.Primary},
-                         {"lease", Monitor->leaseValid()}});
+                         {"lease", Monitor->leaseValid()},
+                         {"in_use", Monitor->isBusy()}});
   }
   nlohmann::json Targets = nlohmann::json::array();
   for (const auto &[Key, Pool] : Pools)
--- a/src/Router/RouterService.cpp
+++ b/src/Router/RouterService.cpp
@@ -38,6 +38,8 @@
   Result<CallerRequest> Parsed = CallerRequest::parse(In.Path, In.Body);
   if (const Error *E = errorOf(Parsed)) {
     Work.Request.RequestId = CallerRequest::requestIdOf(In.Body);
+    if (Work.Request.RequestId.empty())
+      Work.Request.RequestId = Context.TraceId;
     co_return failure(Work, *E);
   }
   Work.Request = std::move(valueOf(Parsed));
