--- a/src/Pooler/GroupMonitor.cpp
+++ b/src/Pooler/GroupMonitor.cpp
@@ -275,6 +275,18 @@
   return false;
 }
 
+void GroupMonitor::measureGap(TimePoint Now) {
+  bool Served = Control.leaseValidAt(Now);
+  if (GapSince && Served) {
+    std::chrono::duration<double> Gap = Now - *GapSince;
+    Meter.observe("write_gap_seconds", Gap.count());
+  }
+  if (Served || !Cadence.isBusy(Now))
+    GapSince.reset();
+  else if (!GapSince)
+    GapSince = Now;
+}
+
 boost::asio::awaitable<void> GroupMonitor::tickLoop() {
   auto Keep = shared_from_this();
   while (!Stopped) {
@@ -284,6 +296,7 @@
       quicken();
     else if (Cadence.isBusy(Now))
       askBeside();
+    measureGap(Now);
     carryOut(Control.tick(Now));
     co_await sleepFor(Opts.Tick);
   }
--- a/src/Pooler/GroupMonitor.h
+++ b/src/Pooler/GroupMonitor.h
@@ -102,6 +102,7 @@
                                        Duration Wait);
   void quicken();
   void askBeside();
+  void measureGap(TimePoint Now);
   bool isInDoubt() const;
   bool isAskedBusily(const std::string &Instance, TimePoint Now) const;
   bool nearMajorityAnswers(TimePoint Now) const;
@@ -133,6 +134,8 @@
   std::set<std::string> Waiting;
   std::set<std::string> AskedBeside;
   std::map<std::string, TimePoint> LastAnswer;
+  /// Since when no lease could be had while the primary was in use.
+  std::optional<TimePoint> GapSince;
   PeerRecordHook PeerRecord;
   AsyncSignal Changed;
   bool Refreshing = false;
--- a/src/Pooler/TargetRegistry.cpp
+++ b/src/Pooler/TargetRegistry.cpp
@@ -3,6 +3,7 @@
 
 #include "Pooler/TargetRegistry.h"
 
+#include "Observability/Metrics.h"
 #include "Peers/PeerNode.h"
 #include "Pooler/GroupMonitor.h"
 #include "Pooler/TargetPool.h"
@@ -218,6 +219,15 @@
     return true;
   });
   releasePools(Now);
+  countPools();
+}
+
+void TargetRegistry::countPools() {
+  for (const auto &[Key, Pool] : Pools) {
+    MetricLabels Labels{{"target", Key}};
+    Meter.set("queue_depth", static_cast<double>(Pool->queued()), Labels);
+    Meter.set("connections", static_cast<double>(Pool->connections()), Labels);
+  }
 }
 
 void TargetRegistry::releasePools(TimePoint Now) {
--- a/src/Pooler/TargetRegistry.h
+++ b/src/Pooler/TargetRegistry.h
@@ -82,6 +82,7 @@
   void reconfigure();
   void takeOwnership();
   void releasePools(TimePoint Now);
+  void countPools();
 
   boost::asio::io_context &Loop;
   Options Opts;
