--- a/bench/CostBench.cpp
+++ b/bench/CostBench.cpp
@@ -28,9 +28,9 @@
 using namespace cicadawind::test;
 using Json = nlohmann::json;
 
-/// Processor time, memory and loopback bytes of one process.
+/// Processor time and memory of one process.
 struct Usage {
-  double CpuSeconds = 0;
+  std::chrono::duration<double> Cpu{0};
   double ResidentMb = 0;
 };
 
@@ -46,7 +46,8 @@
   double User = 0;
   double System = 0;
   Fields >> User >> System;
-  Out.CpuSeconds = (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  Out.Cpu = std::chrono::duration<double>(
+      (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK)));
   std::ifstream Memory("/proc/" + std::to_string(Pid) + "/statm");
   double Pages = 0;
   Memory >> Pages >> Pages;
@@ -106,7 +107,7 @@
   const char *Name;
   const char *Statement;
   bool Write;
-  int AcceptedAgeMs;
+  Millis AcceptedAge;
 };
 
 static HttpRequest directCall(ProcessFleet &Fleet, const Workload &W,
@@ -128,7 +129,7 @@
   Call.Body = Json{{"database", "db-1"},
                    {"statement", W.Statement},
                    {"kind", W.Write ? "write" : "read"},
-                   {"accepted_age_ms", W.AcceptedAgeMs}}
+                   {"accepted_age_ms", W.AcceptedAge.count()}}
                   .dump();
   return Call;
 }
@@ -138,7 +139,7 @@
   for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm)
     for (const std::string &Name :
          {ProcessFleet::routerOf(Vm), ProcessFleet::poolerOf(Vm)})
-      Sum += usageOf(Fleet.pidOf(Name)).CpuSeconds;
+      Sum += usageOf(Fleet.pidOf(Name)).Cpu.count();
   return Sum;
 }
 
@@ -196,9 +197,9 @@
   auto Sample = [&](double Sign) {
     for (std::size_t Vm = 0; Vm < Fleet.vmCount(); ++Vm) {
       Cpu[0] +=
-          Sign * usageOf(Fleet.pidOf(ProcessFleet::routerOf(Vm))).CpuSeconds;
+          Sign * usageOf(Fleet.pidOf(ProcessFleet::routerOf(Vm))).Cpu.count();
       Cpu[1] +=
-          Sign * usageOf(Fleet.pidOf(ProcessFleet::poolerOf(Vm))).CpuSeconds;
+          Sign * usageOf(Fleet.pidOf(ProcessFleet::poolerOf(Vm))).Cpu.count();
     }
   };
   auto Bytes = [&](bool Router) {
@@ -280,9 +281,9 @@
                       .VmsPerDomain = {3, 2, 2}});
   Fleet.start();
   for (const Workload &W :
-       {Workload{"read, current", "GET k", false, 0},
-        Workload{"read, 2 s accepted", "GET k", false, 2000},
-        Workload{"write", "PUT k v", true, 0}})
+       {Workload{"read, current", "GET k", false, Millis(0)},
+        Workload{"read, 2 s accepted", "GET k", false, Millis(2000)},
+        Workload{"write", "PUT k v", true, Millis(0)}})
     for (std::size_t Callers : {1, 8})
       measure(Fleet, W, Callers);
 }
--- a/src/Observability/Metrics.cpp
+++ b/src/Observability/Metrics.cpp
@@ -41,11 +41,11 @@
   Self->family(prometheus::BuildGauge, Name).Add(Labels).Set(Value);
 }
 
-void Metrics::observe(const std::string &Name, double Seconds,
+void Metrics::observe(const std::string &Name, Duration Took,
                       const MetricLabels &Labels) {
   Self->family(prometheus::BuildHistogram, Name)
       .Add(Labels, internal::LatencyBuckets)
-      .Observe(Seconds);
+      .Observe(std::chrono::duration<double>(Took).count());
 }
 
 std::string Metrics::text() const {
--- a/src/Observability/Metrics.h
+++ b/src/Observability/Metrics.h
@@ -1,6 +1,8 @@
 #ifndef CICADAWIND_OBSERVABILITY_METRICS_H
 #define CICADAWIND_OBSERVABILITY_METRICS_H
 
+#include "Core/Clock.h"
+
 #include <map>
 #include <memory>
 #include <string>
@@ -26,8 +28,8 @@
              double By = 1);
   void set(const std::string &Name, double Value,
            const MetricLabels &Labels = {});
-  /// \p Seconds is a latency.
-  void observe(const std::string &Name, double Seconds,
+  /// Counts \p Took in the histogram \p Name, whose unit is seconds.
+  void observe(const std::string &Name, Duration Took,
                const MetricLabels &Labels = {});
 
   /// The page in Prometheus text format.
--- a/src/Pooler/GroupMonitor.cpp
+++ b/src/Pooler/GroupMonitor.cpp
@@ -277,10 +277,8 @@
 
 void GroupMonitor::measureGap(TimePoint Now) {
   bool Served = Control.leaseValidAt(Now);
-  if (GapSince && Served) {
-    std::chrono::duration<double> Gap = Now - *GapSince;
-    Meter.observe("write_gap_seconds", Gap.count());
-  }
+  if (GapSince && Served)
+    Meter.observe("write_gap_seconds", Now - *GapSince);
   if (Served || !Cadence.isBusy(Now))
     GapSince.reset();
   else if (!GapSince)
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -143,9 +143,7 @@
   std::string Code =
       Answer.Failure ? std::string(toString(Answer.Failure->Code)) : "ok";
   Meter.count("requests_total", {{"verdict", Verdict}, {"code", Code}});
-  Meter.observe(
-      "request_seconds",
-      std::chrono::duration<double>(BootClock::now() - Start).count());
+  Meter.observe("request_seconds", BootClock::now() - Start);
   co_return Answer;
 }
 
--- a/src/Router/RouterService.cpp
+++ b/src/Router/RouterService.cpp
@@ -59,8 +59,7 @@
   ++Serving;
   HttpResponse Response = co_await route(In.Path, Work);
   --Serving;
-  Meter.observe("caller_request_seconds",
-                std::chrono::duration<double>(BootClock::now() - Start).count(),
+  Meter.observe("caller_request_seconds", BootClock::now() - Start,
                 {{"path", In.Path}});
   Meter.count("caller_requests_total",
               {{"path", In.Path}, {"status", std::to_string(Response.Status)}});
