--- a/src/ReleaseNotes/NoteSchema.cpp
+++ b/src/ReleaseNotes/NoteSchema.cpp
@@ -1,16 +1,19 @@
 #include "ReleaseNotes/NoteSchema.h"
 
+#include <chrono>
+
 namespace cicadawind {
 namespace internal {
 
-static constexpr std::int64_t DayMs = 24LL * 3600 * 1000;
+static constexpr std::int64_t MaxMilliseconds =
+    std::chrono::milliseconds(std::chrono::hours(24)).count();
 
 const std::vector<FieldRule> &fieldRules(NoteKind Kind) {
   static const std::vector<FieldRule> Database{
       {.Name = "name", .Identity = true},
       {.Name = "staleness_allowance_ms",
        .Type = FieldType::Number,
-       .Max = DayMs},
+       .Max = MaxMilliseconds},
   };
   static const std::vector<FieldRule> Target{
       {.Name = "database", .Identity = true},
@@ -32,15 +35,15 @@
       {.Name = "max_deadline_ms",
        .Type = FieldType::Number,
        .Min = 100,
-       .Max = DayMs},
+       .Max = MaxMilliseconds},
       {.Name = "idle_transaction_ms",
        .Type = FieldType::Number,
        .Min = 100,
-       .Max = DayMs},
+       .Max = MaxMilliseconds},
       {.Name = "drain_limit_ms",
        .Type = FieldType::Number,
        .Min = 100,
-       .Max = DayMs},
+       .Max = MaxMilliseconds},
       {.Name = "queue_limit",
        .Type = FieldType::Number,
        .Min = 1,
--- a/src/Router/CallerRequest.cpp
+++ b/src/Router/CallerRequest.cpp
@@ -10,7 +10,7 @@
 namespace internal {
 
 constexpr std::size_t MaxNameBytes = 128;
-constexpr std::int64_t MaxMillis = 24LL * 3600 * 1000;
+constexpr std::int64_t MaxMilliseconds = Millis(std::chrono::hours(24)).count();
 
 static constexpr std::array<std::string_view, 11> KnownKeys{
     "request_id",      "database",        "statement",  "kind",
@@ -47,10 +47,10 @@
       return Fallback;
     const nlohmann::json &Value = Json[Key];
     if (Value.is_number_integer() && Value.get<std::int64_t>() >= Min &&
-        Value.get<std::int64_t>() <= MaxMillis)
+        Value.get<std::int64_t>() <= MaxMilliseconds)
       return Millis(Value.get<std::int64_t>());
     fault(Key, "must be a whole number from " + std::to_string(Min) + " to " +
-                   std::to_string(MaxMillis));
+                   std::to_string(MaxMilliseconds));
     return Fallback;
   }
 
