Serve callers' line protocol on the platform from one process a VM

Cause: the product spoke HTTP to callers and to its own stand-in only, so the users' platform could not be served at all. Single reads on a primary run in a transaction of our own, since a target checks its lead only there; replicas are asked for the position of a mark that a proof of lead covers.

--- /dev/null
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -0,0 +1,153 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Daemons/ProxyDaemon.h"
+
+#include "Observability/Log.h"
+
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("daemon");
+/// Period at which time limits are applied.
+constexpr Duration SweepPeriod = std::chrono::milliseconds(25);
+/// Descriptors kept for targets, peers, the store and files.
+constexpr std::size_t ReservedDescriptors = 700;
+constexpr int Backlog = 1024;
+
+static RandomSource seededRandom() {
+  std::random_device Device;
+  std::uint64_t Seed = (static_cast<std::uint64_t>(Device()) << 32) ^ Device();
+  auto Engine = std::make_shared<std::mt19937_64>(Seed);
+  return [Engine] { return (*Engine)(); };
+}
+
+static boost::asio::ip::tcp::endpoint endpointOf(const std::string &Text) {
+  std::size_t Colon = Text.rfind(':');
+  return {boost::asio::ip::make_address(Text.substr(0, Colon)),
+          static_cast<std::uint16_t>(std::stoi(Text.substr(Colon + 1)))};
+}
+
+static HttpServer::Options serverOptions(const std::string &Address) {
+  boost::asio::ip::tcp::endpoint Endpoint = endpointOf(Address);
+  HttpServer::Options Out;
+  Out.Address = Endpoint.address().to_string();
+  Out.Port = Endpoint.port();
+  Out.MaxConnections = 64;
+  return Out;
+}
+
+static ProxyService::Options
+serviceOptions(const ProxyDaemon::Options &Daemon) {
+  const ProxySettings &Settings = Daemon.Settings;
+  ProxyService::Options Out;
+  Out.Codec = Daemon.Codec;
+  Out.FailureDomain = Settings.FailureDomain;
+  Out.Region = Settings.Region;
+  Out.Regions = Settings.Regions;
+  Out.Random = seededRandom();
+  if (Settings.MaxDescriptors > 2 * ReservedDescriptors)
+    Out.MaxSessions = Settings.MaxDescriptors - ReservedDescriptors;
+  else
+    Out.MaxSessions = Settings.MaxDescriptors / 2;
+  return Out;
+}
+
+} // namespace internal
+
+ProxyDaemon::ProxyDaemon(boost::asio::io_context &Loop, Options NewOpts,
+                         Metrics &Meter)
+    : Loop(Loop), Opts(std::move(NewOpts)), Meter(Meter), Timers(Loop),
+      Service(Loop, internal::serviceOptions(Opts), Meter), Acceptor(Loop),
+      Signals(Loop) {}
+
+ProxyDaemon::~ProxyDaemon() = default;
+
+void ProxyDaemon::listenForCallers() {
+  boost::asio::ip::tcp::endpoint Endpoint =
+      internal::endpointOf(Opts.Settings.Callers);
+  Acceptor.open(Endpoint.protocol());
+  Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+  Acceptor.bind(Endpoint);
+  Acceptor.listen(internal::Backlog);
+  acceptNext();
+}
+
+void ProxyDaemon::acceptNext() {
+  Acceptor.async_accept([this](const boost::system::error_code &Code,
+                               boost::asio::ip::tcp::socket Socket) {
+    if (Code == boost::asio::error::operation_aborted)
+      return;
+    if (Code)
+      internal::Logger.warning("accept failed", {{"why", Code.message()}});
+    else
+      Service.accept(std::move(Socket));
+    acceptNext();
+  });
+}
+
+void ProxyDaemon::listenForSignals() {
+  Signals.add(SIGTERM);
+  Signals.add(SIGINT);
+  Signals.add(SIGHUP);
+  Signals.async_wait([this](const boost::system::error_code &Code, int Which) {
+    if (Code)
+      return;
+    if (Which == SIGHUP)
+      internal::Logger.info("settings signal", {{"applied", "at restart"}});
+    else
+      Service.beginDrain(Opts.Settings.Grace);
+    listenForSignals();
+  });
+}
+
+HttpResponse ProxyDaemon::answerOperator(const HttpRequest &Request) const {
+  HttpResponse Response;
+  if (Request.Path == "/metrics") {
+    Response.Body = Meter.text();
+    Response.ContentType = "text/plain; version=0.0.4";
+    return Response;
+  }
+  Response.Status = 404;
+  Response.Body = R"({"error":{"code":"not_found"}})";
+  return Response;
+}
+
+void ProxyDaemon::sweep(TimePoint Now) {
+  Service.sweep(Now);
+  if (Service.isDrained())
+    Loop.stop();
+}
+
+void ProxyDaemon::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  ReadinessServer = std::make_unique<HttpServer>(
+      Loop, internal::serverOptions(Opts.Settings.Readiness),
+      [this](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
+        HttpResponse Response;
+        Response.Status = Service.isReady() ? 200 : 503;
+        co_return Response;
+      });
+  if (!Opts.Settings.Operators.empty())
+    OperatorServer = std::make_unique<HttpServer>(
+        Loop, internal::serverOptions(Opts.Settings.Operators),
+        [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+          co_return answerOperator(Request);
+        });
+  listenForCallers();
+  listenForSignals();
+  Sweeping = timers().every(internal::SweepPeriod,
+                            [this](TimePoint Now) { sweep(Now); });
+  internal::Logger.info("serving", {{"callers", Opts.Settings.Callers},
+                                    {"readiness", Opts.Settings.Readiness}});
+  Loop.run();
+  internal::Logger.info("stopped");
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Daemons/ProxyDaemon.h
@@ -0,0 +1,62 @@
+#ifndef CICADAWIND_DAEMONS_PROXYDAEMON_H
+#define CICADAWIND_DAEMONS_PROXYDAEMON_H
+
+#include "Async/LoopTimers.h"
+#include "Http/HttpServer.h"
+#include "Observability/Metrics.h"
+#include "Proxy/ProxyService.h"
+#include "Settings/ProxySettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <string>
+
+namespace cicadawind {
+
+/// \class ProxyDaemon
+/// \brief The process that serves callers on one VM: listeners, readiness,
+/// signals and the sweep that applies time limits.
+///
+/// What it connects to is given from outside: the codec here, configuration
+/// and targets through service().
+class ProxyDaemon {
+public:
+  struct Options {
+    ProxySettings Settings;
+    const StatementCodec *Codec = nullptr;
+  };
+
+  ProxyDaemon(boost::asio::io_context &Loop, Options Opts, Metrics &Meter);
+  ~ProxyDaemon();
+
+  ProxyService &service() { return Service; }
+  TimerService &timers() { return Timers.service(); }
+
+  /// Listens and serves until a planned stop has ended.
+  void run();
+
+private:
+  void listenForCallers();
+  void acceptNext();
+  void listenForSignals();
+  HttpResponse answerOperator(const HttpRequest &Request) const;
+  void sweep(TimePoint Now);
+
+  boost::asio::io_context &Loop;
+  Options Opts;
+  Metrics &Meter;
+  LoopTimers Timers;
+  ProxyService Service;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::signal_set Signals;
+  std::unique_ptr<HttpServer> ReadinessServer;
+  std::unique_ptr<HttpServer> OperatorServer;
+  TimerSubscription Sweeping;
+};
+
+} // namespace cicadawind
+
+#endif
--- a/src/Groups/FreshnessMarks.cpp
+++ b/src/Groups/FreshnessMarks.cpp
@@ -32,4 +32,19 @@
   return Now - std::prev(Beyond)->At;
 }
 
+std::optional<LogIndex> FreshnessMarks::indexSince(TimePoint At) const {
+  auto First = std::lower_bound(
+      Marks.begin(), Marks.end(), At,
+      [](const Mark &M, TimePoint Time) { return M.At < Time; });
+  if (First == Marks.end())
+    return std::nullopt;
+  return First->Index;
+}
+
+std::optional<TimePoint> FreshnessMarks::newest() const {
+  if (Marks.empty())
+    return std::nullopt;
+  return Marks.back().At;
+}
+
 } // namespace cicadawind
--- a/src/Groups/FreshnessMarks.h
+++ b/src/Groups/FreshnessMarks.h
@@ -35,6 +35,13 @@
   /// Age at \p Now of data up to \p Applied; empty when no mark covers it.
   std::optional<Duration> ageOf(LogIndex Applied, TimePoint Now) const;
 
+  /// Index that covers every write acknowledged before \p At: that of the
+  /// earliest mark not older than \p At. Empty when there is none.
+  std::optional<LogIndex> indexSince(TimePoint At) const;
+
+  /// Time of the newest mark; empty when there is none.
+  std::optional<TimePoint> newest() const;
+
 private:
   struct Mark {
     TimePoint At;
--- /dev/null
+++ b/src/Groups/LeaderView.h
@@ -0,0 +1,84 @@
+#ifndef CICADAWIND_GROUPS_LEADERVIEW_H
+#define CICADAWIND_GROUPS_LEADERVIEW_H
+
+#include "Core/Clock.h"
+#include "Core/LogPosition.h"
+#include "Groups/FreshnessMarks.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cicadawind {
+
+/// \class SessionWrite
+/// \brief The latest acknowledged write of a session.
+struct SessionWrite {
+  LogPosition Position;
+  /// When its answer arrived.
+  TimePoint AcknowledgedAt;
+  /// LeaderView::epoch at that time.
+  std::uint64_t Epoch = 0;
+};
+
+/// \class LeaderView
+/// \brief What one VM knows of a group's primary, and which log position a
+/// read has to demand.
+///
+/// Fed with proofs of lead: answers that a target gives only while it is
+/// primary, with the end of its log. Such an answer to a request that was sent
+/// at t covers every write acknowledged before t, whichever VM it went
+/// through. Guesses (registry, refusals) only say whom to try. For groups whose
+/// targets check the lead themselves; GroupController serves groups that
+/// confirm by majority. Pure; O(log marks).
+class LeaderView {
+public:
+  /// \p Instance proved that it was primary after \p Asked, with its log
+  /// ending at \p End. Answers that arrive out of order are ignored.
+  void proveLead(const std::string &Instance, LogPosition End, TimePoint Asked);
+
+  /// \p Instance refused as it is not primary, to a request sent at \p Asked.
+  void refuteLead(const std::string &Instance, TimePoint Asked);
+
+  /// The registry's entry of \p Instance says whether it sees itself as
+  /// primary.
+  void noteClaim(const std::string &Instance, bool Claims, TimePoint Now);
+
+  /// \p Instance is gone or was restarted without its data.
+  void forget(const std::string &Instance);
+
+  /// Whom to try as primary; empty when nobody is known.
+  const std::string &primary() const { return Primary; }
+  /// Whether the primary has proved its lead, rather than being guessed.
+  bool isProved() const { return Proved; }
+  /// Counts changes of primary.
+  std::uint64_t epoch() const { return Epoch; }
+  Term term() const { return WrittenIn; }
+
+  /// Position that a replica must hold so that a read which may miss writes
+  /// acknowledged before \p Horizon, but none of \p Own, may run there. Empty
+  /// when no proof covers this.
+  std::optional<LogPosition>
+  positionFor(TimePoint Horizon, const std::optional<SessionWrite> &Own) const;
+
+  /// Age of the data that includes \p Applied; empty when unknown.
+  std::optional<Duration> ageOf(LogPosition Applied, TimePoint Now) const;
+
+  /// When the newest proof was asked for.
+  std::optional<TimePoint> newestProof() const { return Marks.newest(); }
+
+private:
+  FreshnessMarks Marks{FreshnessMarks::Options{}};
+  std::string Primary;
+  bool Proved = false;
+  TimePoint ProvedAt;
+  Term WrittenIn = 0;
+  std::uint64_t Epoch = 0;
+  /// When each instance last said that it is no primary.
+  std::map<std::string, TimePoint> Refuted;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Net/LineStream.cpp
@@ -0,0 +1,223 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Net/LineStream.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace cicadawind {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using ErrorCodeOf = boost::system::error_code;
+
+LineStream::LineStream(Tcp::socket S, Options Opts)
+    : Socket(std::move(S)), Opts(Opts) {}
+
+std::shared_ptr<LineStream> LineStream::accepted(Tcp::socket S, Options Opts) {
+  auto Stream = std::make_shared<LineStream>(std::move(S), Opts);
+  Stream->configureSocket();
+  return Stream;
+}
+
+std::shared_ptr<LineStream> LineStream::unconnected(asio::io_context &Loop,
+                                                    Options Opts) {
+  return std::make_shared<LineStream>(Tcp::socket(Loop), Opts);
+}
+
+void LineStream::configureSocket() {
+  ErrorCodeOf Ignored; // A socket that refuses an option fails on use.
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.non_blocking(true, Ignored);
+  int Timeout = static_cast<int>(Opts.PeerTimeout.count());
+  int Probe = std::max(1, Timeout / 3000);
+  int Probes = 2;
+  int Handle = Socket.native_handle();
+  setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout, sizeof Timeout);
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPIDLE, &Probe, sizeof Probe);
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &Probe, sizeof Probe);
+  setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
+}
+
+void LineStream::connect(const std::string &Address,
+                         std::function<void(bool)> Done) {
+  ErrorCodeOf Code;
+  std::size_t Colon = Address.rfind(':');
+  auto Ip = asio::ip::make_address(Address.substr(0, Colon), Code);
+  int Port =
+      Colon == std::string::npos ? 0 : std::atoi(Address.c_str() + Colon + 1);
+  if (Code || Port <= 0 || Port > 65535) {
+    asio::post(Socket.get_executor(), [Done] { Done(false); });
+    return;
+  }
+  Socket.open(Ip.is_v4() ? Tcp::v4() : Tcp::v6(), Code);
+  if (Code) {
+    asio::post(Socket.get_executor(), [Done] { Done(false); });
+    return;
+  }
+  configureSocket();
+  Socket.async_connect(
+      Tcp::endpoint(Ip, static_cast<std::uint16_t>(Port)),
+      [Self = shared_from_this(), Done](const ErrorCodeOf &Result) {
+        if (!Self->Open)
+          return;
+        if (Result)
+          Self->Open = false;
+        Done(!Result);
+      });
+}
+
+void LineStream::start() {
+  Buffer.resize(ReadBytes);
+  readMore();
+}
+
+void LineStream::readMore() {
+  if (!Open)
+    return;
+  if (Out.size() > Opts.SendLimit) {
+    ReadPaused = true;
+    return;
+  }
+  ReadPaused = false;
+  Socket.async_read_some(
+      asio::buffer(Buffer),
+      [Self = shared_from_this()](const ErrorCodeOf &Code, std::size_t Count) {
+        if (!Self->Open)
+          return;
+        if (Code)
+          return Self->fail(Code == asio::error::eof ? End::PeerClosed
+                                                     : End::Failed);
+        Self->takeBytes(Count);
+        Self->readMore();
+      });
+}
+
+bool LineStream::handOverLines(std::string_view Text, std::size_t &Used) {
+  Used = 0;
+  while (Open && !Closing) {
+    std::size_t Feed = Text.find('\n', Used);
+    if (Feed == std::string_view::npos)
+      return true;
+    std::string_view Line = Text.substr(Used, Feed - Used);
+    Used = Feed + 1;
+    if (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    if (Line.size() > Opts.MaxLineBytes)
+      return false;
+    if (LineHook)
+      LineHook(Line);
+  }
+  return true;
+}
+
+void LineStream::takeBytes(std::size_t Count) {
+  Received += Count;
+  std::string_view Text(Buffer.data(), Count);
+  std::string Whole;
+  if (!Partial.empty()) {
+    // Only a line that spans reads is copied.
+    bool EndsHere = Text.find('\n') != std::string_view::npos;
+    Partial.append(Text);
+    if (!EndsHere) {
+      if (Partial.size() > Opts.MaxLineBytes + 1)
+        fail(End::LineTooLong);
+      return;
+    }
+    Whole.swap(Partial);
+    Text = Whole;
+  }
+  std::size_t Used = 0;
+  if (!handOverLines(Text, Used))
+    return fail(End::LineTooLong);
+  if (!Open)
+    return;
+  Partial.assign(Text.substr(Used));
+  PartialSince = Partial.empty() ? TimePoint() : BootClock::now();
+  if (Partial.size() > Opts.MaxLineBytes + 1)
+    fail(End::LineTooLong);
+}
+
+void LineStream::send(std::string_view Bytes) {
+  if (!Open || Closing)
+    return;
+  Out.append(Bytes);
+  scheduleFlush();
+}
+
+void LineStream::scheduleFlush() {
+  if (FlushScheduled || WaitingWritable)
+    return;
+  FlushScheduled = true;
+  asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+    Self->FlushScheduled = false;
+    Self->flush();
+  });
+}
+
+void LineStream::flush() {
+  if (!Open)
+    return;
+  if (!Out.empty()) {
+    ErrorCodeOf Code;
+    std::size_t Sent = Socket.write_some(asio::buffer(Out), Code);
+    Out.erase(0, Sent);
+    if (Code && Code != asio::error::would_block)
+      return fail(End::Failed);
+  }
+  if (!Out.empty())
+    return waitWritable();
+  if (Closing)
+    return close();
+  if (ReadPaused)
+    readMore();
+}
+
+void LineStream::waitWritable() {
+  WaitingWritable = true;
+  Socket.async_wait(Tcp::socket::wait_write,
+                    [Self = shared_from_this()](const ErrorCodeOf &Code) {
+                      Self->WaitingWritable = false;
+                      if (!Code)
+                        Self->flush();
+                    });
+}
+
+void LineStream::closeAfterSending() {
+  if (!Open || Closing)
+    return;
+  Closing = true;
+  scheduleFlush();
+}
+
+void LineStream::close() {
+  if (!Open)
+    return;
+  Open = false;
+  ErrorCodeOf Ignored; // The connection ends whether or not this succeeds.
+  Socket.shutdown(Tcp::socket::shutdown_both, Ignored);
+  Socket.close(Ignored);
+  // Hooks may own what called this, so they go after the handler.
+  asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+    Self->LineHook = nullptr;
+    Self->EndHook = nullptr;
+  });
+}
+
+void LineStream::fail(End Reason) {
+  if (!Open)
+    return;
+  std::function<void(End)> Hook = EndHook;
+  close();
+  if (Hook)
+    Hook(Reason);
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Proxy/GroupDispatcher.h
@@ -0,0 +1,165 @@
+#ifndef CICADAWIND_PROXY_GROUPDISPATCHER_H
+#define CICADAWIND_PROXY_GROUPDISPATCHER_H
+
+#include "Core/Random.h"
+#include "Groups/LeaderView.h"
+#include "Proxy/LinkRequest.h"
+#include "Proxy/PrimaryWatch.h"
+#include "Proxy/TargetEntry.h"
+#include "Proxy/TargetLink.h"
+#include "Routing/ReadRouter.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class GroupDispatcher
+/// \brief Lends connections to the targets of one group.
+///
+/// Each VM may hold a share of a target's connections, so statements wait here
+/// for a free one, by priority and then in order of arrival, and take the first
+/// that suits them: reads that a replica may serve go to the nearest replica
+/// whose log is far enough, everything else to the primary. Learns from every
+/// answer who is primary and how far each log is. Runs on the loop's thread;
+/// O(waiting statements) when a connection becomes free.
+class GroupDispatcher {
+public:
+  struct Options {
+    const StatementCodec *Codec = nullptr;
+    std::string Group;
+    std::string FailureDomain;
+    std::string Region;
+    /// Region of each failure domain.
+    std::map<std::string, std::string> Regions;
+    RandomSource Random;
+    LineStream::Options Stream;
+    /// Time that opening a connection may take.
+    Duration OpenLimit = std::chrono::milliseconds(700);
+    /// Time that an own request to a target may take.
+    Duration ProbeLimit = std::chrono::milliseconds(500);
+    /// Age of the newest proof of lead at which another is asked for, while
+    /// reads that need one arrive. A third of the least staleness in use.
+    Duration ProofAge = std::chrono::milliseconds(400);
+    /// Pause between searches for a primary while none is known.
+    Duration SearchPause = std::chrono::milliseconds(100);
+    PrimaryWatch::Options Watch;
+  };
+  using Ticket = std::uint64_t;
+  /// A target's own account, or null when it could not be had.
+  using StatusHook =
+      std::function<void(const std::string &Instance, const TargetStatus *)>;
+
+  GroupDispatcher(boost::asio::io_context &Loop, Options Opts);
+  ~GroupDispatcher();
+  GroupDispatcher(const GroupDispatcher &) = delete;
+  GroupDispatcher &operator=(const GroupDispatcher &) = delete;
+
+  /// Takes in the group's targets.
+  void setTargets(const std::vector<TargetEntry> &Entries, TimePoint Now);
+  /// Sets how many connections this VM may hold to each target.
+  void setShare(unsigned Links) { Share = Links; }
+
+  /// Queues \p Request; one of its hooks is called, possibly at once.
+  Ticket submit(LinkRequest Request);
+  void cancel(Ticket Id);
+
+  /// Returns a link whose requests have all been answered.
+  void giveBack(const std::shared_ptr<TargetLink> &Link);
+
+  /// Learns from an answer of \p Instance. \p ProvesLead when only a primary
+  /// gives it.
+  void learn(const std::string &Instance, const TargetReply &Reply,
+             bool ProvesLead);
+  /// A request to \p Instance had no answer in time.
+  void noteSilence(const std::string &Instance);
+
+  /// Asks every target for its status.
+  void askAll(StatusHook Hook);
+  /// Sends the primary \p Instance back to being a replica.
+  void demote(const std::string &Instance, Term Below, StatusHook Hook);
+
+  /// Expires requests and links and sends probes; called every few
+  /// milliseconds.
+  void sweep(TimePoint Now);
+
+  /// Ends all idle connections and refuses what waits.
+  void stop();
+
+  LeaderView &leader() { return Leader; }
+  PrimaryWatch &watch() { return Watch; }
+  const std::string &group() const { return Opts.Group; }
+  const TargetEntry *findEntry(const std::string &Instance) const;
+  std::vector<TargetEntry> entries() const;
+  std::size_t waiting() const { return Queue.size(); }
+  std::uint64_t linksOpened() const { return Opened; }
+
+private:
+  struct Target {
+    TargetEntry Entry;
+    std::vector<std::shared_ptr<TargetLink>> Free;
+    /// Every link that is open, opening or lent.
+    std::vector<std::weak_ptr<TargetLink>> All;
+    unsigned Opening = 0;
+    unsigned FailuresInRow = 0;
+    TimePoint NextOpen;
+    /// Fewer than the share after the target refused a connection.
+    unsigned Cap = 0;
+    TimePoint CapUntil;
+  };
+  using QueueKey = std::pair<unsigned, Ticket>;
+
+  Target *find(const std::string &Instance);
+  InstanceView *viewOf(const std::string &Instance);
+  void dropTarget(const std::string &Instance);
+  bool tryPlace(LinkRequest &Request, TimePoint Now);
+  std::vector<std::string> candidatesFor(const LinkRequest &Request,
+                                         std::optional<LogPosition> Position,
+                                         TimePoint Now);
+  bool grantFrom(const std::string &Instance, LinkRequest &Request,
+                 std::optional<LogPosition> Position, bool HasAlternatives);
+  bool mayOpen(const Target &T, TimePoint Now) const;
+  void openLink(const std::string &Instance, TimePoint Now);
+  void onOpened(const std::string &Instance,
+                const std::shared_ptr<TargetLink> &Link,
+                std::optional<Error> Failure);
+  void onLinkLost(const std::string &Instance);
+  void schedulePump();
+  void pump();
+  void expire(TimePoint Now);
+  void checkLinks(TimePoint Now);
+  void checkProbes(TimePoint Now);
+  void refreshProof(TimePoint Now);
+  void searchPrimary(TimePoint Now);
+  void askOne(const std::string &Instance, StatusHook Hook);
+  void takeStatus(const std::string &Instance, const TargetReply *Reply,
+                  const StatusHook &Hook);
+
+  boost::asio::io_context &Loop;
+  Options Opts;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  LeaderView Leader;
+  PrimaryWatch Watch;
+  ReadRouter Router;
+  std::map<std::string, Target> Targets;
+  std::vector<InstanceView> Views;
+  std::map<QueueKey, LinkRequest> Queue;
+  std::map<Ticket, unsigned> PriorityOf;
+  Ticket LastTicket = 0;
+  unsigned Share = 1;
+  std::uint64_t Opened = 0;
+  /// Links that carry own requests, which no session limits.
+  std::vector<std::weak_ptr<TargetLink>> Probes;
+  bool PumpScheduled = false;
+  bool ProofWanted = false;
+  bool ProofUnderway = false;
+  TimePoint LastSearch;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Proxy/PrimaryWatch.h
@@ -0,0 +1,72 @@
+#ifndef CICADAWIND_PROXY_PRIMARYWATCH_H
+#define CICADAWIND_PROXY_PRIMARYWATCH_H
+
+#include "Core/Clock.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cicadawind {
+
+/// \class PrimaryWatch
+/// \brief Decides from several VMs' evidence whether a primary is lost.
+///
+/// This VM's own evidence is when the primary last answered anything and since
+/// when attempts have failed. Peers are asked once that is suspicious; one that
+/// heard the primary lately vetoes, and a majority of the peers must have
+/// answered, so that a VM that is itself cut off replaces nobody. Pure.
+class PrimaryWatch {
+public:
+  struct Options {
+    /// Failing for this long without an answer makes the primary suspect.
+    Duration SuspectAfter = std::chrono::milliseconds(150);
+    /// Failing for this long, confirmed by peers, makes it lost.
+    Duration LostAfter = std::chrono::milliseconds(600);
+    /// A peer that heard the primary within this time vetoes.
+    Duration PeerVeto = std::chrono::milliseconds(500);
+    /// Age up to which a peer's answer counts.
+    Duration PeerAge = std::chrono::milliseconds(400);
+  };
+
+  explicit PrimaryWatch(Options Opts) : Opts(Opts) {}
+
+  /// Evidence from now on concerns \p Instance; empty for none.
+  void setPrimary(const std::string &Instance, TimePoint Now);
+  /// The primary answered something.
+  void noteContact(const std::string &Instance, TimePoint Now);
+  /// An attempt to reach it failed or had no answer.
+  void noteFailure(const std::string &Instance, TimePoint Now);
+  /// \p Peer said at \p Now how long ago it heard \p Instance; empty when it
+  /// never did.
+  void notePeer(const std::string &Peer, const std::string &Instance,
+                std::optional<Duration> Heard, TimePoint Now);
+
+  const std::string &primary() const { return Primary; }
+  /// How long ago the primary was heard; empty when never.
+  std::optional<Duration> heard(const std::string &Instance,
+                                TimePoint Now) const;
+  /// Whether to look closer: probe it and ask peers.
+  bool isSuspect(TimePoint Now) const;
+  /// Whether to replace it, with \p Peers other VMs known.
+  bool isLost(std::size_t Peers, TimePoint Now) const;
+  /// Since when attempts have failed; empty when the latest succeeded.
+  std::optional<TimePoint> failingSince() const { return FailingSince; }
+
+private:
+  struct PeerEvidence {
+    std::string Instance;
+    std::optional<Duration> Heard;
+    TimePoint At;
+  };
+
+  Options Opts;
+  std::string Primary;
+  std::optional<TimePoint> HeardAt;
+  std::optional<TimePoint> FailingSince;
+  std::map<std::string, PeerEvidence> Peers;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Proxy/ProxyService.cpp
@@ -0,0 +1,195 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/ProxyService.h"
+
+#include "Net/LineStream.h"
+#include "Observability/Log.h"
+#include "Observability/Metrics.h"
+
+#include <algorithm>
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("proxy");
+/// Sessions closed in one sweep while leaving, so that callers do not all
+/// reconnect at once.
+constexpr std::size_t ClosedPerSweep = 2;
+/// Part of the grace time kept for ending what is left.
+constexpr unsigned LastPart = 12;
+
+} // namespace internal
+
+ProxyService::ProxyService(boost::asio::io_context &Loop, Options NewOpts,
+                           Metrics &Meter)
+    : Loop(Loop), Opts(std::move(NewOpts)), Meter(Meter),
+      Config(std::make_shared<ProxyConfig>()),
+      Host(std::make_shared<CallerSession::Host>()) {
+  Host->Codec = Opts.Codec;
+  Host->Config = [this]() -> const ProxyConfig & { return *Config; };
+  Host->Group = [this](const std::string &Name) { return findGroup(Name); };
+  Host->Report = [this](const RequestReport &Each) { report(Each); };
+  Host->Ended = [this](const std::shared_ptr<CallerSession> &Session) {
+    Sessions.erase(Session);
+  };
+}
+
+ProxyService::~ProxyService() = default;
+
+GroupDispatcher *ProxyService::findGroup(const std::string &Group) {
+  auto It = Groups.find(Group);
+  return It == Groups.end() ? nullptr : It->second.get();
+}
+
+bool ProxyService::applyConfig(std::shared_ptr<const ProxyConfig> Newer) {
+  if (Newer->Version <= Config->Version)
+    return false;
+  std::shared_ptr<const ProxyConfig> Before = std::exchange(Config, Newer);
+  internal::Logger.info("configuration in force",
+                        {{"version", std::to_string(Config->Version)},
+                         {"before", std::to_string(Before->Version)},
+                         {"routes", std::to_string(Config->Routes.size())},
+                         {"groups", std::to_string(Config->Groups.size())}});
+  Meter.set("config_version", static_cast<double>(Config->Version));
+  updateGroups();
+  closeDropped(*Before);
+  return true;
+}
+
+void ProxyService::closeDropped(const ProxyConfig &Before) {
+  std::vector<std::shared_ptr<CallerSession>> Dropped;
+  for (const std::shared_ptr<CallerSession> &Session : Sessions) {
+    bool Was = Before.findRoute(Session->database()) != nullptr;
+    if (Was && !Config->findRoute(Session->database()))
+      Dropped.push_back(Session);
+  }
+  for (const std::shared_ptr<CallerSession> &Session : Dropped)
+    Session->closeIfIdle();
+}
+
+void ProxyService::applyTargets(const std::vector<TargetEntry> &Listed) {
+  Directory.replaceAll(Listed, BootClock::now());
+  updateGroups();
+}
+
+void ProxyService::setVms(std::size_t Count) {
+  if (Count == Vms || Count == 0)
+    return;
+  internal::Logger.info(
+      "VMs that share connections",
+      {{"count", std::to_string(Count)}, {"before", std::to_string(Vms)}});
+  Vms = Count;
+  updateShares();
+}
+
+void ProxyService::updateShares() {
+  for (auto &[Name, Group] : Groups) {
+    auto Limits = Config->Groups.find(Name);
+    if (Limits == Config->Groups.end())
+      continue;
+    std::size_t Share = Limits->second.MaxConnections / Vms;
+    Group->setShare(static_cast<unsigned>(std::max<std::size_t>(1, Share)));
+  }
+}
+
+void ProxyService::updateGroups() {
+  for (const auto &[Name, Limits] : Config->Groups) {
+    if (Groups.count(Name))
+      continue;
+    GroupDispatcher::Options GroupOpts = Opts.Group;
+    GroupOpts.Codec = Opts.Codec;
+    GroupOpts.Group = Name;
+    GroupOpts.FailureDomain = Opts.FailureDomain;
+    GroupOpts.Region = Opts.Region;
+    GroupOpts.Regions = Opts.Regions;
+    GroupOpts.Random = Opts.Random;
+    Groups[Name] = std::make_unique<GroupDispatcher>(Loop, GroupOpts);
+  }
+  updateShares();
+  TimePoint Now = BootClock::now();
+  for (auto &[Name, Group] : Groups)
+    Group->setTargets(Directory.ofGroup(Name), Now);
+}
+
+void ProxyService::accept(boost::asio::ip::tcp::socket Socket) {
+  if (Sessions.size() >= Opts.MaxSessions) {
+    internal::Logger.warning("session refused", {{"why", "too many sessions"}});
+    return;
+  }
+  LineStream::Options StreamOpts;
+  // A request's id and verb come on top of what the limit speaks of.
+  constexpr std::size_t HeaderAllowance = 1024;
+  StreamOpts.MaxLineBytes = Config->Callers.MaxMessageBytes + HeaderAllowance;
+  auto Stream = LineStream::accepted(std::move(Socket), StreamOpts);
+  auto Session = std::make_shared<CallerSession>(std::move(Stream), Host);
+  Sessions.insert(Session);
+  Session->start();
+}
+
+void ProxyService::report(const RequestReport &Each) {
+  MetricLabels Labels{{"kind", Each.Kind}, {"outcome", Each.Outcome}};
+  Meter.count("requests_total", Labels);
+  Meter.observe("request_seconds", Each.Took, {{"kind", Each.Kind}});
+  if (Each.Outcome == "ok")
+    return;
+  internal::Logger.info(
+      "request not served",
+      {{"id", Each.Id},
+       {"database", Each.Database},
+       {"kind", Each.Kind},
+       {"outcome", Each.Outcome},
+       {"why", Each.Why},
+       {"target", Each.Instance},
+       {"attempts", std::to_string(Each.Attempts)},
+       {"took_ms", std::to_string(toMillis(Each.Took).count())}});
+}
+
+void ProxyService::sweep(TimePoint Now) {
+  if (Directory.expire(Now))
+    updateGroups();
+  std::vector<std::shared_ptr<CallerSession>> Current(Sessions.begin(),
+                                                      Sessions.end());
+  for (const std::shared_ptr<CallerSession> &Session : Current)
+    Session->sweep(Now);
+  for (auto &[Name, Group] : Groups)
+    Group->sweep(Now);
+  if (DrainSince)
+    sweepDrain(Now);
+}
+
+void ProxyService::beginDrain(Duration Grace) {
+  if (DrainSince)
+    return;
+  DrainSince = BootClock::now();
+  DrainEnd = *DrainSince + Grace - Grace / internal::LastPart;
+  internal::Logger.info("leaving",
+                        {{"sessions", std::to_string(Sessions.size())}});
+}
+
+void ProxyService::sweepDrain(TimePoint Now) {
+  std::vector<std::shared_ptr<CallerSession>> Current(Sessions.begin(),
+                                                      Sessions.end());
+  bool HalfPassed = Now - *DrainSince >= (DrainEnd - *DrainSince) / 2;
+  std::size_t Closed = 0;
+  for (const std::shared_ptr<CallerSession> &Session : Current) {
+    if (HalfPassed && Session->hasTransaction())
+      Session->endIdleTransaction("this VM leaves");
+    if (Closed < internal::ClosedPerSweep && Session->closeIfIdle())
+      ++Closed;
+  }
+}
+
+bool ProxyService::isDrained() const {
+  if (!DrainSince)
+    return false;
+  return Sessions.empty() || BootClock::now() >= DrainEnd;
+}
+
+bool ProxyService::isReady() const {
+  if (DrainSince || Config->Version == 0)
+    return false;
+  return Directory.size() != 0;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Proxy/TargetLink.cpp
@@ -0,0 +1,205 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/TargetLink.h"
+
+#include <cassert>
+#include <unordered_map>
+
+namespace cicadawind {
+namespace internal {
+
+/// Name under which a shape is prepared on every link of this process. Shapes
+/// come from callers' programs, so there are few.
+static std::string nameOfShape(bool Writes, const std::string &Shape) {
+  static std::unordered_map<std::string, std::string> Names;
+  std::string Key = (Writes ? "w " : "r ") + Shape;
+  auto [It, IsNew] = Names.try_emplace(Key);
+  if (IsNew)
+    It->second = "c" + std::to_string(Names.size());
+  return It->second;
+}
+
+} // namespace internal
+
+TargetLink::TargetLink(boost::asio::io_context &Loop, Options NewOpts)
+    : Opts(std::move(NewOpts)),
+      Stream(LineStream::unconnected(Loop, Opts.Stream)) {
+  assert(Opts.Codec && "a link needs a codec");
+}
+
+void TargetLink::open(std::function<void(std::optional<Error>)> Done) {
+  OpenDone = std::move(Done);
+  OpeningSince = BootClock::now();
+  Stream->onLine([this](std::string_view Line) { takeLine(Line); });
+  Stream->onEnd([Self = shared_from_this()](LineStream::End) { Self->lose(); });
+  Stream->connect(Opts.Address, [Self = shared_from_this()](bool Connected) {
+    if (!Connected)
+      return Self->lose();
+    std::string Bytes;
+    Self->Opts.Codec->encodeOpen(Bytes, Self->Opts.Group, Self->Opts.Instance);
+    Self->Stream->start();
+    Self->Stream->send(Bytes);
+  });
+}
+
+void TargetLink::takeLine(std::string_view Line) {
+  TargetMessage Message = Opts.Codec->decodeTarget(Line);
+  if (!Opened) {
+    if (const RefusedMessage *Refused = std::get_if<RefusedMessage>(&Message)) {
+      auto Done = std::exchange(OpenDone, nullptr);
+      close();
+      if (Done)
+        Done(Error{.Code = Refused->Code, .Message = Refused->Text});
+      return;
+    }
+    if (!std::holds_alternative<ReadyMessage>(Message))
+      return lose();
+    Opened = true;
+    if (auto Done = std::exchange(OpenDone, nullptr))
+      Done(std::nullopt);
+    return;
+  }
+  if (Pending.empty())
+    return lose();
+  TargetReply &Reply = Pending.front().Reply;
+  if (RowMessage *Row = std::get_if<RowMessage>(&Message))
+    Reply.Rows.push_back(std::move(Row->Text));
+  else if (CompletedMessage *Done = std::get_if<CompletedMessage>(&Message))
+    Reply.Receipt = std::move(Done->Receipt);
+  else if (RefusedMessage *Refused = std::get_if<RefusedMessage>(&Message))
+    Reply.Refused = std::move(*Refused);
+  else if (const ReadyMessage *Ready = std::get_if<ReadyMessage>(&Message))
+    takeReady(*Ready);
+  else
+    lose();
+}
+
+void TargetLink::takeReady(ReadyMessage Ready) {
+  bool HasOneEnd = Pending.front().Reply.Receipt.has_value() !=
+                   Pending.front().Reply.Refused.has_value();
+  if (!HasOneEnd)
+    return lose();
+  PendingReply Done = std::move(Pending.front());
+  Pending.pop_front();
+  Done.Reply.Ready = Ready;
+  Phase = Ready.Phase;
+  std::shared_ptr<TargetLink> Keep = shared_from_this();
+  if (Done.Hook)
+    Done.Hook(&Done.Reply);
+}
+
+void TargetLink::expect(ReplyHook Hook) {
+  PendingReply Next;
+  Next.Reply.SentAt = BootClock::now();
+  Next.Hook = std::move(Hook);
+  Pending.push_back(std::move(Next));
+}
+
+void TargetLink::runStatement(std::string_view Id, std::string_view Text,
+                              std::optional<LogPosition> After,
+                              ReplyHook Hook) {
+  std::string Bytes;
+  Opts.Codec->encodeStatement(Bytes, Id, Text, After);
+  expect(std::move(Hook));
+  Stream->send(Bytes);
+}
+
+void TargetLink::begin(bool ReadOnly, std::optional<LogPosition> After,
+                       ReplyHook Hook) {
+  std::string Bytes;
+  Opts.Codec->encodeBegin(Bytes, ReadOnly, After);
+  expect(std::move(Hook));
+  Stream->send(Bytes);
+}
+
+void TargetLink::rollback(ReplyHook Hook) {
+  std::string Bytes;
+  Opts.Codec->encodeRollback(Bytes);
+  expect(std::move(Hook));
+  Stream->send(Bytes);
+}
+
+void TargetLink::askStatus(ReplyHook Hook) {
+  std::string Bytes;
+  Opts.Codec->encodeStatusRequest(Bytes);
+  expect(std::move(Hook));
+  Stream->send(Bytes);
+}
+
+void TargetLink::demote(Term Below, ReplyHook Hook) {
+  std::string Bytes;
+  Opts.Codec->encodeDemote(Bytes, Below);
+  expect(std::move(Hook));
+  Stream->send(Bytes);
+}
+
+void TargetLink::sendOwn(const std::string &Bytes) {
+  // The statement behind this one must not run where it was refused.
+  expect([this](const TargetReply *Reply) {
+    if (Reply && Reply->Refused)
+      lose();
+  });
+  Stream->send(Bytes);
+}
+
+void TargetLink::applyValues(const SessionValues &Wanted) {
+  if (Values == Wanted)
+    return;
+  bool HoldsOthers = false;
+  for (const auto &[Name, Value] : Values)
+    HoldsOthers |= !Wanted.count(Name);
+  std::string Bytes;
+  if (HoldsOthers) {
+    Opts.Codec->encodeReset(Bytes);
+    sendOwn(Bytes);
+    Values.clear();
+    Prepared.clear();
+  }
+  for (const auto &[Name, Value] : Wanted) {
+    auto It = Values.find(Name);
+    if (It != Values.end() && It->second == Value)
+      continue;
+    Bytes.clear();
+    Opts.Codec->encodeSetValue(Bytes, Name, Value);
+    sendOwn(Bytes);
+  }
+  Values = Wanted;
+}
+
+std::string TargetLink::prepare(bool Writes, const std::string &Shape) {
+  std::string Name = internal::nameOfShape(Writes, Shape);
+  if (Prepared.insert(Name).second) {
+    std::string Bytes;
+    Opts.Codec->encodePrepare(Bytes, Name, Writes, Shape);
+    sendOwn(Bytes);
+  }
+  return Name;
+}
+
+std::optional<TimePoint> TargetLink::waitingSince() const {
+  if (!Opened && Stream->isOpen())
+    return OpeningSince;
+  if (Pending.empty())
+    return std::nullopt;
+  return Pending.front().Reply.SentAt;
+}
+
+void TargetLink::close() { Stream->close(); }
+
+void TargetLink::lose() {
+  std::shared_ptr<TargetLink> Keep = shared_from_this();
+  Stream->close();
+  if (auto Done = std::exchange(OpenDone, nullptr))
+    Done(Error{.Code = ErrorCode::Unreachable,
+               .Message = "cannot connect to " + Opts.Address});
+  std::deque<PendingReply> Unanswered;
+  Unanswered.swap(Pending);
+  for (PendingReply &Each : Unanswered)
+    if (Each.Hook)
+      Each.Hook(nullptr);
+  if (auto Hook = std::exchange(LostHook, nullptr))
+    Hook();
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Proxy/TargetLink.h
@@ -0,0 +1,118 @@
+#ifndef CICADAWIND_PROXY_TARGETLINK_H
+#define CICADAWIND_PROXY_TARGETLINK_H
+
+#include "Core/Error.h"
+#include "Net/LineStream.h"
+#include "Statements/StatementCodec.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class TargetReply
+/// \brief A target's complete answer to one request.
+struct TargetReply {
+  std::vector<std::string> Rows;
+  /// Set when it succeeded.
+  std::optional<std::string> Receipt;
+  /// Set when it failed.
+  std::optional<RefusedMessage> Refused;
+  ReadyMessage Ready;
+  /// When the request was sent.
+  TimePoint SentAt;
+};
+
+/// Session values by name.
+using SessionValues = std::map<std::string, std::string>;
+
+/// \class TargetLink
+/// \brief One connection to a target, lent to one session at a time.
+///
+/// Requests are answered in order; each gets its whole answer or, once the
+/// connection has failed, none. A link that has failed is never lent again.
+/// Remembers the session values and prepared statements that the target holds
+/// for this connection, and sends what a session lacks.
+class TargetLink : public std::enable_shared_from_this<TargetLink> {
+public:
+  struct Options {
+    const StatementCodec *Codec = nullptr;
+    std::string Group;
+    std::string Instance;
+    std::string Address;
+    LineStream::Options Stream;
+  };
+  /// Gets null when the connection failed before the answer was complete.
+  using ReplyHook = std::function<void(const TargetReply *)>;
+
+  TargetLink(boost::asio::io_context &Loop, Options Opts);
+
+  /// Connects and opens the connection; \p Done gets the error, if any. Its
+  /// code is Unreachable, or that of the target's refusal.
+  void open(std::function<void(std::optional<Error>)> Done);
+
+  /// Called once when an open link fails.
+  void onLost(std::function<void()> Hook) { LostHook = std::move(Hook); }
+
+  /// Sends a caller's statement under the caller's id.
+  void runStatement(std::string_view Id, std::string_view Text,
+                    std::optional<LogPosition> After, ReplyHook Hook);
+  void begin(bool ReadOnly, std::optional<LogPosition> After, ReplyHook Hook);
+  void rollback(ReplyHook Hook);
+  void askStatus(ReplyHook Hook);
+  void demote(Term Below, ReplyHook Hook);
+
+  /// Makes the target hold exactly \p Wanted for this connection. A refusal
+  /// fails the link, so that nothing runs under wrong values.
+  void applyValues(const SessionValues &Wanted);
+
+  /// Makes sure that the shape is prepared and returns its name here, which is
+  /// the same on every link of this process.
+  std::string prepare(bool Writes, const std::string &Shape);
+
+  const std::string &instance() const { return Opts.Instance; }
+  bool isOpen() const { return Opened && Stream->isOpen(); }
+  bool isIdle() const { return Pending.empty(); }
+  /// Whether the latest answer left the connection inside a transaction.
+  bool inTransaction() const { return Phase != SessionPhase::Idle; }
+  /// When the oldest unanswered request was sent, or opening began.
+  std::optional<TimePoint> waitingSince() const;
+  void close();
+  bool isClosed() const { return !Stream->isOpen(); }
+  /// Closes the link as if it had failed: every unanswered request is told.
+  void abandon() { lose(); }
+
+private:
+  struct PendingReply {
+    TargetReply Reply;
+    ReplyHook Hook;
+  };
+
+  void takeLine(std::string_view Line);
+  void takeReady(ReadyMessage Ready);
+  void expect(ReplyHook Hook);
+  void sendOwn(const std::string &Bytes);
+  void lose();
+
+  Options Opts;
+  std::shared_ptr<LineStream> Stream;
+  std::function<void(std::optional<Error>)> OpenDone;
+  std::function<void()> LostHook;
+  std::deque<PendingReply> Pending;
+  SessionValues Values;
+  std::set<std::string> Prepared;
+  SessionPhase Phase = SessionPhase::Idle;
+  TimePoint OpeningSince;
+  bool Opened = false;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Settings/ProxySettings.cpp
@@ -0,0 +1,108 @@
+#include "Settings/ProxySettings.h"
+
+#include "Settings/SettingsReader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace cicadawind {
+namespace internal {
+
+constexpr std::int64_t MaxPort = 65535;
+
+static void checkEndpoint(SettingsReader &Reader, const char *Section,
+                          const char *Key, const std::string &Text) {
+  if (Text.empty())
+    return;
+  std::size_t Colon = Text.rfind(':');
+  boost::system::error_code Code;
+  boost::asio::ip::make_address(Text.substr(0, Colon), Code);
+  if (Colon == std::string::npos || Code)
+    Reader.fault(Section, Key, "must be 'ip:port'");
+}
+
+static std::string endpoint(SettingsReader &Reader, const char *Section,
+                            const char *Key) {
+  std::string Text = Reader.text(Section, Key);
+  checkEndpoint(Reader, Section, Key, Text);
+  return Text;
+}
+
+static void readDaemon(SettingsReader &Reader, ProxySettings &Out) {
+  Out.Vm = Reader.text("daemon", "vm");
+  Out.FailureDomain = Reader.text("daemon", "failure_domain");
+  Out.Region = Reader.text("daemon", "region");
+  Out.LogLevel = Reader.textOr("daemon", "log_level", "info");
+  if (Out.LogLevel != "debug" && Out.LogLevel != "info" &&
+      Out.LogLevel != "warning" && Out.LogLevel != "error")
+    Reader.fault("daemon", "log_level",
+                 "must be one of debug, info, warning, error");
+  for (const std::string &Pair : Reader.texts("daemon", "regions")) {
+    std::size_t Equals = Pair.find('=');
+    if (Equals == std::string::npos || Equals == 0)
+      Reader.fault("daemon", "regions", "must hold 'failure domain=region'");
+    else
+      Out.Regions[Pair.substr(0, Equals)] = Pair.substr(Equals + 1);
+  }
+}
+
+static void readPeers(SettingsReader &Reader, ProxySettings &Out) {
+  Out.PeerPort = static_cast<std::uint16_t>(
+      Reader.number("peers", "first_port", 1, MaxPort));
+  std::int64_t Last = Reader.number("peers", "last_port", 1, MaxPort);
+  if (Last < Out.PeerPort)
+    Reader.fault("peers", "last_port", "must not be below first_port");
+  Out.Seeds = Reader.texts("peers", "seeds");
+  for (const std::string &Seed : Out.Seeds)
+    checkEndpoint(Reader, "peers", "seeds", Seed);
+}
+
+} // namespace internal
+
+Result<ProxySettings> ProxySettings::load(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File) {
+    FaultList Faults(Path);
+    Faults.add(1, "cannot read the settings file");
+    return Faults.error();
+  }
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return parse(Text.str(), Path);
+}
+
+Result<ProxySettings> ProxySettings::parse(const std::string &Text,
+                                           const std::string &Origin) {
+  FaultList Faults(Origin);
+  toml::table Table;
+  try {
+    Table = toml::parse(Text);
+  } catch (const toml::parse_error &E) {
+    Faults.add(E.source().begin.line, std::string(E.description()));
+    return Faults.error();
+  }
+  internal::SettingsReader Reader(Table, Faults);
+  ProxySettings Out;
+  internal::readDaemon(Reader, Out);
+  Out.Address = Reader.text("listen", "address");
+  Out.Callers = internal::endpoint(Reader, "listen", "callers");
+  Out.Readiness = internal::endpoint(Reader, "listen", "readiness");
+  Out.Operators = Reader.textOr("listen", "operators", "");
+  internal::checkEndpoint(Reader, "listen", "operators", Out.Operators);
+  internal::readPeers(Reader, Out);
+  Out.Store = internal::endpoint(Reader, "platform", "store");
+  Out.Orders = internal::endpoint(Reader, "platform", "orders");
+  constexpr std::int64_t MinDescriptors = 256;
+  Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
+      "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
+  Out.Grace =
+      std::chrono::seconds(Reader.numberOr("limits", "grace_s", 6, 1, 3600));
+  Reader.reportUnknown();
+  if (!Faults.empty())
+    return Faults.error();
+  return Out;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Settings/ProxySettings.h
@@ -0,0 +1,56 @@
+#ifndef CICADAWIND_SETTINGS_PROXYSETTINGS_H
+#define CICADAWIND_SETTINGS_PROXYSETTINGS_H
+
+#include "Core/Clock.h"
+#include "Core/Result.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class ProxySettings
+/// \brief Settings of one VM's proxy, read from a TOML file.
+struct ProxySettings {
+  std::string Vm;
+  std::string FailureDomain;
+  std::string Region;
+  /// Region of each failure domain.
+  std::map<std::string, std::string> Regions;
+  std::string LogLevel;
+
+  std::string Address;
+  /// "ip:port" that callers connect to.
+  std::string Callers;
+  /// "ip:port" that the balancer asks whether this VM takes callers.
+  std::string Readiness;
+  /// "ip:port" for operators; empty when they are not served.
+  std::string Operators;
+
+  /// First of the ports for talk between VMs, the same on all of them.
+  std::uint16_t PeerPort = 0;
+  /// "ip:port" of some VMs; the ports are those for operators.
+  std::vector<std::string> Seeds;
+
+  /// "ip:port" of the platform's store and of its orders.
+  std::string Store;
+  std::string Orders;
+
+  std::size_t MaxDescriptors = 0;
+  /// Time between the request to stop and the kill.
+  std::chrono::seconds Grace = std::chrono::seconds(6);
+
+  /// Reads and checks the whole file. The error lists every fault with its
+  /// line, key and permitted range.
+  static Result<ProxySettings> load(const std::string &Path);
+
+  /// The same for settings that are already in memory.
+  static Result<ProxySettings> parse(const std::string &Text,
+                                     const std::string &Origin);
+};
+
+} // namespace cicadawind
+
+#endif
