Let VMs know each other, relay what the store says, and promote

Ruled out: a third watch a VM for membership, and polling. Change: hellos between VMs with the versions in force and fetching of newer state from a peer; questions about a primary with answers as ages counted from the question; shares of connections by VMs heard; PromotionDriver with a fencing token per order and a step-down before a planned hand-over.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Daemons/ProxyDaemon.h"
 
+#include "Async/AsyncSignal.h"
 #include "Observability/Log.h"
 
 #include <boost/asio.hpp>
@@ -59,13 +60,37 @@
   return Out;
 }
 
+static PeerExchange::Options peerOptions(const ProxySettings &Settings) {
+  PeerExchange::Options Out;
+  Out.Vm = Settings.Vm;
+  Out.FailureDomain = Settings.FailureDomain;
+  Out.Region = Settings.Region;
+  Out.Address = Settings.Address;
+  Out.Port = Settings.PeerPort;
+  for (const std::string &Seed : Settings.Seeds)
+    Out.SeedAddresses.push_back(Seed.substr(0, Seed.rfind(':')));
+  Out.Random = seededRandom();
+  return Out;
+}
+
 } // namespace internal
 
 ProxyDaemon::ProxyDaemon(boost::asio::io_context &Loop, Options NewOpts,
                          Metrics &Meter)
     : Loop(Loop), Opts(std::move(NewOpts)), Meter(Meter), Timers(Loop),
-      Service(Loop, internal::serviceOptions(Opts), Meter), Acceptor(Loop),
-      Signals(Loop) {}
+      Service(Loop, internal::serviceOptions(Opts), Meter),
+      Peers(Loop, internal::peerOptions(Opts.Settings), *Opts.Http, Service),
+      Promotions(Loop, {.Vm = Opts.Settings.Vm}, Service, Peers, *Opts.Store,
+                 *Opts.Orders, Meter),
+      Registration(VmRegistration::Options{}, *Opts.Store, *Opts.Listings,
+                   Peers),
+      Acceptor(Loop), Signals(Loop) {
+  Service.onConfig([this] { Peers.announce(); });
+  Service.setAskPeers(
+      [this](const std::string &Group, const std::string &Instance) {
+        Peers.askAbout(Group, Instance, BootClock::now());
+      });
+}
 
 ProxyDaemon::~ProxyDaemon() = default;
 
@@ -102,11 +127,16 @@
     if (Which == SIGHUP)
       internal::Logger.info("settings signal", {{"applied", "at restart"}});
     else
-      Service.beginDrain(Opts.Settings.Grace);
+      leave();
     listenForSignals();
   });
 }
 
+void ProxyDaemon::leave() {
+  Service.beginDrain(Opts.Settings.Grace);
+  Peers.announceLeaving();
+}
+
 HttpResponse ProxyDaemon::answerOperator(const HttpRequest &Request) const {
   HttpResponse Response;
   if (Request.Path == "/metrics") {
@@ -121,6 +151,8 @@
 
 void ProxyDaemon::sweep(TimePoint Now) {
   Service.sweep(Now);
+  Peers.sweep(Now);
+  Promotions.sweep(Now);
   if (Service.isDrained())
     Loop.stop();
 }
@@ -140,6 +172,8 @@
         [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
           co_return answerOperator(Request);
         });
+  Peers.start();
+  spawn(Loop, Registration.run());
   listenForCallers();
   listenForSignals();
   Sweeping = timers().every(internal::SweepPeriod,
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -4,7 +4,10 @@
 #include "Async/LoopTimers.h"
 #include "Http/HttpServer.h"
 #include "Observability/Metrics.h"
+#include "Proxy/PeerExchange.h"
+#include "Proxy/PromotionDriver.h"
 #include "Proxy/ProxyService.h"
+#include "Proxy/VmRegistration.h"
 #include "Settings/ProxySettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,23 +19,32 @@
 
 namespace cicadawind {
 
+class KindWatcher;
+class ObjectStore;
+class PromotionOrders;
+
 /// \class ProxyDaemon
 /// \brief The process that serves callers on one VM: listeners, readiness,
 /// signals and the sweep that applies time limits.
 ///
-/// What it connects to is given from outside: the codec here, configuration
-/// and targets through service().
+/// What it connects to is given from outside: codec, store and orders here,
+/// configuration and targets through service().
 class ProxyDaemon {
 public:
   struct Options {
     ProxySettings Settings;
     const StatementCodec *Codec = nullptr;
+    ObjectStore *Store = nullptr;
+    KindWatcher *Listings = nullptr;
+    PromotionOrders *Orders = nullptr;
+    HttpClient *Http = nullptr;
   };
 
   ProxyDaemon(boost::asio::io_context &Loop, Options Opts, Metrics &Meter);
   ~ProxyDaemon();
 
   ProxyService &service() { return Service; }
+  PeerExchange &peers() { return Peers; }
   TimerService &timers() { return Timers.service(); }
 
   /// Listens and serves until a planned stop has ended.
@@ -41,6 +53,7 @@
 private:
   void listenForCallers();
   void acceptNext();
+  void leave();
   void listenForSignals();
   HttpResponse answerOperator(const HttpRequest &Request) const;
   void sweep(TimePoint Now);
@@ -50,6 +63,9 @@
   Metrics &Meter;
   LoopTimers Timers;
   ProxyService Service;
+  PeerExchange Peers;
+  PromotionDriver Promotions;
+  VmRegistration Registration;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::signal_set Signals;
   std::unique_ptr<HttpServer> ReadinessServer;
--- a/src/Groups/FreshnessMarks.cpp
+++ b/src/Groups/FreshnessMarks.cpp
@@ -41,10 +41,10 @@
   return First->Index;
 }
 
-std::optional<TimePoint> FreshnessMarks::newest() const {
+std::optional<FreshnessMarks::Mark> FreshnessMarks::newest() const {
   if (Marks.empty())
     return std::nullopt;
-  return Marks.back().At;
+  return Marks.back();
 }
 
 } // namespace cicadawind
--- a/src/Groups/FreshnessMarks.h
+++ b/src/Groups/FreshnessMarks.h
@@ -39,15 +39,15 @@
   /// earliest mark not older than \p At. Empty when there is none.
   std::optional<LogIndex> indexSince(TimePoint At) const;
 
-  /// Time of the newest mark; empty when there is none.
-  std::optional<TimePoint> newest() const;
-
-private:
   struct Mark {
     TimePoint At;
     LogIndex Index;
   };
 
+  /// The newest mark; empty when there is none.
+  std::optional<Mark> newest() const;
+
+private:
   Options Opts;
   std::deque<Mark> Marks;
 };
--- a/src/Groups/LeaderView.cpp
+++ b/src/Groups/LeaderView.cpp
@@ -44,7 +44,6 @@
   Refuted.erase(Instance);
   Primary = Instance;
   Proved = false;
-  ProvedAt = std::max(ProvedAt, TimePoint());
   (void)Now;
 }
 
@@ -73,6 +72,14 @@
   return Position;
 }
 
+std::optional<LeaderProof> LeaderView::newest() const {
+  std::optional<FreshnessMarks::Mark> Last = Marks.newest();
+  if (!Last || Primary.empty())
+    return std::nullopt;
+  return LeaderProof{.Asked = Last->At,
+                     .End = {.WrittenIn = WrittenIn, .Index = Last->Index}};
+}
+
 std::optional<Duration> LeaderView::ageOf(LogPosition Applied,
                                           TimePoint Now) const {
   if (Applied.WrittenIn != WrittenIn)
--- a/src/Groups/LeaderView.h
+++ b/src/Groups/LeaderView.h
@@ -22,6 +22,13 @@
   std::uint64_t Epoch = 0;
 };
 
+/// A proof that a target was primary: when it was asked for, and the end of
+/// the target's log.
+struct LeaderProof {
+  TimePoint Asked;
+  LogPosition End;
+};
+
 /// \class LeaderView
 /// \brief What one VM knows of a group's primary, and which log position a
 /// read has to demand.
@@ -65,8 +72,8 @@
   /// Age of the data that includes \p Applied; empty when unknown.
   std::optional<Duration> ageOf(LogPosition Applied, TimePoint Now) const;
 
-  /// When the newest proof was asked for.
-  std::optional<TimePoint> newestProof() const { return Marks.newest(); }
+  /// The newest proof; empty when there is none.
+  std::optional<LeaderProof> newest() const;
 
 private:
   FreshnessMarks Marks{FreshnessMarks::Options{}};
--- a/src/Platform/KindWatcher.h
+++ b/src/Platform/KindWatcher.h
@@ -1,17 +1,16 @@
 #ifndef CICADAWIND_PLATFORM_KINDWATCHER_H
 #define CICADAWIND_PLATFORM_KINDWATCHER_H
 
+#include "Core/Result.h"
 #include "Platform/StoredObject.h"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <functional>
-#include <map>
 #include <string>
 
 namespace cicadawind {
 
-/// All objects of one kind by name.
-using ObjectsByName = std::map<std::string, StoredObject>;
-
 /// \class KindWatcher
 /// \brief Follows all objects of a kind in the platform's store.
 ///
@@ -19,13 +18,19 @@
 /// reported but that, and what was last seen stays valid.
 class KindWatcher {
 public:
-  /// Gets everything that the kind holds after each change.
-  using ChangeHook = std::function<void(const ObjectsByName &)>;
+  /// Gets everything that the kind holds after each change, and the store's
+  /// revision that this reflects.
+  using ChangeHook =
+      std::function<void(const ObjectsByName &, std::uint64_t Revision)>;
   /// Gets whether the store answers, at each change of that.
   using ReachHook = std::function<void(bool Reachable)>;
 
   virtual ~KindWatcher() = default;
 
+  /// Reads everything that the kind holds now.
+  virtual boost::asio::awaitable<Result<ObjectsByName>>
+  listAll(std::string Kind) = 0;
+
   virtual void follow(std::string Kind, ChangeHook OnChange,
                       ReachHook OnReach) = 0;
 };
--- a/src/Platform/StoredObject.h
+++ b/src/Platform/StoredObject.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_PLATFORM_STOREDOBJECT_H
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace cicadawind {
@@ -17,6 +18,9 @@
   bool exists() const { return Version != 0; }
 };
 
+/// Objects of one kind by name.
+using ObjectsByName = std::map<std::string, StoredObject>;
+
 } // namespace cicadawind
 
 #endif
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -204,8 +204,8 @@
   std::optional<LogPosition> Position;
   if (!Request.NeedsPrimary) {
     Position = Leader.positionFor(Request.Horizon, Request.Own);
-    std::optional<TimePoint> Newest = Leader.newestProof();
-    if (!Newest || Now - *Newest > Opts.ProofAge)
+    std::optional<LeaderProof> Newest = Leader.newest();
+    if (!Newest || Now - Newest->Asked > Opts.ProofAge)
       ProofWanted = true;
   }
   std::vector<std::string> Names = candidatesFor(Request, Position, Now);
@@ -340,6 +340,19 @@
     View->learn(*Reply.Ready.Position, toMillis(*Age), Now);
 }
 
+void GroupDispatcher::learnProof(const std::string &Instance, LogPosition End,
+                                 TimePoint Asked) {
+  std::uint64_t Epoch = Leader.epoch();
+  Leader.proveLead(Instance, End, Asked);
+  Watch.setPrimary(Leader.primary(), BootClock::now());
+  if (Epoch != Leader.epoch())
+    internal::Logger.info("primary proved to a peer",
+                          {{"group", Opts.Group},
+                           {"target", Instance},
+                           {"term", std::to_string(Leader.term())}});
+  schedulePump();
+}
+
 void GroupDispatcher::noteSilence(const std::string &Instance) {
   TimePoint Now = BootClock::now();
   Watch.noteFailure(Instance, Now);
@@ -451,6 +464,13 @@
 
 void GroupDispatcher::refreshProof(TimePoint Now) {
   bool Unproved = !Leader.primary().empty() && !Leader.isProved();
+  // Evidence on a primary in doubt must not depend on callers' traffic.
+  if (Watch.failingSince())
+    ProofWanted = true;
+  std::optional<LeaderProof> Newest = Leader.newest();
+  bool Old = !Newest || Now - Newest->Asked > 2 * Opts.ProofAge;
+  if (ProofWanted && Old && Opts.AskPeers)
+    Opts.AskPeers(Opts.Group, "");
   if (!(ProofWanted || Unproved) || ProofUnderway || Leader.primary().empty())
     return;
   ProofWanted = false;
@@ -481,27 +501,39 @@
 
 void GroupDispatcher::searchPrimary(TimePoint Now) {
   bool Known = !Leader.primary().empty();
+  if (Known)
+    WithoutPrimarySince.reset();
+  else if (!WithoutPrimarySince)
+    WithoutPrimarySince = Now;
   if (Known || Now - LastSearch < Opts.SearchPause)
     return;
   LastSearch = Now;
-  askAll([this](const std::string &Instance, const TargetStatus *Status) {
-    if (!Status || !Status->IsPrimary || !Leader.primary().empty())
-      return;
-    Leader.noteClaim(Instance, true, BootClock::now());
-    Watch.setPrimary(Leader.primary(), BootClock::now());
-    schedulePump();
-  });
-}
-
-void GroupDispatcher::askAll(StatusHook Hook) {
   std::vector<std::string> Names;
   for (const auto &[Name, T] : Targets)
     Names.push_back(Name);
-  for (const std::string &Name : Names)
-    askOne(Name, Hook);
+  for (const std::string &Each : Names)
+    askStatus(Each,
+              [this](const std::string &Instance, const TargetStatus *Status) {
+                if (Status && Status->IsPrimary && Leader.primary().empty())
+                  noteClaim(Instance);
+              });
+  if (Opts.AskPeers)
+    Opts.AskPeers(Opts.Group, "");
+}
+
+void GroupDispatcher::noteClaim(const std::string &Instance) {
+  TimePoint Now = BootClock::now();
+  Leader.noteClaim(Instance, true, Now);
+  Watch.setPrimary(Leader.primary(), Now);
+  schedulePump();
+}
+
+bool GroupDispatcher::hasNoPrimary(TimePoint Now) const {
+  return WithoutPrimarySince && !Targets.empty() &&
+         Now - *WithoutPrimarySince > Opts.NoPrimaryAfter;
 }
 
-void GroupDispatcher::askOne(const std::string &Instance, StatusHook Hook) {
+void GroupDispatcher::askStatus(const std::string &Instance, StatusHook Hook) {
   TimePoint Now = BootClock::now();
   Target *T = find(Instance);
   if (!T)
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -48,6 +48,11 @@
     /// Pause between searches for a primary while none is known.
     Duration SearchPause = std::chrono::milliseconds(100);
     PrimaryWatch::Options Watch;
+    /// Time without a known primary after which there is none.
+    Duration NoPrimaryAfter = std::chrono::milliseconds(600);
+    /// Asks peers about the group's primary; empty for no peers.
+    std::function<void(const std::string &Group, const std::string &Instance)>
+        AskPeers;
   };
   using Ticket = std::uint64_t;
   /// A target's own account, or null when it could not be had.
@@ -75,11 +80,22 @@
   /// gives it.
   void learn(const std::string &Instance, const TargetReply &Reply,
              bool ProvesLead);
+  /// A peer had this proof of lead; \p Asked is in this VM's time.
+  void learnProof(const std::string &Instance, LogPosition End,
+                  TimePoint Asked);
+  /// Asks the primary for a proof of lead at the next sweep.
+  void probePrimary() { ProofWanted = true; }
   /// A request to \p Instance had no answer in time.
   void noteSilence(const std::string &Instance);
 
-  /// Asks every target for its status.
-  void askAll(StatusHook Hook);
+  /// Asks a target for its status; the hook gets null when no connection is
+  /// free.
+  void askStatus(const std::string &Instance, StatusHook Hook);
+  /// \p Instance said that it is primary.
+  void noteClaim(const std::string &Instance);
+  /// Whether targets have been asked for long enough without one of them
+  /// being primary.
+  bool hasNoPrimary(TimePoint Now) const;
   /// Sends the primary \p Instance back to being a replica.
   void demote(const std::string &Instance, Term Below, StatusHook Hook);
 
@@ -135,7 +151,6 @@
   void checkProbes(TimePoint Now);
   void refreshProof(TimePoint Now);
   void searchPrimary(TimePoint Now);
-  void askOne(const std::string &Instance, StatusHook Hook);
   void takeStatus(const std::string &Instance, const TargetReply *Reply,
                   const StatusHook &Hook);
 
@@ -158,6 +173,8 @@
   bool ProofWanted = false;
   bool ProofUnderway = false;
   TimePoint LastSearch;
+  /// Since when no primary has been known; empty while one is.
+  std::optional<TimePoint> WithoutPrimarySince;
 };
 
 } // namespace cicadawind
--- /dev/null
+++ b/src/Proxy/PeerExchange.h
@@ -0,0 +1,129 @@
+#ifndef CICADAWIND_PROXY_PEEREXCHANGE_H
+#define CICADAWIND_PROXY_PEEREXCHANGE_H
+
+#include "Core/Random.h"
+#include "Http/HttpMessage.h"
+#include "Membership/MemberTable.h"
+#include "Proxy/PeerMessage.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+class HttpClient;
+class HttpServer;
+class ProxyService;
+
+/// \class PeerExchange
+/// \brief Talk between the VMs' proxies: who is there, what version is in
+/// force, and who was heard as primary.
+///
+/// Datagrams carry hellos and questions; what is larger is fetched over HTTP
+/// from the peer that has it. A VM sends at most HelloFanout hellos a period,
+/// whatever the size of the fleet. What a peer says of a primary is taken with
+/// the time of the question, so that no clock of another VM counts.
+class PeerExchange {
+public:
+  struct Options {
+    std::string Vm;
+    std::string FailureDomain;
+    std::string Region;
+    std::string Address;
+    std::uint16_t Port = 0;
+    /// IP addresses of VMs to greet first.
+    std::vector<std::string> SeedAddresses;
+    Duration HelloPeriod = std::chrono::milliseconds(1000);
+    std::size_t HelloFanout = 8;
+    /// Silence after which a VM no longer counts.
+    Duration ForgetAfter = std::chrono::seconds(8);
+    /// Least pause between questions about one group.
+    Duration QuestionPause = std::chrono::milliseconds(80);
+    /// Peers asked for a proof of lead at once.
+    std::size_t ProofFanout = 3;
+    RandomSource Random;
+  };
+
+  PeerExchange(boost::asio::io_context &Loop, Options Opts, HttpClient &Http,
+               ProxyService &Service);
+  ~PeerExchange();
+
+  /// Listens; throws when the port is taken.
+  void start();
+
+  /// Sends hellos and drops what is too old; called every few milliseconds.
+  void sweep(TimePoint Now);
+
+  /// Tells all peers at once that something changed.
+  void announce();
+  /// This VM leaves.
+  void announceLeaving();
+
+  /// Adds VMs that the store lists.
+  void addListed(const std::vector<VmEntry> &Entries);
+
+  /// Asks peers about \p Group; \p Instance is the primary in doubt, or empty
+  /// to ask for a newer proof of lead only.
+  void askAbout(const std::string &Group, const std::string &Instance,
+                TimePoint Now);
+
+  /// Whether the own store can be read; if not, targets come from peers.
+  void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
+
+  VmEntry self() const;
+  /// Peers heard lately, without this VM and without those that leave.
+  std::vector<VmEntry> livePeers(TimePoint Now) const;
+  const MemberTable &members() const { return Members; }
+
+private:
+  struct OpenQuestion {
+    std::string Group;
+    std::string Instance;
+    TimePoint SentAt;
+  };
+
+  void receiveNext();
+  void take(const std::string &Bytes, TimePoint Now);
+  void takeHello(const PeerHello &Hello, TimePoint Now);
+  void takeQuestion(const GroupQuestion &Question, TimePoint Now);
+  void takeAnswer(const GroupAnswer &Answer, TimePoint Now);
+  void sendTo(const std::string &Address, const PeerMessage &Message);
+  void sendHello(const std::string &Address);
+  void fetchState(const std::string &Vm, const std::string &Address);
+  boost::asio::awaitable<void> fetchNow(std::string Vm, std::string Address);
+  HttpResponse answerState() const;
+  void updateCount(TimePoint Now);
+  /// Tells \p From that a later incarnation of it is known.
+  void correct(const VmEntry &From);
+
+  boost::asio::io_context &Loop;
+  Options Opts;
+  HttpClient &Http;
+  ProxyService &Service;
+  MemberTable Members;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  boost::asio::ip::udp::socket Socket;
+  boost::asio::ip::udp::endpoint Sender;
+  std::array<char, 8192> Buffer;
+  std::unique_ptr<HttpServer> StateServer;
+  std::uint64_t Incarnation;
+  bool Leaving = false;
+  bool StoreReachable = true;
+  bool Fetching = false;
+  std::map<std::string, TimePoint> HeardAt;
+  std::map<std::uint64_t, OpenQuestion> Questions;
+  std::map<std::string, TimePoint> AskedAt;
+  std::uint64_t LastQuestion = 0;
+  TimePoint NextHello;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Proxy/PeerMessage.h
@@ -0,0 +1,61 @@
+#ifndef CICADAWIND_PROXY_PEERMESSAGE_H
+#define CICADAWIND_PROXY_PEERMESSAGE_H
+
+#include "Core/Clock.h"
+#include "Core/LogPosition.h"
+#include "Core/Result.h"
+#include "Membership/VmEntry.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cicadawind {
+
+/// Sent every HelloPeriod and when something in it changes.
+struct PeerHello {
+  VmEntry Self;
+  std::uint64_t ConfigVersion = 0;
+  std::uint64_t TargetsRevision = 0;
+  /// Some other VMs that the sender knows.
+  std::vector<VmEntry> Others;
+};
+
+/// Asks what the receiver knows of a group's primary.
+struct GroupQuestion {
+  std::string From;
+  /// Repeated in the answer.
+  std::uint64_t Number = 0;
+  std::string Group;
+  /// The primary that the sender cannot reach; empty when it only needs a
+  /// newer proof of lead.
+  std::string Instance;
+};
+
+/// Answers a GroupQuestion.
+struct GroupAnswer {
+  std::string From;
+  std::uint64_t Number = 0;
+  std::string Group;
+  /// How long ago the sender heard the instance that was asked about.
+  std::optional<Millis> Heard;
+  /// The instance whose lead was proved to the sender, the position of that
+  /// proof, and how long ago it had been asked for; empty when none.
+  std::string Primary;
+  LogPosition End;
+  Millis ProofAge = Millis::zero();
+};
+
+using PeerMessage = std::variant<PeerHello, GroupQuestion, GroupAnswer>;
+
+/// CBOR bytes of \p Message, small enough for a datagram.
+std::string encodePeerMessage(const PeerMessage &Message);
+
+/// Inverse of encodePeerMessage; BadRequest on anything malformed.
+Result<PeerMessage> decodePeerMessage(const std::string &Bytes);
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Proxy/PromotionDriver.cpp
@@ -0,0 +1,299 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/PromotionDriver.h"
+
+#include "Async/AsyncSignal.h"
+#include "Core/Random.h"
+#include "Observability/Log.h"
+#include "Observability/Metrics.h"
+#include "Platform/ObjectStore.h"
+#include "Platform/PromotionOrders.h"
+#include "Proxy/PeerExchange.h"
+#include "Proxy/ProxyService.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("promotion");
+/// Kind of the objects that hold each group's last fencing token.
+static const char *const TokensKind = "cicadawind-promotions";
+/// Pause between looks at what is awaited.
+constexpr Duration LookPeriod = std::chrono::milliseconds(20);
+
+static std::uint64_t tokenOf(const StoredObject &Object) {
+  nlohmann::json Json = nlohmann::json::parse(Object.Value, nullptr, false);
+  if (!Json.is_object() || !Json.contains("token") ||
+      !Json["token"].is_number_unsigned())
+    return 0;
+  return Json["token"].get<std::uint64_t>();
+}
+
+} // namespace internal
+
+PromotionDriver::PromotionDriver(boost::asio::io_context &Loop, Options NewOpts,
+                                 ProxyService &Service, PeerExchange &Peers,
+                                 ObjectStore &Store, PromotionOrders &Orders,
+                                 Metrics &Meter)
+    : Loop(Loop), Opts(std::move(NewOpts)), Service(Service), Peers(Peers),
+      Store(Store), Orders(Orders), Meter(Meter) {}
+
+PromotionDriver::~PromotionDriver() = default;
+
+void PromotionDriver::sweep(TimePoint Now) {
+  for (const auto &[Name, Group] : Service.groups())
+    check(*Group, Now);
+}
+
+std::size_t PromotionDriver::rankFor(const std::string &Group,
+                                     TimePoint Now) const {
+  std::hash<std::string> Hash;
+  std::uint64_t Own = mix(Hash(Group), Hash(Opts.Vm));
+  std::size_t Rank = 0;
+  for (const VmEntry &Peer : Peers.livePeers(Now))
+    if (mix(Hash(Group), Hash(Peer.Vm)) < Own)
+      ++Rank;
+  return std::min(Rank, Opts.LastRank);
+}
+
+std::optional<PromotionDriver::Reason>
+PromotionDriver::reasonToAct(GroupDispatcher &Group, TimePoint Now) {
+  const std::string &Primary = Group.leader().primary();
+  const TargetEntry *Entry = Group.findEntry(Primary);
+  if (Entry && Entry->Leaving)
+    return Reason::Leaving;
+  if (Group.watch().isSuspect(Now))
+    Peers.askAbout(Group.group(), Group.watch().primary(), Now);
+  if (Group.watch().isLost(Peers.livePeers(Now).size(), Now))
+    return Reason::Lost;
+  if (Primary.empty() && Group.hasNoPrimary(Now))
+    return Reason::Lost;
+  return std::nullopt;
+}
+
+void PromotionDriver::check(GroupDispatcher &Group, TimePoint Now) {
+  Progress &Step = Groups[Group.group()];
+  if (Step.Underway || Now < Step.NotBefore || Service.isDraining())
+    return;
+  std::optional<Reason> Why = reasonToAct(Group, Now);
+  if (!Why) {
+    Step.DueSince.reset();
+    return;
+  }
+  if (!Step.DueSince)
+    Step.DueSince = Now;
+  Duration Wait = rankFor(Group.group(), Now) * Opts.RankDelay;
+  if (Now - *Step.DueSince < Wait)
+    return;
+  Step.Underway = true;
+  spawn(Loop, act(Group.group(), Group.leader().primary(), *Why));
+}
+
+boost::asio::awaitable<void> PromotionDriver::act(std::string Group,
+                                                  std::string Old, Reason Why) {
+  const char *Cause = Why == Reason::Lost ? "lost" : "leaving";
+  internal::Logger.info(
+      "promotion begins",
+      {{"group", Group}, {"old_primary", Old}, {"why", Cause}});
+  TimePoint Start = BootClock::now();
+  bool Done = co_await attempt(Group, Old, Why);
+  TimePoint Now = BootClock::now();
+  Progress &Step = Groups[Group];
+  Step.Underway = false;
+  Step.DueSince.reset();
+  if (!Done)
+    Step.NotBefore = Now + Opts.Pause;
+  Meter.count("promotions_total",
+              {{"why", Cause}, {"outcome", Done ? "done" : "not_done"}});
+  Meter.observe("promotion_seconds", Now - Start, {{"why", Cause}});
+}
+
+boost::asio::awaitable<bool>
+PromotionDriver::attempt(std::string Group, std::string Old, Reason Why) {
+  Statuses Known = co_await survey(Group, Old);
+  GroupDispatcher *Dispatcher = Service.findGroup(Group);
+  if (!Dispatcher)
+    co_return false;
+  for (const auto &[Name, Status] : Known)
+    if (Status.IsPrimary && Name != Old) {
+      internal::Logger.info("another primary answers",
+                            {{"group", Group}, {"target", Name}});
+      Dispatcher->noteClaim(Name);
+      co_return false;
+    }
+  std::optional<Candidate> Chosen = choose(*Dispatcher, Known, Old);
+  if (!Chosen) {
+    internal::Logger.warning(
+        "no target can be promoted",
+        {{"group", Group}, {"answers", std::to_string(Known.size())}});
+    co_return false;
+  }
+  Result<Claim> Claimed = co_await claim(Group, Chosen->Instance);
+  if (const Error *E = errorOf(Claimed)) {
+    internal::Logger.info("claim failed",
+                          {{"group", Group}, {"why", E->Message}});
+    co_return false;
+  }
+  Dispatcher = Service.findGroup(Group);
+  bool StillDue = Dispatcher && Dispatcher->leader().primary() == Old;
+  if (!StillDue)
+    co_return false;
+  std::uint64_t Epoch = Dispatcher->leader().epoch();
+  if (Why == Reason::Leaving)
+    co_await stepDown(Group, Old, Chosen->Instance,
+                      Dispatcher->leader().term() + 1);
+  std::uint64_t Token = valueOf(Claimed).Token;
+  OrderEnd End = co_await Orders.promote(Group, Chosen->Instance, Opts.Vm,
+                                         Token, Opts.OrderLimit);
+  internal::Logger.info(
+      "promotion ordered",
+      {{"group", Group},
+       {"target", Chosen->Instance},
+       {"received", std::to_string(Chosen->Received.WrittenIn) + "." +
+                        std::to_string(Chosen->Received.Index)},
+       {"answers", std::to_string(Known.size())},
+       {"token", std::to_string(Token)},
+       {"end", std::to_string(static_cast<int>(End))}});
+  if (End == OrderEnd::Refused || End == OrderEnd::NotTaken)
+    co_return false;
+  co_return co_await awaitPrimary(Group, Chosen->Instance, Epoch);
+}
+
+boost::asio::awaitable<PromotionDriver::Statuses>
+PromotionDriver::survey(std::string Group, std::string Except) {
+  auto Known = std::make_shared<Statuses>();
+  TimePoint End = BootClock::now() + Opts.SurveyLimit;
+  while (BootClock::now() < End) {
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (!Dispatcher)
+      break;
+    std::size_t Missing = 0;
+    for (const TargetEntry &Entry : Dispatcher->entries()) {
+      if (Entry.Instance == Except || Known->count(Entry.Instance))
+        continue;
+      ++Missing;
+      Dispatcher->askStatus(
+          Entry.Instance,
+          [Known](const std::string &Instance, const TargetStatus *Status) {
+            if (Status)
+              (*Known)[Instance] = *Status;
+          });
+    }
+    if (Missing == 0)
+      break;
+    co_await sleepFor(internal::LookPeriod);
+  }
+  co_return *Known;
+}
+
+std::optional<PromotionDriver::Candidate>
+PromotionDriver::choose(GroupDispatcher &Group, const Statuses &Known,
+                        const std::string &Old) const {
+  std::optional<Candidate> Best;
+  bool BestLeaves = false;
+  for (const auto &[Name, Status] : Known) {
+    const TargetEntry *Entry = Group.findEntry(Name);
+    if (!Entry || Name == Old)
+      continue;
+    bool Better =
+        !Best || (BestLeaves && !Entry->Leaving) ||
+        (BestLeaves == Entry->Leaving && Status.Received > Best->Received);
+    if (!Better)
+      continue;
+    Best = Candidate{.Instance = Name, .Received = Status.Received};
+    BestLeaves = Entry->Leaving;
+  }
+  return Best;
+}
+
+boost::asio::awaitable<Result<PromotionDriver::Claim>>
+PromotionDriver::claim(std::string Group, std::string Instance) {
+  Result<StoredObject> Before =
+      co_await Store.read(internal::TokensKind, Group, Opts.StoreLimit);
+  if (const Error *E = errorOf(Before))
+    co_return *E;
+  const StoredObject &Held = valueOf(Before);
+  std::uint64_t Token = internal::tokenOf(Held) + 1;
+  nlohmann::json Value{
+      {"token", Token}, {"holder", Opts.Vm}, {"target", Instance}};
+  WriteAnswer Written = co_await Store.write(
+      internal::TokensKind, Group, Value.dump(), Held.Version, Opts.StoreLimit);
+  if (Written.End == WriteEnd::Accepted)
+    co_return Claim{.Token = Token};
+  // A claim without an answer is not settled: the token is never used, and the
+  // next attempt takes a higher one.
+  co_return Error{
+      .Code = Written.End == WriteEnd::Conflict ? ErrorCode::Conflict
+                                                : ErrorCode::StoreUnavailable,
+      .Message = Written.End == WriteEnd::Conflict ? "another VM claimed first"
+                                                   : Written.Message};
+}
+
+boost::asio::awaitable<void> PromotionDriver::stepDown(std::string Group,
+                                                       std::string Old,
+                                                       std::string Successor,
+                                                       Term Below) {
+  GroupDispatcher *Dispatcher = Service.findGroup(Group);
+  if (!Dispatcher)
+    co_return;
+  auto Final = std::make_shared<std::optional<LogPosition>>();
+  auto Reached = std::make_shared<LogPosition>();
+  Dispatcher->demote(Old, Below,
+                     [Final](const std::string &, const TargetStatus *Status) {
+                       if (Status)
+                         *Final = Status->Received;
+                     });
+  TimePoint End = BootClock::now() + Opts.CatchUpLimit;
+  while (BootClock::now() < End) {
+    co_await sleepFor(internal::LookPeriod);
+    if (*Final && *Reached >= **Final)
+      break;
+    Dispatcher = Service.findGroup(Group);
+    if (!Dispatcher)
+      co_return;
+    if (*Final)
+      Dispatcher->askStatus(Successor, [Reached](const std::string &,
+                                                 const TargetStatus *Status) {
+        if (Status)
+          *Reached = Status->Received;
+      });
+  }
+  bool CaughtUp = *Final && *Reached >= **Final;
+  internal::Logger.info("primary steps down",
+                        {{"group", Group},
+                         {"target", Old},
+                         {"successor", Successor},
+                         {"caught_up", CaughtUp ? "yes" : "no"}});
+}
+
+boost::asio::awaitable<bool>
+PromotionDriver::awaitPrimary(std::string Group, std::string Instance,
+                              std::uint64_t EpochBefore) {
+  TimePoint End = BootClock::now() + Opts.OpenLimit;
+  while (BootClock::now() < End) {
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (!Dispatcher)
+      co_return false;
+    if (Dispatcher->leader().epoch() != EpochBefore &&
+        Dispatcher->leader().isProved())
+      co_return true;
+    Dispatcher->askStatus(Instance, [this, Group](const std::string &Name,
+                                                  const TargetStatus *Status) {
+      GroupDispatcher *Found = Service.findGroup(Group);
+      if (Found && Status && Status->IsPrimary)
+        Found->noteClaim(Name);
+    });
+    co_await sleepFor(internal::LookPeriod);
+  }
+  internal::Logger.warning("promoted target does not lead",
+                           {{"group", Group}, {"target", Instance}});
+  co_return false;
+}
+
+} // namespace cicadawind
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -16,6 +16,8 @@
 /// Sessions closed in one sweep while leaving, so that callers do not all
 /// reconnect at once.
 constexpr std::size_t ClosedPerSweep = 2;
+/// Time in which the balancer notices that this VM takes no more callers.
+constexpr Duration BalancerNotices = std::chrono::milliseconds(2500);
 /// Part of the grace time kept for ending what is left.
 constexpr unsigned LastPart = 12;
 
@@ -54,6 +56,8 @@
   Meter.set("config_version", static_cast<double>(Config->Version));
   updateGroups();
   closeDropped(*Before);
+  if (ConfigHook)
+    ConfigHook();
   return true;
 }
 
@@ -68,7 +72,9 @@
     Session->closeIfIdle();
 }
 
-void ProxyService::applyTargets(const std::vector<TargetEntry> &Listed) {
+void ProxyService::applyTargets(const std::vector<TargetEntry> &Listed,
+                                std::uint64_t Revision) {
+  TargetsRevision = Revision;
   Directory.replaceAll(Listed, BootClock::now());
   updateGroups();
 }
@@ -180,10 +186,22 @@
   }
 }
 
+ProxyState ProxyService::state() const {
+  ProxyState Out;
+  Out.Config = *Config;
+  Out.Targets = Directory.listed();
+  Out.TargetsRevision = TargetsRevision;
+  return Out;
+}
+
 bool ProxyService::isDrained() const {
   if (!DrainSince)
     return false;
-  return Sessions.empty() || BootClock::now() >= DrainEnd;
+  TimePoint Now = BootClock::now();
+  // The balancer sends callers here until it has noticed.
+  if (Now - *DrainSince < internal::BalancerNotices)
+    return false;
+  return Sessions.empty() || Now >= DrainEnd;
 }
 
 bool ProxyService::isReady() const {
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -5,6 +5,7 @@
 #include "Proxy/CallerSession.h"
 #include "Proxy/GroupDispatcher.h"
 #include "Proxy/ProxyConfig.h"
+#include "Proxy/ProxyState.h"
 #include "Proxy/TargetDirectory.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -45,7 +46,9 @@
 
   /// Puts \p Config in force unless a newer version is; true when it did.
   bool applyConfig(std::shared_ptr<const ProxyConfig> Config);
-  void applyTargets(const std::vector<TargetEntry> &Listed);
+  /// Takes in the registry's targets as of \p Revision of the store.
+  void applyTargets(const std::vector<TargetEntry> &Listed,
+                    std::uint64_t Revision);
   /// Sets how many VMs share the targets' connections.
   void setVms(std::size_t Count);
 
@@ -70,6 +73,17 @@
   groups() const {
     return Groups;
   }
+  std::uint64_t targetsRevision() const { return TargetsRevision; }
+  /// What this VM knows from the store, for peers.
+  ProxyState state() const;
+  /// Called after a new configuration has come into force.
+  void onConfig(std::function<void()> Hook) { ConfigHook = std::move(Hook); }
+  /// Sets how groups ask peers about their primaries.
+  void setAskPeers(
+      std::function<void(const std::string &Group, const std::string &Instance)>
+          Hook) {
+    Opts.Group.AskPeers = std::move(Hook);
+  }
   std::size_t sessions() const { return Sessions.size(); }
 
 private:
@@ -88,6 +102,8 @@
   std::map<std::string, std::unique_ptr<GroupDispatcher>> Groups;
   std::set<std::shared_ptr<CallerSession>> Sessions;
   std::size_t Vms = 1;
+  std::uint64_t TargetsRevision = 0;
+  std::function<void()> ConfigHook;
   std::optional<TimePoint> DrainSince;
   TimePoint DrainEnd;
 };
--- /dev/null
+++ b/src/Proxy/ProxyState.cpp
@@ -0,0 +1,112 @@
+#include "Proxy/ProxyState.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cicadawind {
+namespace internal {
+
+using Json = nlohmann::json;
+
+static Json toJson(const RouteConfig &Route) {
+  return Json::array({Route.Database, Route.Group,
+                      static_cast<int>(Route.Reads), Route.MaxStaleness.count(),
+                      Route.StatementTimeout.count(),
+                      Route.LatencyObjective.count(), Route.Priority});
+}
+
+static RouteConfig routeFrom(const Json &In) {
+  RouteConfig Out;
+  Out.Database = In.at(0).get<std::string>();
+  Out.Group = In.at(1).get<std::string>();
+  int Reads = In.at(2).get<int>();
+  if (Reads < 0 || Reads > static_cast<int>(Consistency::ReadYourWrites))
+    throw std::invalid_argument("unknown consistency");
+  Out.Reads = static_cast<Consistency>(Reads);
+  Out.MaxStaleness = Millis(In.at(3).get<std::int64_t>());
+  Out.StatementTimeout = Millis(In.at(4).get<std::int64_t>());
+  Out.LatencyObjective = Millis(In.at(5).get<std::int64_t>());
+  Out.Priority = In.at(6).get<unsigned>();
+  return Out;
+}
+
+static Json toJson(const TargetEntry &Entry) {
+  return Json::array({Entry.Instance, Entry.Group, Entry.Address,
+                      Entry.FailureDomain, Entry.Slots, Entry.Leaving,
+                      Entry.ClaimsPrimary, Entry.Incarnation});
+}
+
+static TargetEntry targetFrom(const Json &In) {
+  TargetEntry Out;
+  Out.Instance = In.at(0).get<std::string>();
+  Out.Group = In.at(1).get<std::string>();
+  Out.Address = In.at(2).get<std::string>();
+  Out.FailureDomain = In.at(3).get<std::string>();
+  Out.Slots = In.at(4).get<unsigned>();
+  Out.Leaving = In.at(5).get<bool>();
+  Out.ClaimsPrimary = In.at(6).get<bool>();
+  Out.Incarnation = In.at(7).get<std::int64_t>();
+  return Out;
+}
+
+static Json toJson(const CallerLimits &Limits) {
+  return Json::array({Limits.MaxMessageBytes, Limits.IncompleteMessage.count(),
+                      Limits.IdleSession.count(),
+                      Limits.IdleTransaction.count()});
+}
+
+static CallerLimits limitsFrom(const Json &In) {
+  CallerLimits Out;
+  Out.MaxMessageBytes = In.at(0).get<std::size_t>();
+  Out.IncompleteMessage = Millis(In.at(1).get<std::int64_t>());
+  Out.IdleSession = Millis(In.at(2).get<std::int64_t>());
+  Out.IdleTransaction = Millis(In.at(3).get<std::int64_t>());
+  return Out;
+}
+
+static ProxyState stateFrom(const Json &In) {
+  ProxyState Out;
+  Out.Config.Version = In.at("version").get<std::uint64_t>();
+  for (const Json &Each : In.at("routes")) {
+    RouteConfig Route = routeFrom(Each);
+    Out.Config.Routes[Route.Database] = Route;
+  }
+  for (const auto &[Name, Connections] : In.at("groups").items())
+    Out.Config.Groups[Name].MaxConnections = Connections.get<unsigned>();
+  Out.Config.Callers = limitsFrom(In.at("limits"));
+  for (const Json &Each : In.at("targets"))
+    Out.Targets.push_back(targetFrom(Each));
+  Out.TargetsRevision = In.at("targets_revision").get<std::uint64_t>();
+  return Out;
+}
+
+} // namespace internal
+
+std::string encodeState(const ProxyState &State) {
+  internal::Json Out;
+  Out["version"] = State.Config.Version;
+  Out["routes"] = internal::Json::array();
+  for (const auto &[Name, Route] : State.Config.Routes)
+    Out["routes"].push_back(internal::toJson(Route));
+  Out["groups"] = internal::Json::object();
+  for (const auto &[Name, Limits] : State.Config.Groups)
+    Out["groups"][Name] = Limits.MaxConnections;
+  Out["limits"] = internal::toJson(State.Config.Callers);
+  Out["targets"] = internal::Json::array();
+  for (const TargetEntry &Entry : State.Targets)
+    Out["targets"].push_back(internal::toJson(Entry));
+  Out["targets_revision"] = State.TargetsRevision;
+  std::string Bytes;
+  internal::Json::to_cbor(Out, Bytes);
+  return Bytes;
+}
+
+Result<ProxyState> decodeState(const std::string &Bytes) {
+  try {
+    return internal::stateFrom(internal::Json::from_cbor(Bytes));
+  } catch (const std::exception &E) {
+    return Error{.Code = ErrorCode::BadRequest,
+                 .Message = std::string("malformed state: ") + E.what()};
+  }
+}
+
+} // namespace cicadawind
--- a/src/Proxy/TargetDirectory.cpp
+++ b/src/Proxy/TargetDirectory.cpp
@@ -32,6 +32,14 @@
   return Known.size() != Before;
 }
 
+std::vector<TargetEntry> TargetDirectory::listed() const {
+  std::vector<TargetEntry> Out;
+  for (const auto &[Name, Each] : Known)
+    if (!Each.MissingSince)
+      Out.push_back(Each.Entry);
+  return Out;
+}
+
 std::vector<TargetEntry>
 TargetDirectory::ofGroup(const std::string &Group) const {
   std::vector<TargetEntry> Out;
--- a/src/Proxy/TargetDirectory.h
+++ b/src/Proxy/TargetDirectory.h
@@ -33,6 +33,8 @@
   bool expire(TimePoint Now);
 
   std::vector<TargetEntry> ofGroup(const std::string &Group) const;
+  /// Everything that the registry listed last.
+  std::vector<TargetEntry> listed() const;
   std::size_t size() const { return Known.size(); }
 
 private:
--- /dev/null
+++ b/src/Proxy/VmRegistration.cpp
@@ -0,0 +1,72 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/VmRegistration.h"
+
+#include "Async/AsyncSignal.h"
+#include "Membership/VmEntryCodec.h"
+#include "Observability/Log.h"
+#include "Platform/KindWatcher.h"
+#include "Platform/ObjectStore.h"
+#include "Proxy/PeerExchange.h"
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("registration");
+static const char *const VmsKind = "cicadawind-vms";
+
+} // namespace internal
+
+VmRegistration::VmRegistration(Options Opts, ObjectStore &Store,
+                               KindWatcher &Listings, PeerExchange &Peers)
+    : Opts(Opts), Store(Store), Listings(Listings), Peers(Peers) {}
+
+boost::asio::awaitable<bool> VmRegistration::writeEntry() {
+  VmEntry Self = Peers.self();
+  std::string Value = toJson(Self).dump();
+  WriteAnswer Written = co_await Store.write(internal::VmsKind, Self.Vm, Value,
+                                             0, Opts.CallLimit);
+  if (Written.End != WriteEnd::Conflict)
+    co_return Written.End == WriteEnd::Accepted;
+  Result<StoredObject> Held =
+      co_await Store.read(internal::VmsKind, Self.Vm, Opts.CallLimit);
+  if (errorOf(Held))
+    co_return false;
+  Written = co_await Store.write(internal::VmsKind, Self.Vm, Value,
+                                 valueOf(Held).Version, Opts.CallLimit);
+  co_return Written.End == WriteEnd::Accepted;
+}
+
+boost::asio::awaitable<bool> VmRegistration::greetListed() {
+  Result<ObjectsByName> Listed = co_await Listings.listAll(internal::VmsKind);
+  if (errorOf(Listed))
+    co_return false;
+  std::vector<VmEntry> Entries;
+  for (const auto &[Name, Object] : valueOf(Listed)) {
+    try {
+      Entries.push_back(vmEntryFrom(nlohmann::json::parse(Object.Value)));
+    } catch (const nlohmann::json::exception &E) {
+      internal::Logger.warning("entry of a VM cannot be read",
+                               {{"entry", Name}, {"why", E.what()}});
+    }
+  }
+  Peers.addListed(Entries);
+  co_return true;
+}
+
+boost::asio::awaitable<void> VmRegistration::run() {
+  bool Registered = false;
+  bool Greeted = false;
+  while (!Registered || !Greeted) {
+    if (!Registered)
+      Registered = co_await writeEntry();
+    if (!Greeted)
+      Greeted = co_await greetListed();
+    if (!Registered || !Greeted)
+      co_await sleepFor(Opts.Pause);
+  }
+  internal::Logger.info("registered", {{"vm", Peers.self().Vm}});
+}
+
+} // namespace cicadawind
