Close callers' sessions in order, and ask about a primary in doubt at once

Ruled out: votes of peers (none was asked). Change: idle sessions close after sending and wait for the caller's end; sessions that have not opened are not idle; pauses by question; silence of 250 ms is evidence; proofs from peers for unknown targets are ignored.

--- a/src/Net/LineStream.cpp
+++ b/src/Net/LineStream.cpp
@@ -120,6 +120,8 @@
 
 void LineStream::takeBytes(std::size_t Count) {
   Received += Count;
+  if (Closing)
+    return;
   std::string_view Text(Buffer.data(), Count);
   std::string Whole;
   if (!Partial.empty()) {
@@ -175,7 +177,7 @@
   if (!Out.empty())
     return waitWritable();
   if (Closing)
-    return close();
+    return linger();
   if (ReadPaused)
     readMore();
 }
@@ -197,10 +199,29 @@
   scheduleFlush();
 }
 
+void LineStream::linger() {
+  if (LingerTimer)
+    return;
+  ErrorCodeOf Code;
+  Socket.shutdown(Tcp::socket::shutdown_send, Code);
+  if (Code)
+    return close();
+  LingerTimer =
+      std::make_unique<asio::steady_timer>(Socket.get_executor(),
+                                           Opts.LingerLimit);
+  LingerTimer->async_wait([Self = shared_from_this()](const ErrorCodeOf &) {
+    Self->close();
+  });
+  if (ReadPaused)
+    readMore();
+}
+
 void LineStream::close() {
   if (!Open)
     return;
   Open = false;
+  if (LingerTimer)
+    LingerTimer->cancel();
   ErrorCodeOf Ignored; // The connection ends whether or not this succeeds.
   Socket.shutdown(Tcp::socket::shutdown_both, Ignored);
   Socket.close(Ignored);
--- a/src/Net/LineStream.h
+++ b/src/Net/LineStream.h
@@ -4,6 +4,7 @@
 #include "Core/Clock.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -32,6 +33,8 @@
     /// Silence of the network after which unacknowledged bytes or unanswered
     /// keep-alive probes end the connection.
     Millis PeerTimeout = Millis(3000);
+    /// Longest wait for the peer's end when closing in order.
+    Millis LingerLimit = Millis(1000);
   };
   enum class End { PeerClosed, Failed, LineTooLong };
 
@@ -60,7 +63,9 @@
   /// Queues \p Bytes; they leave when the current handler has returned.
   void send(std::string_view Bytes);
 
-  /// Ends the connection once everything queued has left.
+  /// Ends the connection once everything queued has left and the peer has seen
+  /// it: what it still sends is read and dropped, as closing over unread bytes
+  /// would reset the connection and lose what is on its way.
   void closeAfterSending();
   void close();
 
@@ -79,6 +84,7 @@
   void scheduleFlush();
   void flush();
   void waitWritable();
+  void linger();
   void fail(End Reason);
 
   static constexpr std::size_t ReadBytes = 2048;
@@ -93,6 +99,8 @@
   TimePoint PartialSince;
   std::string Out;
   std::uint64_t Received = 0;
+  /// Set while waiting for the peer's end.
+  std::unique_ptr<boost::asio::steady_timer> LingerTimer;
   bool Open = true;
   bool FlushScheduled = false;
   bool WaitingWritable = false;
--- a/src/Proxy/CallerSession.cpp
+++ b/src/Proxy/CallerSession.cpp
@@ -580,7 +580,9 @@
 bool CallerSession::closeIfIdle() {
   if (!isIdle())
     return false;
-  close();
+  // An answer may still wait to leave.
+  Stream->closeAfterSending();
+  end();
   return true;
 }
 
--- a/src/Proxy/CallerSession.h
+++ b/src/Proxy/CallerSession.h
@@ -56,7 +56,7 @@
   void endIdleTransaction(const char *Why);
   void close();
 
-  bool isIdle() const { return !Work && !Open.isOpen() && Inbox.empty(); }
+  bool isIdle() const { return Started && !Work && !Open.isOpen() && Inbox.empty(); }
   bool hasTransaction() const { return Open.isOpen(); }
   const std::string &database() const { return Database; }
 
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -267,12 +267,14 @@
     T->Free.push_back(Link);
     return schedulePump();
   }
-  internal::Logger.info("connection not opened",
-                        {{"group", Opts.Group},
-                         {"target", Instance},
-                         {"address", T->Entry.Address},
-                         {"code", std::string(toString(Failure->Code))},
-                         {"why", Failure->Message}});
+  // Further failures in a row say nothing new.
+  if (T->FailuresInRow < internal::MaxOpenPauses)
+    internal::Logger.info("connection not opened",
+                          {{"group", Opts.Group},
+                           {"target", Instance},
+                           {"address", T->Entry.Address},
+                           {"code", std::string(toString(Failure->Code))},
+                           {"why", Failure->Message}});
   T->All.erase(std::remove_if(T->All.begin(), T->All.end(),
                               [&](const std::weak_ptr<TargetLink> &Weak) {
                                 auto Each = Weak.lock();
@@ -342,6 +344,8 @@
 
 void GroupDispatcher::learnProof(const std::string &Instance, LogPosition End,
                                  TimePoint Asked) {
+  if (!find(Instance))
+    return;
   std::uint64_t Epoch = Leader.epoch();
   Leader.proveLead(Instance, End, Asked);
   Watch.setPrimary(Leader.primary(), BootClock::now());
@@ -419,10 +423,14 @@
     std::vector<std::shared_ptr<TargetLink>> Overdue;
     for (const std::weak_ptr<TargetLink> &Weak : T.All) {
       std::shared_ptr<TargetLink> Link = Weak.lock();
-      if (!Link || Link->isOpen())
+      std::optional<TimePoint> Since;
+      if (Link)
+        Since = Link->waitingSince();
+      if (!Since)
         continue;
-      std::optional<TimePoint> Since = Link->waitingSince();
-      if (Since && Now - *Since > Opts.OpenLimit)
+      if (Now - *Since > Opts.SilenceLimit)
+        noteUnanswered(Name, *Since, Now);
+      if (!Link->isOpen() && Now - *Since > Opts.OpenLimit)
         Overdue.push_back(Link);
     }
     for (const std::shared_ptr<TargetLink> &Link : Overdue)
@@ -441,6 +449,14 @@
   }
 }
 
+void GroupDispatcher::noteUnanswered(const std::string &Instance,
+                                     TimePoint Since, TimePoint Now) {
+  // A target that answers others in the meantime is slow, not silent.
+  std::optional<Duration> Heard = Watch.heard(Instance, Now);
+  if (!Heard || *Heard >= Now - Since)
+    Watch.noteFailure(Instance, Now);
+}
+
 void GroupDispatcher::checkProbes(TimePoint Now) {
   std::vector<std::weak_ptr<TargetLink>> Waiting;
   for (const std::weak_ptr<TargetLink> &Weak : std::exchange(Probes, {})) {
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -40,6 +40,9 @@
     LineStream::Options Stream;
     /// Time that opening a connection may take.
     Duration OpenLimit = std::chrono::milliseconds(700);
+    /// Wait for an answer, or for a connection, after which the primary is in
+    /// doubt unless it answers something else meanwhile.
+    Duration SilenceLimit = std::chrono::milliseconds(250);
     /// Time that an own request to a target may take.
     Duration ProbeLimit = std::chrono::milliseconds(500);
     /// Age of the newest proof of lead at which another is asked for, while
@@ -149,6 +152,8 @@
   void expire(TimePoint Now);
   void checkLinks(TimePoint Now);
   void checkProbes(TimePoint Now);
+  void noteUnanswered(const std::string &Instance, TimePoint Since,
+                      TimePoint Now);
   void refreshProof(TimePoint Now);
   void searchPrimary(TimePoint Now);
   void takeStatus(const std::string &Instance, const TargetReply *Reply,
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -295,10 +295,12 @@
 
 void PeerExchange::askAbout(const std::string &Group,
                             const std::string &Instance, TimePoint Now) {
-  auto Asked = AskedAt.find(Group);
+  // Questions about a primary in doubt must not wait for those about proofs.
+  QuestionKey Key(Group, Instance);
+  auto Asked = AskedAt.find(Key);
   if (Asked != AskedAt.end() && Now - Asked->second < Opts.QuestionPause)
     return;
-  AskedAt[Group] = Now;
+  AskedAt[Key] = Now;
   std::vector<VmEntry> Peers = livePeers(Now);
   if (Instance.empty()) {
     // Near peers answer sooner and cost no traffic between regions.
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cicadawind {
@@ -89,6 +90,8 @@
     TimePoint SentAt;
   };
 
+  using QuestionKey = std::pair<std::string, std::string>;
+
   void receiveNext();
   void take(const std::string &Bytes, TimePoint Now);
   void takeHello(const PeerHello &Hello, TimePoint Now);
@@ -119,7 +122,7 @@
   bool Fetching = false;
   std::map<std::string, TimePoint> HeardAt;
   std::map<std::uint64_t, OpenQuestion> Questions;
-  std::map<std::string, TimePoint> AskedAt;
+  std::map<QuestionKey, TimePoint> AskedAt;
   std::uint64_t LastQuestion = 0;
   TimePoint NextHello;
 };
