Let one VM promote at a time

Ruled out: longer delays between ranks (they lengthen the gap when the first rank is lost); the store alone (an unread token says nothing of its age). Change: the acting VM tells its peers, who wait 1.5 s; a token that has grown since it was last seen makes a VM wait as well; targets are asked for up to 500 ms until all have answered.

--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -110,8 +110,10 @@
     takeHello(*Hello, Now);
   else if (const auto *Question = std::get_if<GroupQuestion>(&Known))
     takeQuestion(*Question, Now);
-  else
-    takeAnswer(std::get<GroupAnswer>(Known), Now);
+  else if (const auto *Answer = std::get_if<GroupAnswer>(&Known))
+    takeAnswer(*Answer, Now);
+  else if (NoticeHook)
+    NoticeHook(std::get<PromotionNotice>(Known));
 }
 
 void PeerExchange::takeHello(const PeerHello &Hello, TimePoint Now) {
@@ -320,6 +322,13 @@
     sendTo(Entry.RouterPeer, Question);
 }
 
+void PeerExchange::announcePromotion(const std::string &Group,
+                                     std::uint64_t Token, TimePoint Now) {
+  PromotionNotice Notice{.From = Opts.Vm, .Group = Group, .Token = Token};
+  for (const VmEntry &Entry : livePeers(Now))
+    sendTo(Entry.RouterPeer, Notice);
+}
+
 HttpResponse PeerExchange::answerState() const {
   HttpResponse Response;
   Response.ContentType = "application/cbor";
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -75,6 +76,14 @@
   void askAbout(const std::string &Group, const std::string &Instance,
                 TimePoint Now);
 
+  /// Tells all peers that this VM replaces the primary of \p Group.
+  void announcePromotion(const std::string &Group, std::uint64_t Token,
+                         TimePoint Now);
+  /// Called for each such notice of a peer.
+  void onPromotion(std::function<void(const PromotionNotice &)> Hook) {
+    NoticeHook = std::move(Hook);
+  }
+
   /// Whether the own store can be read; if not, targets come from peers.
   void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
 
@@ -124,6 +133,7 @@
   std::map<std::uint64_t, OpenQuestion> Questions;
   std::map<QuestionKey, TimePoint> AskedAt;
   std::uint64_t LastQuestion = 0;
+  std::function<void(const PromotionNotice &)> NoticeHook;
   TimePoint NextHello;
 };
 
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Proxy/PeerMessage.cpp
@@ -42,6 +42,13 @@
   return Out;
 }
 
+static Json toJson(const PromotionNotice &Message) {
+  return Json{{"t", "act"},
+              {"from", Message.From},
+              {"group", Message.Group},
+              {"token", Message.Token}};
+}
+
 static PeerHello helloFrom(const Json &In) {
   PeerHello Out;
   Out.Self = vmEntryFrom(In.at("self"));
@@ -75,6 +82,14 @@
   return Out;
 }
 
+static PromotionNotice noticeFrom(const Json &In) {
+  PromotionNotice Out;
+  Out.From = In.at("from").get<std::string>();
+  Out.Group = In.at("group").get<std::string>();
+  Out.Token = In.at("token").get<std::uint64_t>();
+  return Out;
+}
+
 static PeerMessage messageFrom(const Json &In) {
   std::string Type = In.at("t").get<std::string>();
   if (Type == "hello")
@@ -83,6 +98,8 @@
     return questionFrom(In);
   if (Type == "say")
     return answerFrom(In);
+  if (Type == "act")
+    return noticeFrom(In);
   throw std::invalid_argument("unknown message '" + Type + "'");
 }
 
--- a/src/Proxy/PeerMessage.h
+++ b/src/Proxy/PeerMessage.h
@@ -48,7 +48,16 @@
   Millis ProofAge = Millis::zero();
 };
 
-using PeerMessage = std::variant<PeerHello, GroupQuestion, GroupAnswer>;
+/// Says that the sender replaces a group's primary, so that others wait.
+struct PromotionNotice {
+  std::string From;
+  std::string Group;
+  /// The fencing token that the sender uses; 0 while it has none yet.
+  std::uint64_t Token = 0;
+};
+
+using PeerMessage =
+    std::variant<PeerHello, GroupQuestion, GroupAnswer, PromotionNotice>;
 
 /// CBOR bytes of \p Message, small enough for a datagram.
 std::string encodePeerMessage(const PeerMessage &Message);
--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -42,7 +42,11 @@
                                  ObjectStore &Store, PromotionOrders &Orders,
                                  Metrics &Meter)
     : Loop(Loop), Opts(std::move(NewOpts)), Service(Service), Peers(Peers),
-      Store(Store), Orders(Orders), Meter(Meter) {}
+      Store(Store), Orders(Orders), Meter(Meter) {
+  Peers.onPromotion([this](const PromotionNotice &Notice) {
+    defer(Notice.Group, Notice.Token);
+  });
+}
 
 PromotionDriver::~PromotionDriver() = default;
 
@@ -51,6 +55,13 @@
     check(*Group, Now);
 }
 
+void PromotionDriver::defer(const std::string &Group, std::uint64_t Token) {
+  Progress &Step = Groups[Group];
+  Step.SeenToken = std::max(Step.SeenToken, Token);
+  Step.NotBefore =
+      std::max(Step.NotBefore, BootClock::now() + Opts.Deference);
+}
+
 std::size_t PromotionDriver::rankFor(const std::string &Group,
                                      TimePoint Now) const {
   std::hash<std::string> Hash;
@@ -102,13 +113,14 @@
       "promotion begins",
       {{"group", Group}, {"old_primary", Old}, {"why", Cause}});
   TimePoint Start = BootClock::now();
+  Peers.announcePromotion(Group, 0, Start);
   bool Done = co_await attempt(Group, Old, Why);
   TimePoint Now = BootClock::now();
   Progress &Step = Groups[Group];
   Step.Underway = false;
   Step.DueSince.reset();
   if (!Done)
-    Step.NotBefore = Now + Opts.Pause;
+    Step.NotBefore = std::max(Step.NotBefore, Now + Opts.Pause);
   Meter.count("promotions_total",
               {{"why", Cause}, {"outcome", Done ? "done" : "not_done"}});
   Meter.observe("promotion_seconds", Now - Start, {{"why", Cause}});
@@ -141,7 +153,9 @@
     co_return false;
   }
   Dispatcher = Service.findGroup(Group);
-  bool StillDue = Dispatcher && Dispatcher->leader().primary() == Old;
+  bool Deferring = BootClock::now() < Groups[Group].NotBefore;
+  bool StillDue = Dispatcher && !Deferring &&
+                  Dispatcher->leader().primary() == Old;
   if (!StillDue)
     co_return false;
   std::uint64_t Epoch = Dispatcher->leader().epoch();
@@ -219,13 +233,25 @@
   if (const Error *E = errorOf(Before))
     co_return *E;
   const StoredObject &Held = valueOf(Before);
-  std::uint64_t Token = internal::tokenOf(Held) + 1;
+  std::uint64_t LastToken = internal::tokenOf(Held);
+  Progress &Step = Groups[Group];
+  bool Overtaken = Step.SeenToken != 0 && LastToken > Step.SeenToken;
+  Step.SeenToken = std::max(Step.SeenToken, LastToken);
+  if (Overtaken) {
+    defer(Group, LastToken);
+    co_return Error{.Code = ErrorCode::Conflict,
+                    .Message = "another VM has claimed meanwhile"};
+  }
+  std::uint64_t Token = LastToken + 1;
   nlohmann::json Value{
       {"token", Token}, {"holder", Opts.Vm}, {"target", Instance}};
   WriteAnswer Written = co_await Store.write(
       internal::TokensKind, Group, Value.dump(), Held.Version, Opts.StoreLimit);
-  if (Written.End == WriteEnd::Accepted)
+  if (Written.End == WriteEnd::Accepted) {
+    Groups[Group].SeenToken = Token;
+    Peers.announcePromotion(Group, Token, BootClock::now());
     co_return Claim{.Token = Token};
+  }
   // A claim without an answer is not settled: the token is never used, and the
   // next attempt takes a higher one.
   co_return Error{
--- a/src/Proxy/PromotionDriver.h
+++ b/src/Proxy/PromotionDriver.h
@@ -46,7 +46,7 @@
     /// Ranks beyond this wait no longer.
     std::size_t LastRank = 6;
     /// Time in which targets are asked how far their logs reach.
-    Duration SurveyLimit = std::chrono::milliseconds(200);
+    Duration SurveyLimit = std::chrono::milliseconds(500);
     /// Time for a successor to take in the log of a primary that leaves.
     Duration CatchUpLimit = std::chrono::milliseconds(400);
     Duration StoreLimit = std::chrono::milliseconds(700);
@@ -55,6 +55,8 @@
     Duration OpenLimit = std::chrono::milliseconds(900);
     /// Pause of this VM after it was overtaken or failed.
     Duration Pause = std::chrono::milliseconds(700);
+    /// Time that another VM's attempt is given before this one acts.
+    Duration Deference = std::chrono::milliseconds(1500);
   };
 
   PromotionDriver(boost::asio::io_context &Loop, Options Opts,
@@ -71,6 +73,8 @@
     bool Underway = false;
     std::optional<TimePoint> DueSince;
     TimePoint NotBefore;
+    /// Highest fencing token that this VM has seen for the group.
+    std::uint64_t SeenToken = 0;
   };
   struct Candidate {
     std::string Instance;
@@ -82,6 +86,8 @@
   using Statuses = std::map<std::string, TargetStatus>;
 
   void check(GroupDispatcher &Group, TimePoint Now);
+  /// Another VM acts on \p Group, with \p Token if it is not 0.
+  void defer(const std::string &Group, std::uint64_t Token);
   std::optional<Reason> reasonToAct(GroupDispatcher &Group, TimePoint Now);
   std::size_t rankFor(const std::string &Group, TimePoint Now) const;
   boost::asio::awaitable<void> act(std::string Group, std::string Old,
