Count a primary's silence from the request that found it

Cause: the 600 ms after which a silent primary is lost began when its silence was noticed, 250 ms after the request. Change: the failure is noted for the time at which the request was sent. Conclusion: kept for the 250 ms; a test states it.

--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -456,7 +456,7 @@
   // A target that answers others in the meantime is slow, not silent.
   std::optional<Duration> Heard = Watch.heard(Instance, Now);
   if (!Heard || *Heard >= Now - Since)
-    Watch.noteFailure(Instance, Now);
+    Watch.noteFailure(Instance, Since);
 }
 
 void GroupDispatcher::checkProbes(TimePoint Now) {
--- a/test/Proxy/PrimaryWatchTest.cpp
+++ b/test/Proxy/PrimaryWatchTest.cpp
@@ -87,3 +87,12 @@
   W.Watch.noteFailure("a", Start);
   BOOST_TEST(W.Watch.isLost(0, Start + 1s));
 }
+
+// Silence counts from the request that found it, not from when it was noticed.
+BOOST_AUTO_TEST_CASE(failuresMayBeNotedForAnEarlierTime) {
+  WatchOfSeven W;
+  W.Watch.noteContact("a", Start);
+  W.Watch.noteFailure("a", Start + 10ms);
+  W.peersSay(6, 600ms, Start + 600ms);
+  BOOST_TEST(W.Watch.isLost(6, Start + 610ms));
+}
