Let a survey's status go before callers' statements

Change: a status that is asked for takes the next connection that is given back, before any statement that waits.

--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -264,8 +264,7 @@
       if (*Still)
         onLinkLost(Instance);
     });
-    T->Free.push_back(Link);
-    return schedulePump();
+    return giveBack(Link);
   }
   // Further failures in a row say nothing new.
   if (T->FailuresInRow < internal::MaxOpenPauses)
@@ -304,6 +303,8 @@
   Target *T = find(Link->instance());
   if (!T || !Link->isOpen() || !Link->isIdle())
     return Link->close();
+  if (serveStatus(*T, Link))
+    return;
   T->Free.push_back(Link);
   schedulePump();
 }
@@ -560,21 +561,47 @@
     return Hook(Instance, nullptr);
   while (!T->Free.empty() && !T->Free.back()->isOpen())
     T->Free.pop_back();
-  if (T->Free.empty()) {
-    if (T->All.size() < std::max(Share, 1U) && Now >= T->NextOpen)
-      openLink(Instance, Now);
-    return Hook(Instance, nullptr);
+  T->StatusWaiters.push_back(
+      {.Hook = std::move(Hook), .GiveUpAt = Now + Opts.ProbeLimit});
+  if (!T->Free.empty()) {
+    std::shared_ptr<TargetLink> Link = T->Free.back();
+    T->Free.pop_back();
+    serveStatus(*T, Link);
+    return;
   }
-  std::shared_ptr<TargetLink> Link = T->Free.back();
-  T->Free.pop_back();
+  if (T->All.size() < std::max(Share, 1U) && Now >= T->NextOpen)
+    openLink(Instance, Now);
+}
+
+bool GroupDispatcher::serveStatus(Target &T,
+                                  const std::shared_ptr<TargetLink> &Link) {
+  if (T.StatusWaiters.empty())
+    return false;
+  // One answer serves all that wait.
+  std::deque<StatusWaiter> Waiters = std::exchange(T.StatusWaiters, {});
   Probes[Link.get()] = Link;
-  Link->askStatus([this, Still = Alive, Link, Hook](const TargetReply *Reply) {
-    if (!*Still)
-      return;
-    if (Reply)
-      giveBack(Link);
-    takeStatus(Link->instance(), Reply, Hook);
-  });
+  Link->askStatus(
+      [this, Still = Alive, Link, Waiters](const TargetReply *Reply) {
+        if (!*Still)
+          return;
+        if (Reply)
+          giveBack(Link);
+        for (const StatusWaiter &Each : Waiters)
+          takeStatus(Link->instance(), Reply, Each.Hook);
+      });
+  return true;
+}
+
+void GroupDispatcher::expireStatus(TimePoint Now) {
+  std::vector<std::pair<std::string, StatusHook>> Late;
+  for (auto &[Name, T] : Targets)
+    while (!T.StatusWaiters.empty() &&
+           Now >= T.StatusWaiters.front().GiveUpAt) {
+      Late.emplace_back(Name, std::move(T.StatusWaiters.front().Hook));
+      T.StatusWaiters.pop_front();
+    }
+  for (const auto &[Name, Hook] : Late)
+    Hook(Name, nullptr);
 }
 
 void GroupDispatcher::demote(const std::string &Instance, Term Below,
@@ -607,6 +634,7 @@
 
 void GroupDispatcher::sweep(TimePoint Now) {
   expire(Now);
+  expireStatus(Now);
   checkLinks(Now);
   checkProbes(Now);
   searchPrimary(Now);
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -9,6 +9,7 @@
 #include "Proxy/TargetLink.h"
 #include "Routing/ReadRouter.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -91,8 +92,8 @@
   /// A request to \p Instance had no answer in time.
   void noteSilence(const std::string &Instance);
 
-  /// Asks a target for its status; the hook gets null when no connection is
-  /// free.
+  /// Asks a target for its status over the next connection to it that becomes
+  /// free; the hook gets null when none does in time.
   void askStatus(const std::string &Instance, StatusHook Hook);
   /// \p Instance said that it is primary.
   void noteClaim(const std::string &Instance);
@@ -118,11 +119,17 @@
   std::uint64_t linksOpened() const { return Opened; }
 
 private:
+  struct StatusWaiter {
+    StatusHook Hook;
+    TimePoint GiveUpAt;
+  };
   struct Target {
     TargetEntry Entry;
     std::vector<std::shared_ptr<TargetLink>> Free;
     /// Every link that is open, opening or lent.
     std::vector<std::weak_ptr<TargetLink>> All;
+    /// Go before callers' statements: a promotion may wait for them.
+    std::deque<StatusWaiter> StatusWaiters;
     unsigned Opening = 0;
     unsigned FailuresInRow = 0;
     TimePoint NextOpen;
@@ -156,6 +163,9 @@
                       TimePoint Now);
   void refreshProof(TimePoint Now);
   void searchPrimary(TimePoint Now);
+  /// Uses \p Link for a status that is waited for; false when none is.
+  bool serveStatus(Target &T, const std::shared_ptr<TargetLink> &Link);
+  void expireStatus(TimePoint Now);
   void takeStatus(const std::string &Instance, const TargetReply *Reply,
                   const StatusHook &Hook);
 
--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -181,27 +181,25 @@
 boost::asio::awaitable<PromotionDriver::Statuses>
 PromotionDriver::survey(std::string Group, std::string Except) {
   auto Known = std::make_shared<Statuses>();
+  auto Missing = std::make_shared<std::size_t>(0);
+  GroupDispatcher *Dispatcher = Service.findGroup(Group);
+  if (!Dispatcher)
+    co_return *Known;
+  for (const TargetEntry &Entry : Dispatcher->entries()) {
+    if (Entry.Instance == Except)
+      continue;
+    ++*Missing;
+    Dispatcher->askStatus(Entry.Instance,
+                          [Known, Missing](const std::string &Instance,
+                                           const TargetStatus *Status) {
+                            --*Missing;
+                            if (Status)
+                              (*Known)[Instance] = *Status;
+                          });
+  }
   TimePoint End = BootClock::now() + Opts.SurveyLimit;
-  while (BootClock::now() < End) {
-    GroupDispatcher *Dispatcher = Service.findGroup(Group);
-    if (!Dispatcher)
-      break;
-    std::size_t Missing = 0;
-    for (const TargetEntry &Entry : Dispatcher->entries()) {
-      if (Entry.Instance == Except || Known->count(Entry.Instance))
-        continue;
-      ++Missing;
-      Dispatcher->askStatus(
-          Entry.Instance,
-          [Known](const std::string &Instance, const TargetStatus *Status) {
-            if (Status)
-              (*Known)[Instance] = *Status;
-          });
-    }
-    if (Missing == 0)
-      break;
+  while (*Missing > 0 && BootClock::now() < End)
     co_await sleepFor(internal::LookPeriod);
-  }
   co_return *Known;
 }
 
