Hold a fencing token in advance, so that a primary is replaced without the store

Change: the first VM in rank claims the next token before it is needed, uses it once and claims another; the mark of tokens seen goes, as a reservation is no sign of another promotion: notices between VMs say that.

--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -43,9 +43,8 @@
                                  Metrics &Meter)
     : Loop(Loop), Opts(std::move(NewOpts)), Service(Service), Peers(Peers),
       Store(Store), Orders(Orders), Meter(Meter) {
-  Peers.onPromotion([this](const PromotionNotice &Notice) {
-    defer(Notice.Group, Notice.Token);
-  });
+  Peers.onPromotion(
+      [this](const PromotionNotice &Notice) { defer(Notice.Group); });
 }
 
 PromotionDriver::~PromotionDriver() = default;
@@ -55,9 +54,8 @@
     check(*Group, Now);
 }
 
-void PromotionDriver::defer(const std::string &Group, std::uint64_t Token) {
+void PromotionDriver::defer(const std::string &Group) {
   Progress &Step = Groups[Group];
-  Step.SeenToken = std::max(Step.SeenToken, Token);
   Step.NotBefore = std::max(Step.NotBefore, BootClock::now() + Opts.Deference);
 }
 
@@ -94,6 +92,7 @@
   std::optional<Reason> Why = reasonToAct(Group, Now);
   if (!Why) {
     Step.DueSince.reset();
+    reserveIfFirst(Group.group(), Step, Now);
     return;
   }
   if (!Step.DueSince)
@@ -105,6 +104,36 @@
   spawn(Loop, act(Group.group(), Group.leader().primary(), *Why));
 }
 
+void PromotionDriver::reserveIfFirst(const std::string &Group, Progress &Step,
+                                     TimePoint Now) {
+  bool Due = !Step.Reserved && !Step.Reserving && Now >= Step.NextReservation;
+  if (!Due || rankFor(Group, Now) != 0)
+    return;
+  Step.Reserving = true;
+  Step.NextReservation = Now + Opts.ReservationPause;
+  spawn(Loop, reserve(Group));
+}
+
+boost::asio::awaitable<void> PromotionDriver::reserve(std::string Group) {
+  Result<Claim> Claimed = co_await claim(Group, "");
+  Progress &Step = Groups[Group];
+  Step.Reserving = false;
+  if (errorOf(Claimed))
+    co_return; // Tried again after the pause; the store's client logs it.
+  Step.Reserved = valueOf(Claimed);
+  internal::Logger.info(
+      "token reserved",
+      {{"group", Group}, {"token", std::to_string(Step.Reserved->Token)}});
+}
+
+boost::asio::awaitable<Result<PromotionDriver::Claim>>
+PromotionDriver::tokenFor(std::string Group, std::string Instance) {
+  std::optional<Claim> Held = std::exchange(Groups[Group].Reserved, {});
+  if (Held)
+    co_return *Held;
+  co_return co_await claim(Group, Instance);
+}
+
 boost::asio::awaitable<void> PromotionDriver::act(std::string Group,
                                                   std::string Old, Reason Why) {
   const char *Cause = Why == Reason::Lost ? "lost" : "leaving";
@@ -145,12 +174,13 @@
         {{"group", Group}, {"answers", std::to_string(Known.size())}});
     co_return false;
   }
-  Result<Claim> Claimed = co_await claim(Group, Chosen->Instance);
+  Result<Claim> Claimed = co_await tokenFor(Group, Chosen->Instance);
   if (const Error *E = errorOf(Claimed)) {
     internal::Logger.info("claim failed",
                           {{"group", Group}, {"why", E->Message}});
     co_return false;
   }
+  Peers.announcePromotion(Group, valueOf(Claimed).Token, BootClock::now());
   Dispatcher = Service.findGroup(Group);
   bool Deferring = BootClock::now() < Groups[Group].NotBefore;
   bool StillDue =
@@ -230,25 +260,13 @@
   if (const Error *E = errorOf(Before))
     co_return *E;
   const StoredObject &Held = valueOf(Before);
-  std::uint64_t LastToken = internal::tokenOf(Held);
-  Progress &Step = Groups[Group];
-  bool Overtaken = Step.SeenToken != 0 && LastToken > Step.SeenToken;
-  Step.SeenToken = std::max(Step.SeenToken, LastToken);
-  if (Overtaken) {
-    defer(Group, LastToken);
-    co_return Error{.Code = ErrorCode::Conflict,
-                    .Message = "another VM has claimed meanwhile"};
-  }
-  std::uint64_t Token = LastToken + 1;
+  std::uint64_t Token = internal::tokenOf(Held) + 1;
   nlohmann::json Value{
       {"token", Token}, {"holder", Opts.Vm}, {"target", Instance}};
   WriteAnswer Written = co_await Store.write(
       internal::TokensKind, Group, Value.dump(), Held.Version, Opts.StoreLimit);
-  if (Written.End == WriteEnd::Accepted) {
-    Groups[Group].SeenToken = Token;
-    Peers.announcePromotion(Group, Token, BootClock::now());
+  if (Written.End == WriteEnd::Accepted)
     co_return Claim{.Token = Token};
-  }
   // A claim without an answer is not settled: the token is never used, and the
   // next attempt takes a higher one.
   co_return Error{
--- a/src/Proxy/PromotionDriver.h
+++ b/src/Proxy/PromotionDriver.h
@@ -31,9 +31,11 @@
 /// \brief Replaces lost primaries, and hands over from those that leave.
 ///
 /// Any VM may act; VMs wait by their rank for a group, so that usually one
-/// does. Each attempt claims the group's next fencing token by a conditional
-/// update in the store and uses it for one order only: an order without an
-/// answer may be carried out seconds later and must not match a later attempt.
+/// does. Each order uses a fencing token of its own, claimed by a
+/// conditional update in the store: an order without an answer may be carried
+/// out seconds later and must not match a later attempt. The first VM in rank
+/// holds an unused token in advance, so that it can act while the store is
+/// away.
 /// Among the targets that answer, the one whose log reaches furthest is chosen.
 /// A primary that leaves is first made a replica, so that its successor can
 /// take in its whole log before it opens.
@@ -55,6 +57,8 @@
     Duration OpenLimit = std::chrono::milliseconds(900);
     /// Pause of this VM after it was overtaken or failed.
     Duration Pause = std::chrono::milliseconds(700);
+    /// Pause before another attempt to reserve a token.
+    Duration ReservationPause = std::chrono::milliseconds(2000);
     /// Time that another VM's attempt is given before this one acts.
     Duration Deference = std::chrono::milliseconds(1500);
   };
@@ -69,25 +73,32 @@
 
 private:
   enum class Reason { Lost, Leaving };
+  struct Claim {
+    std::uint64_t Token = 0;
+  };
   struct Progress {
     bool Underway = false;
     std::optional<TimePoint> DueSince;
     TimePoint NotBefore;
-    /// Highest fencing token that this VM has seen for the group.
-    std::uint64_t SeenToken = 0;
+    /// Token claimed in advance and not used yet.
+    std::optional<Claim> Reserved;
+    bool Reserving = false;
+    TimePoint NextReservation;
   };
   struct Candidate {
     std::string Instance;
     LogPosition Received;
   };
-  struct Claim {
-    std::uint64_t Token = 0;
-  };
   using Statuses = std::map<std::string, TargetStatus>;
 
   void check(GroupDispatcher &Group, TimePoint Now);
-  /// Another VM acts on \p Group, with \p Token if it is not 0.
-  void defer(const std::string &Group, std::uint64_t Token);
+  /// Another VM acts on \p Group.
+  void defer(const std::string &Group);
+  void reserveIfFirst(const std::string &Group, Progress &Step, TimePoint Now);
+  boost::asio::awaitable<void> reserve(std::string Group);
+  /// The reserved token, or a new one.
+  boost::asio::awaitable<Result<Claim>> tokenFor(std::string Group,
+                                                 std::string Instance);
   std::optional<Reason> reasonToAct(GroupDispatcher &Group, TimePoint Now);
   std::size_t rankFor(const std::string &Group, TimePoint Now) const;
   boost::asio::awaitable<void> act(std::string Group, std::string Old,
--- /dev/null
+++ b/test/Proxy/PromotionDriverTest.cpp
@@ -0,0 +1,174 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE PromotionDriver
+#include <boost/test/unit_test.hpp>
+
+#include "Fakes/MemoryStore.h"
+#include "Http/HttpClient.h"
+#include "Platform/PromotionOrders.h"
+#include "Proxy/PeerExchange.h"
+#include "Proxy/PromotionDriver.h"
+#include "Proxy/ProxyWorld.h"
+
+#include <set>
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+
+namespace {
+
+/// Orders that an emulated group carries out.
+class EmulatedOrders : public PromotionOrders {
+public:
+  explicit EmulatedOrders(emulator::EmulatedGroup &Group) : Group(Group) {}
+
+  boost::asio::awaitable<OrderEnd> promote(std::string, std::string Instance,
+                                           std::string, std::uint64_t Token,
+                                           Duration) override {
+    Tokens.push_back(Token);
+    if (LoseOrders > 0) {
+      --LoseOrders;
+      co_return OrderEnd::Unknown;
+    }
+    if (Token < Highest || Group.at(Instance).Down)
+      co_return OrderEnd::Refused;
+    Highest = Token;
+    Group.promote(Instance, BootClock::now());
+    co_return OrderEnd::Accepted;
+  }
+
+  std::vector<std::uint64_t> Tokens;
+  int LoseOrders = 0;
+
+private:
+  emulator::EmulatedGroup &Group;
+  std::uint64_t Highest = 0;
+};
+
+/// A world whose VM promotes, without peers.
+struct PromotingWorld : ProxyWorld {
+  PromotingWorld()
+      : Store(Loop), Orders(Group), Http(Loop, HttpClient::Options{}),
+        Peers(Loop, peerOptions(), Http, *Service),
+        Driver(Loop, {.Vm = "vm-1"}, *Service, Peers, Store, Orders, Meter) {
+    onSweep([this](TimePoint Now) { Driver.sweep(Now); });
+  }
+  ~PromotingWorld() { onSweep(nullptr); }
+
+  static PeerExchange::Options peerOptions() {
+    PeerExchange::Options Out;
+    Out.Vm = "vm-1";
+    Out.Address = "127.0.0.1";
+    Out.Random = [] { return 4; };
+    return Out;
+  }
+  bool primaryBecomes(const std::string &Id) {
+    return runUntil([&] {
+      return Group.primary() == Id &&
+             Service->findGroup("g")->leader().primary() == Id &&
+             Service->findGroup("g")->leader().isProved();
+    });
+  }
+
+  fakes::MemoryStore Store;
+  EmulatedOrders Orders;
+  HttpClient Http;
+  PeerExchange Peers;
+  PromotionDriver Driver;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aLostPrimaryIsReplacedByTheMostAdvancedReplica) {
+  PromotingWorld World;
+  ProxyCaller Caller(World, "latest");
+  World.Group.at("b").Deaf = true;
+  Caller.ask("WRITE i1 kept");
+  TimePoint Start = BootClock::now();
+  World.instance("a").crash();
+  BOOST_TEST(World.primaryBecomes("c"));
+  BOOST_TEST((BootClock::now() - Start < std::chrono::seconds(3)));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+  BOOST_TEST(Caller.ask("READ i1").starts_with("ROW kept"));
+}
+
+BOOST_AUTO_TEST_CASE(aHealthyPrimaryIsNeverReplaced) {
+  PromotingWorld World;
+  ProxyCaller Caller(World, "own");
+  for (int I = 0; I < 100; ++I) {
+    Caller.ask("WRITE i1 x");
+    Caller.ask("READ i1");
+    World.runFor(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(World.Orders.Tokens.empty());
+}
+
+// All connections are lent; the survey of the replicas must not wait for long.
+BOOST_AUTO_TEST_CASE(aSurveyGoesBeforeCallersStatements) {
+  PromotingWorld World;
+  for (const char *Id : {"b", "c"})
+    World.instance(Id).Faults.Work = std::chrono::milliseconds(40);
+  std::vector<std::unique_ptr<ProxyCaller>> Callers;
+  for (int I = 0; I < 40; ++I)
+    Callers.push_back(std::make_unique<ProxyCaller>(World, "bounded"));
+  ProxyCaller Writer(World, "latest");
+  World.Group.at("b").Deaf = true;
+  Writer.ask("WRITE i1 kept");
+  for (auto &Caller : Callers)
+    Caller->send("QUERY many READ i1");
+  World.instance("a").crash();
+  BOOST_TEST(World.primaryBecomes("c"));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aPrimaryThatLeavesLosesNoWrite) {
+  PromotingWorld World;
+  ProxyCaller Caller(World, "latest");
+  for (const char *Id : {"b", "c"})
+    World.Group.at(Id).Lag = std::chrono::milliseconds(100);
+  Caller.ask("WRITE i1 kept");
+  World.Leaving = {"a"};
+  World.listTargets();
+  BOOST_TEST(World.runUntil([&] {
+    return World.Group.primary() != "a" && !World.Group.primary().empty();
+  }));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+  BOOST_TEST(World.primaryBecomes(World.Group.primary()));
+  BOOST_TEST(Caller.ask("READ i1").starts_with("ROW kept"));
+}
+
+// The lost order may still be carried out; the next one must not carry its
+// token.
+BOOST_AUTO_TEST_CASE(everyOrderHasATokenOfItsOwn) {
+  PromotingWorld World;
+  World.Orders.LoseOrders = 2;
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  std::set<std::uint64_t> Distinct(World.Orders.Tokens.begin(),
+                                   World.Orders.Tokens.end());
+  BOOST_TEST(World.Orders.Tokens.size() == 3);
+  BOOST_TEST(Distinct.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(aTokenHeldInAdvanceServesWhileTheStoreIsAway) {
+  PromotingWorld World;
+  World.runFor(std::chrono::milliseconds(100));
+  World.Store.Outage = true;
+  TimePoint Start = BootClock::now();
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  BOOST_TEST((BootClock::now() - Start < std::chrono::seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(aClaimWithoutAnAnswerIsNotUsed) {
+  PromotingWorld World;
+  World.runFor(std::chrono::milliseconds(100));
+  World.Store.LoseAnswers = 1;
+  World.Orders.LoseOrders = 1;
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  std::set<std::uint64_t> Distinct(World.Orders.Tokens.begin(),
+                                   World.Orders.Tokens.end());
+  BOOST_TEST(Distinct.size() == World.Orders.Tokens.size());
+}
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -83,6 +83,8 @@
     if (Now - LastSweep > SweepPeriod) {
       LastSweep = Now;
       Service->sweep(Now);
+      if (SweepHook)
+        SweepHook(Now);
     }
     Loop.restart();
     Loop.run_one_for(std::chrono::milliseconds(1));
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -33,6 +33,10 @@
   /// the latter case.
   bool runUntil(const std::function<bool()> &Reached);
   void runFor(Duration Time);
+  /// Called with every sweep.
+  void onSweep(std::function<void(TimePoint)> Hook) {
+    SweepHook = std::move(Hook);
+  }
 
   /// Tells the proxy what the registry lists.
   void listTargets();
@@ -58,6 +62,7 @@
 
 private:
   TimePoint LastSweep;
+  std::function<void(TimePoint)> SweepHook;
 };
 
 /// \class ProxyCaller
