Let sessions wait for the first configuration

Ruled out: an old configuration from a peer (version 0 was in force). Change: a session that opens before the first configuration waits for it. Test: SessionLifeTest, which did not end before.

--- a/src/Proxy/CallerSession.cpp
+++ b/src/Proxy/CallerSession.cpp
@@ -69,7 +69,7 @@
   if (std::holds_alternative<EndSession>(Message))
     return close();
   if (const OpenSession *Opening = std::get_if<OpenSession>(&Message)) {
-    if (Started)
+    if (Started || !WaitingFor.empty())
       return rejectMessage({.Id = "", .Reason = "the session is open"});
     return openSession(Opening->Database);
   }
@@ -83,7 +83,17 @@
   takeNext();
 }
 
+void CallerSession::retryOpen() {
+  if (!Started && !WaitingFor.empty() && !Ended)
+    openSession(std::exchange(WaitingFor, {}));
+}
+
 void CallerSession::openSession(const std::string &Name) {
+  // Before the first configuration nothing is known of any database.
+  if (Serve->Config().Version == 0) {
+    WaitingFor = Name;
+    return;
+  }
   std::string Bytes;
   if (!Serve->Config().findRoute(Name)) {
     Serve->Codec->encodeError(Bytes, ErrorCode::UnknownDatabase,
--- a/src/Proxy/CallerSession.h
+++ b/src/Proxy/CallerSession.h
@@ -47,6 +47,9 @@
 
   void start();
 
+  /// Opens the session if it has waited for a configuration.
+  void retryOpen();
+
   /// Applies the time limits; called every few milliseconds.
   void sweep(TimePoint Now);
 
@@ -115,6 +118,8 @@
   std::shared_ptr<const Host> Serve;
   std::string Database;
   bool Started = false;
+  /// Database of a session that waits for the first configuration.
+  std::string WaitingFor;
   bool Ended = false;
   SessionValues Values;
   /// Prepared shapes by the caller's name for them.
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -55,12 +55,21 @@
                          {"groups", std::to_string(Config->Groups.size())}});
   Meter.set("config_version", static_cast<double>(Config->Version));
   updateGroups();
+  if (Before->Version == 0)
+    openWaiting();
   closeDropped(*Before);
   if (ConfigHook)
     ConfigHook();
   return true;
 }
 
+void ProxyService::openWaiting() {
+  std::vector<std::shared_ptr<CallerSession>> Current(Sessions.begin(),
+                                                      Sessions.end());
+  for (const std::shared_ptr<CallerSession> &Session : Current)
+    Session->retryOpen();
+}
+
 void ProxyService::closeDropped(const ProxyConfig &Before) {
   std::vector<std::shared_ptr<CallerSession>> Dropped;
   for (const std::shared_ptr<CallerSession> &Session : Sessions) {
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -90,6 +90,7 @@
   void report(const RequestReport &Report);
   void updateGroups();
   void updateShares();
+  void openWaiting();
   void closeDropped(const ProxyConfig &Before);
   void sweepDrain(TimePoint Now);
 
--- a/test/Proxy/SessionEndTest.cpp
+++ b/test/Proxy/SessionLifeTest.cpp
@@ -1,7 +1,7 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#define BOOST_TEST_MODULE SessionEnd
+#define BOOST_TEST_MODULE SessionLife
 #include <boost/test/unit_test.hpp>
 
 #include "LineProtocol.h"
@@ -82,6 +82,22 @@
   BOOST_TEST(Text == "READY I -\r\nCOMPLETE -\r\nREADY I -\r\n");
 }
 
+// A VM that has just started knows no database; it must not say of one that it
+// does not exist.
+BOOST_AUTO_TEST_CASE(aSessionWaitsForTheFirstConfiguration) {
+  OneSession One;
+  One.Config.Version = 0;
+  One.Config.Routes.clear();
+  One.send("STARTUP orders u1\r\n");
+  One.Loop.run_for(std::chrono::milliseconds(20));
+  One.Config.Version = 1;
+  One.Config.Routes["orders"].Database = "orders";
+  One.Session->retryOpen();
+  while (!One.Session->closeIfIdle())
+    One.Loop.run_one();
+  BOOST_TEST(One.receiveAll() == "READY I -\r\n");
+}
+
 // Closing over bytes that were not read resets the connection and destroys
 // answers that are still on their way.
 BOOST_AUTO_TEST_CASE(aRequestThatCrossesTheCloseDoesNotResetTheConnection) {
