Reach a primary through a peer that reaches it

Ruled out: promotion (peers veto it, rightly; nothing of the log is lost). Change: TargetRelay carries a VM's connection to a target over a peer whose answer says that it reaches the target itself; a direct attempt follows each second. The line 'primary in doubt' says what peers answered.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -67,6 +67,7 @@
   Out.Region = Settings.Region;
   Out.Address = Settings.Address;
   Out.Port = Settings.PeerPort;
+  Out.RelayPort = Settings.RelayPort;
   for (const std::string &Seed : Settings.Seeds)
     Out.SeedAddresses.push_back(Seed.substr(0, Seed.rfind(':')));
   Out.Random = seededRandom();
@@ -84,7 +85,16 @@
                  *Opts.Orders, Meter),
       Registration(VmRegistration::Options{}, *Opts.Store, *Opts.Listings,
                    Peers),
+      Relay(Loop,
+            {.Address = Opts.Settings.Address,
+             .Port = Opts.Settings.RelayPort,
+             .AddressOf =
+                 [this](const std::string &Group, const std::string &Instance) {
+                   return Service.addressOf(Group, Instance);
+                 }}),
       Acceptor(Loop), Signals(Loop) {
+  Service.setRelayOf(
+      [this](const std::string &Peer) { return Peers.relayOf(Peer); });
   Service.onConfig([this] { Peers.announce(); });
   Service.setAskPeers(
       [this](const std::string &Group, const std::string &Instance) {
@@ -173,6 +183,7 @@
           co_return answerOperator(Request);
         });
   Peers.start();
+  Relay.start();
   spawn(Loop, Registration.run());
   listenForCallers();
   listenForSignals();
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -7,6 +7,7 @@
 #include "Proxy/PeerExchange.h"
 #include "Proxy/PromotionDriver.h"
 #include "Proxy/ProxyService.h"
+#include "Proxy/TargetRelay.h"
 #include "Proxy/VmRegistration.h"
 #include "Settings/ProxySettings.h"
 
@@ -66,6 +67,7 @@
   PeerExchange Peers;
   PromotionDriver Promotions;
   VmRegistration Registration;
+  TargetRelay Relay;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::signal_set Signals;
   std::unique_ptr<HttpServer> ReadinessServer;
--- a/src/Net/LineStream.cpp
+++ b/src/Net/LineStream.cpp
@@ -63,13 +63,17 @@
     return;
   }
   configureSocket();
+  Connecting = true;
   Socket.async_connect(
       Tcp::endpoint(Ip, static_cast<std::uint16_t>(Port)),
       [Self = shared_from_this(), Done](const ErrorCodeOf &Result) {
         if (!Self->Open)
           return;
+        Self->Connecting = false;
         if (Result)
           Self->Open = false;
+        else if (!Self->Out.empty())
+          Self->scheduleFlush();
         Done(!Result);
       });
 }
@@ -155,7 +159,7 @@
 }
 
 void LineStream::scheduleFlush() {
-  if (FlushScheduled || WaitingWritable)
+  if (FlushScheduled || WaitingWritable || Connecting)
     return;
   FlushScheduled = true;
   asio::post(Socket.get_executor(), [Self = shared_from_this()] {
--- a/src/Net/LineStream.h
+++ b/src/Net/LineStream.h
@@ -104,6 +104,7 @@
   bool Open = true;
   bool FlushScheduled = false;
   bool WaitingWritable = false;
+  bool Connecting = false;
   bool ReadPaused = false;
   bool Closing = false;
 };
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -4,6 +4,7 @@
 #include "Proxy/GroupDispatcher.h"
 
 #include "Observability/Log.h"
+#include "Proxy/TargetRelay.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -61,6 +62,11 @@
   return It == Targets.end() ? nullptr : &It->second.Entry;
 }
 
+bool GroupDispatcher::isUnreachable(const std::string &Instance) const {
+  auto It = Targets.find(Instance);
+  return It == Targets.end() || It->second.UnreachableSince.has_value();
+}
+
 std::vector<TargetEntry> GroupDispatcher::entries() const {
   std::vector<TargetEntry> Out;
   for (const auto &[Name, T] : Targets)
@@ -228,6 +234,15 @@
   return T.All.size() < Limit && Now >= T.NextOpen && T.Opening <= Queue.size();
 }
 
+std::string GroupDispatcher::relayFor(const std::string &Instance,
+                                      const Target &T, TimePoint Now) const {
+  bool Direct = !T.UnreachableSince || Now - T.LastDirect > Opts.DirectPause;
+  if (Direct || Instance != Watch.primary() || !Opts.RelayOf)
+    return {};
+  std::optional<std::string> Peer = Watch.relayPeer(Now);
+  return Peer ? Opts.RelayOf(*Peer) : std::string();
+}
+
 void GroupDispatcher::openLink(const std::string &Instance, TimePoint Now) {
   Target *T = find(Instance);
   assert(T && "only known targets are connected to");
@@ -237,11 +252,15 @@
   LinkOpts.Instance = Instance;
   LinkOpts.Address = T->Entry.Address;
   LinkOpts.Stream = Opts.Stream;
+  std::string Relay = relayFor(Instance, *T, Now);
+  if (!Relay.empty()) {
+    LinkOpts.Address = Relay;
+    LinkOpts.RelayRequest = TargetRelay::requestFor(Opts.Group, Instance);
+  }
   auto Link = std::make_shared<TargetLink>(Loop, LinkOpts);
   ++T->Opening;
   ++Opened;
   T->All.push_back(Link);
-  (void)Now;
   Link->open([this, Still = Alive, Instance, Link](std::optional<Error> E) {
     if (*Still)
       onOpened(Instance, Link, std::move(E));
@@ -258,6 +277,11 @@
   if (T->Opening > 0)
     --T->Opening;
   if (!Failure) {
+    if (!Link->isRelayed())
+      T->UnreachableSince.reset();
+    else if (T->FailuresInRow > 0)
+      internal::Logger.info("target reached through a peer",
+                            {{"group", Opts.Group}, {"target", Instance}});
     T->FailuresInRow = 0;
     Watch.noteContact(Instance, Now);
     Link->onLost([this, Still = Alive, Instance] {
@@ -271,7 +295,8 @@
     internal::Logger.info("connection not opened",
                           {{"group", Opts.Group},
                            {"target", Instance},
-                           {"address", T->Entry.Address},
+                           {"address", Link->address()},
+                           {"through_peer", Link->isRelayed() ? "yes" : "no"},
                            {"code", std::string(toString(Failure->Code))},
                            {"why", Failure->Message}});
   T->All.erase(std::remove_if(T->All.begin(), T->All.end(),
@@ -287,6 +312,8 @@
     T->CapUntil = Now + internal::CapTime;
     return;
   }
+  if (!Link->isRelayed())
+    T->noteUnreachable(Now);
   Watch.noteFailure(Instance, Now);
   if (InstanceView *View = viewOf(Instance))
     View->NotBefore = T->NextOpen;
@@ -365,8 +392,11 @@
   Watch.noteFailure(Instance, Now);
   if (InstanceView *View = viewOf(Instance))
     View->NotBefore = Now + Opts.ProbeLimit;
+  Target *T = find(Instance);
+  if (T)
+    T->noteUnreachable(Now);
   // What waits idle on the same path is probably as silent.
-  if (Target *T = find(Instance))
+  if (T)
     for (const std::shared_ptr<TargetLink> &Link : std::exchange(T->Free, {}))
       Link->close();
 }
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -54,6 +54,11 @@
     PrimaryWatch::Options Watch;
     /// Time without a known primary after which there is none.
     Duration NoPrimaryAfter = std::chrono::milliseconds(600);
+    /// Time between attempts to reach a target directly that peers reach.
+    Duration DirectPause = std::chrono::milliseconds(1000);
+    /// "ip:port" at which the VM \p Peer carries connections to targets; empty
+    /// when it does not.
+    std::function<std::string(const std::string &Peer)> RelayOf;
     /// Asks peers about the group's primary; empty for no peers.
     std::function<void(const std::string &Group, const std::string &Instance)>
         AskPeers;
@@ -115,6 +120,8 @@
   const std::string &group() const { return Opts.Group; }
   const TargetEntry *findEntry(const std::string &Instance) const;
   std::vector<TargetEntry> entries() const;
+  /// Whether this VM cannot open connections to \p Instance itself.
+  bool isUnreachable(const std::string &Instance) const;
   std::size_t waiting() const { return Queue.size(); }
   std::uint64_t linksOpened() const { return Opened; }
 
@@ -130,12 +137,21 @@
     std::vector<std::weak_ptr<TargetLink>> All;
     /// Go before callers' statements: a promotion may wait for them.
     std::deque<StatusWaiter> StatusWaiters;
+    /// Since when no connection could be opened directly.
+    std::optional<TimePoint> UnreachableSince;
+    /// When that was last tried.
+    TimePoint LastDirect;
     unsigned Opening = 0;
     unsigned FailuresInRow = 0;
     TimePoint NextOpen;
     /// Fewer than the share after the target refused a connection.
     unsigned Cap = 0;
     TimePoint CapUntil;
+
+    void noteUnreachable(TimePoint Now) {
+      UnreachableSince = UnreachableSince.value_or(Now);
+      LastDirect = Now;
+    }
   };
   using QueueKey = std::pair<unsigned, Ticket>;
 
@@ -149,6 +165,9 @@
   bool grantFrom(const std::string &Instance, LinkRequest &Request,
                  std::optional<LogPosition> Position, bool HasAlternatives);
   bool mayOpen(const Target &T, TimePoint Now) const;
+  /// "ip:port" of a VM that reaches the target, when this one does not.
+  std::string relayFor(const std::string &Instance, const Target &T,
+                       TimePoint Now) const;
   void openLink(const std::string &Instance, TimePoint Now);
   void onOpened(const std::string &Instance,
                 const std::shared_ptr<TargetLink> &Link,
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -57,11 +57,19 @@
   Out.FailureDomain = Opts.FailureDomain;
   Out.Region = Opts.Region;
   Out.RouterPeer = Opts.Address + ":" + std::to_string(Opts.Port);
+  Out.PoolerPeer = Opts.Address + ":" + std::to_string(Opts.RelayPort);
   Out.Leaving = Leaving;
   Out.Incarnation = Incarnation;
   return Out;
 }
 
+std::string PeerExchange::relayOf(const std::string &Vm) const {
+  for (const VmEntry &Entry : Members.usable())
+    if (Entry.Vm == Vm)
+      return Entry.PoolerPeer;
+  return {};
+}
+
 void PeerExchange::start() {
   boost::asio::ip::udp::endpoint Own(
       boost::asio::ip::make_address(Opts.Address), Opts.Port);
@@ -175,6 +183,7 @@
           Group->watch().heard(Question.Instance, Now);
       if (Heard)
         Answer.Heard = toMillis(*Heard);
+      Answer.Reaches = !Group->isUnreachable(Question.Instance);
       if (!Heard || *Heard > internal::ProbeAfter)
         Group->probePrimary();
     }
@@ -202,7 +211,8 @@
     return;
   const OpenQuestion &Question = It->second;
   if (!Question.Instance.empty())
-    Group->watch().notePeer(Answer.From, Question.Instance, Answer.Heard, Now);
+    Group->watch().notePeer(Answer.From, Question.Instance, Answer.Heard,
+                            Answer.Reaches, Now);
   // The peer's proof is at most as old as it says, counted from the question.
   if (!Answer.Primary.empty())
     Group->learnProof(Answer.Primary, Answer.End,
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -40,6 +40,8 @@
     std::string Region;
     std::string Address;
     std::uint16_t Port = 0;
+    /// Where this VM carries other VMs' connections to targets.
+    std::uint16_t RelayPort = 0;
     /// IP addresses of VMs to greet first.
     std::vector<std::string> SeedAddresses;
     Duration HelloPeriod = std::chrono::milliseconds(1000);
@@ -87,6 +89,10 @@
   /// Whether the own store can be read; if not, targets come from peers.
   void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
 
+  /// "ip:port" at which \p Vm carries connections to targets; empty when it is
+  /// not known.
+  std::string relayOf(const std::string &Vm) const;
+
   VmEntry self() const;
   /// Peers heard lately, without this VM and without those that leave.
   std::vector<VmEntry> livePeers(TimePoint Now) const;
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Proxy/PeerMessage.cpp
@@ -33,6 +33,7 @@
            {"from", Message.From},
            {"n", Message.Number},
            {"group", Message.Group},
+           {"reaches", Message.Reaches},
            {"primary", Message.Primary},
            {"term", Message.End.WrittenIn},
            {"index", Message.End.Index},
@@ -73,6 +74,7 @@
   Out.From = In.at("from").get<std::string>();
   Out.Number = In.at("n").get<std::uint64_t>();
   Out.Group = In.at("group").get<std::string>();
+  Out.Reaches = In.at("reaches").get<bool>();
   Out.Primary = In.at("primary").get<std::string>();
   Out.End.WrittenIn = In.at("term").get<Term>();
   Out.End.Index = In.at("index").get<LogIndex>();
--- a/src/Proxy/PeerMessage.h
+++ b/src/Proxy/PeerMessage.h
@@ -41,6 +41,8 @@
   std::string Group;
   /// How long ago the sender heard the instance that was asked about.
   std::optional<Millis> Heard;
+  /// Whether the sender reaches it without another VM's help.
+  bool Reaches = false;
   /// The instance whose lead was proved to the sender, the position of that
   /// proof, and how long ago it had been asked for; empty when none.
   std::string Primary;
--- a/src/Proxy/PrimaryWatch.h
+++ b/src/Proxy/PrimaryWatch.h
@@ -40,12 +40,19 @@
   /// \p Peer said at \p Now how long ago it heard \p Instance; empty when it
   /// never did.
   void notePeer(const std::string &Peer, const std::string &Instance,
-                std::optional<Duration> Heard, TimePoint Now);
+                std::optional<Duration> Heard, bool Reaches, TimePoint Now);
 
   const std::string &primary() const { return Primary; }
   /// How long ago the primary was heard; empty when never.
   std::optional<Duration> heard(const std::string &Instance,
                                 TimePoint Now) const;
+  /// Whether a peer heard the primary lately.
+  bool isPeerInTouch(TimePoint Now) const;
+  /// The peer that reaches the primary itself and heard it most recently, if
+  /// any did lately.
+  std::optional<std::string> relayPeer(TimePoint Now) const;
+  /// Peers whose answers count at \p Now.
+  std::size_t peersAnswered(TimePoint Now) const;
   /// Whether to look closer: probe it and ask peers.
   bool isSuspect(TimePoint Now) const;
   /// Whether to replace it, with \p Peers other VMs known.
@@ -57,9 +64,15 @@
   struct PeerEvidence {
     std::string Instance;
     std::optional<Duration> Heard;
+    bool Reaches = false;
     TimePoint At;
   };
 
+  /// How long ago the peer heard the present primary; empty when it did not
+  /// lately.
+  std::optional<Duration> heardBy(const PeerEvidence &Evidence,
+                                  TimePoint Now) const;
+
   Options Opts;
   std::string Primary;
   std::optional<TimePoint> HeardAt;
--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -24,6 +24,8 @@
 static const Log Logger("promotion");
 /// Kind of the objects that hold each group's last fencing token.
 static const char *const TokensKind = "cicadawind-promotions";
+/// Pause between log lines about one primary in doubt.
+constexpr Duration DoubtLinePeriod = std::chrono::milliseconds(1000);
 /// Pause between looks at what is awaited.
 constexpr Duration LookPeriod = std::chrono::milliseconds(20);
 
@@ -76,8 +78,10 @@
   const TargetEntry *Entry = Group.findEntry(Primary);
   if (Entry && Entry->Leaving)
     return Reason::Leaving;
-  if (Group.watch().isSuspect(Now))
+  if (Group.watch().isSuspect(Now)) {
     Peers.askAbout(Group.group(), Group.watch().primary(), Now);
+    logDoubt(Group, Now);
+  }
   if (Group.watch().isLost(Peers.livePeers(Now).size(), Now))
     return Reason::Lost;
   if (Primary.empty() && Group.hasNoPrimary(Now))
@@ -85,6 +89,24 @@
   return std::nullopt;
 }
 
+void PromotionDriver::logDoubt(GroupDispatcher &Group, TimePoint Now) {
+  Progress &Step = Groups[Group.group()];
+  if (Now < Step.NextDoubtLine)
+    return;
+  Step.NextDoubtLine = Now + internal::DoubtLinePeriod;
+  const PrimaryWatch &Watch = Group.watch();
+  Duration Failing = Now - Watch.failingSince().value_or(Now);
+  internal::Logger.info(
+      "primary in doubt",
+      {{"group", Group.group()},
+       {"target", Watch.primary()},
+       {"failing_ms", std::to_string(toMillis(Failing).count())},
+       {"peers", std::to_string(Peers.livePeers(Now).size())},
+       {"peers_answered", std::to_string(Watch.peersAnswered(Now))},
+       {"peer_in_touch", Watch.isPeerInTouch(Now) ? "yes" : "no"},
+       {"reached_through", Watch.relayPeer(Now).value_or("")}});
+}
+
 void PromotionDriver::check(GroupDispatcher &Group, TimePoint Now) {
   Progress &Step = Groups[Group.group()];
   if (Step.Underway || Now < Step.NotBefore || Service.isDraining())
--- a/src/Proxy/PromotionDriver.h
+++ b/src/Proxy/PromotionDriver.h
@@ -84,6 +84,7 @@
     std::optional<Claim> Reserved;
     bool Reserving = false;
     TimePoint NextReservation;
+    TimePoint NextDoubtLine;
   };
   struct Candidate {
     std::string Instance;
@@ -100,6 +101,7 @@
   boost::asio::awaitable<Result<Claim>> tokenFor(std::string Group,
                                                  std::string Instance);
   std::optional<Reason> reasonToAct(GroupDispatcher &Group, TimePoint Now);
+  void logDoubt(GroupDispatcher &Group, TimePoint Now);
   std::size_t rankFor(const std::string &Group, TimePoint Now) const;
   boost::asio::awaitable<void> act(std::string Group, std::string Old,
                                    Reason Why);
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -44,6 +44,15 @@
   return It == Groups.end() ? nullptr : It->second.get();
 }
 
+std::string ProxyService::addressOf(const std::string &Group,
+                                    const std::string &Instance) {
+  GroupDispatcher *Found = findGroup(Group);
+  const TargetEntry *Entry = Found ? Found->findEntry(Instance) : nullptr;
+  if (!Entry || Found->isUnreachable(Instance))
+    return {};
+  return Entry->Address;
+}
+
 bool ProxyService::applyConfig(std::shared_ptr<const ProxyConfig> Newer) {
   if (Newer->Version <= Config->Version)
     return false;
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -69,6 +69,8 @@
   const ProxyConfig &config() const { return *Config; }
   std::shared_ptr<const ProxyConfig> sharedConfig() const { return Config; }
   GroupDispatcher *findGroup(const std::string &Group);
+  /// "ip:port" of a target that this VM reaches itself; empty otherwise.
+  std::string addressOf(const std::string &Group, const std::string &Instance);
   const std::map<std::string, std::unique_ptr<GroupDispatcher>> &
   groups() const {
     return Groups;
@@ -84,6 +86,10 @@
           Hook) {
     Opts.Group.AskPeers = std::move(Hook);
   }
+  /// Sets where peers carry connections to targets, see GroupDispatcher.
+  void setRelayOf(std::function<std::string(const std::string &Peer)> Hook) {
+    Opts.Group.RelayOf = std::move(Hook);
+  }
   std::size_t sessions() const { return Sessions.size(); }
 
 private:
--- a/src/Proxy/TargetLink.cpp
+++ b/src/Proxy/TargetLink.cpp
@@ -36,7 +36,7 @@
   Stream->connect(Opts.Address, [Self = shared_from_this()](bool Connected) {
     if (!Connected)
       return Self->lose();
-    std::string Bytes;
+    std::string Bytes = Self->Opts.RelayRequest;
     Self->Opts.Codec->encodeOpen(Bytes, Self->Opts.Group, Self->Opts.Instance);
     Self->Stream->start();
     Self->Stream->send(Bytes);
--- a/src/Proxy/TargetLink.h
+++ b/src/Proxy/TargetLink.h
@@ -46,7 +46,10 @@
     const StatementCodec *Codec = nullptr;
     std::string Group;
     std::string Instance;
+    /// "ip:port" of the target, or of a VM that reaches it.
     std::string Address;
+    /// Sent first, where a VM carries the connection.
+    std::string RelayRequest;
     LineStream::Options Stream;
   };
   /// Gets null when the connection failed before the answer was complete.
@@ -77,6 +80,8 @@
   /// the same on every link of this process.
   std::string prepare(bool Writes, const std::string &Shape);
 
+  bool isRelayed() const { return !Opts.RelayRequest.empty(); }
+  const std::string &address() const { return Opts.Address; }
   const std::string &instance() const { return Opts.Instance; }
   bool isOpen() const { return Opened && Stream->isOpen(); }
   bool isIdle() const { return Pending.empty(); }
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -52,8 +52,9 @@
   Out.PeerPort = static_cast<std::uint16_t>(
       Reader.number("peers", "first_port", 1, MaxPort));
   std::int64_t Last = Reader.number("peers", "last_port", 1, MaxPort);
-  if (Last < Out.PeerPort)
-    Reader.fault("peers", "last_port", "must not be below first_port");
+  if (Last <= Out.PeerPort)
+    Reader.fault("peers", "last_port", "must be above first_port");
+  Out.RelayPort = static_cast<std::uint16_t>(Out.PeerPort + 1);
   Out.Seeds = Reader.texts("peers", "seeds");
   for (const std::string &Seed : Out.Seeds)
     checkEndpoint(Reader, "peers", "seeds", Seed);
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -31,6 +31,8 @@
 
   /// First of the ports for talk between VMs, the same on all of them.
   std::uint16_t PeerPort = 0;
+  /// The next of them, on which other VMs' connections to targets are carried.
+  std::uint16_t RelayPort = 0;
   /// "ip:port" of some VMs; the ports are those for operators.
   std::vector<std::string> Seeds;
 
--- a/test/Proxy/PrimaryWatchTest.cpp
+++ b/test/Proxy/PrimaryWatchTest.cpp
@@ -16,7 +16,7 @@
   /// Peers "p1" to "pN" say at \p Now that they heard the primary \p Heard ago.
   void peersSay(int Count, std::optional<Duration> Heard, TimePoint Now) {
     for (int I = 1; I <= Count; ++I)
-      Watch.notePeer("p" + std::to_string(I), "a", Heard, Now);
+      Watch.notePeer("p" + std::to_string(I), "a", Heard, true, Now);
   }
 
   PrimaryWatch Watch{PrimaryWatch::Options{}};
@@ -53,7 +53,7 @@
   WatchOfSeven W;
   W.Watch.noteFailure("a", Start);
   W.peersSay(6, std::nullopt, Start + 1s);
-  W.Watch.notePeer("p2", "a", 50ms, Start + 1s);
+  W.Watch.notePeer("p2", "a", 50ms, true, Start + 1s);
   BOOST_TEST(!W.Watch.isLost(6, Start + 1s));
 }
 
@@ -96,3 +96,14 @@
   W.peersSay(6, 600ms, Start + 600ms);
   BOOST_TEST(W.Watch.isLost(6, Start + 610ms));
 }
+
+BOOST_AUTO_TEST_CASE(thePeerThatReachesThePrimaryItselfIsTheWayToIt) {
+  WatchOfSeven W;
+  W.Watch.noteFailure("a", Start);
+  W.Watch.notePeer("p1", "a", 10ms, false, Start + 1s);
+  W.Watch.notePeer("p2", "a", 90ms, true, Start + 1s);
+  W.Watch.notePeer("p3", "a", 50ms, true, Start + 1s);
+  W.Watch.notePeer("p4", "a", std::nullopt, true, Start + 1s);
+  BOOST_TEST(W.Watch.relayPeer(Start + 1s).value() == "p3");
+  BOOST_TEST(!W.Watch.relayPeer(Start + 3s));
+}
