--- a/src/Admission/Admission.h
+++ b/src/Admission/Admission.h
@@ -4,6 +4,7 @@
 #ifndef CICADAWIND_ADMISSION_ADMISSION_H
 #define CICADAWIND_ADMISSION_ADMISSION_H
 
+#include "Admission/ConcurrencyLimit.h"
 #include "Admission/ServiceTimes.h"
 #include "Admission/SlotScheduler.h"
 #include "Admission/WorkItem.h"
--- a/src/Proxy/CallerSession.cpp
+++ b/src/Proxy/CallerSession.cpp
@@ -17,6 +17,8 @@
 /// Part of a latency objective that a statement may wait for a connection.
 constexpr unsigned WaitDivisor = 4;
 constexpr unsigned MaxAttempts = 8;
+/// Pause after a target was too busy to take a statement.
+constexpr Duration BusyPause = std::chrono::milliseconds(10);
 /// Attempts of a read that end early, so that another target can still answer
 /// in time: each may take half of what is left.
 constexpr unsigned LimitedAttempts = 2;
@@ -312,6 +314,7 @@
     Request.Own = LastWrite;
   Request.Priority = Route.Priority;
   Request.GiveUpAt = Work->GiveUpAt;
+  Request.NotBefore = Work->NotBefore;
   Request.Avoid = Work->LastInstance;
   std::uint64_t Id = ++Attempt;
   std::weak_ptr<CallerSession> Weak = shared_from_this();
@@ -519,6 +522,8 @@
       Work->Attempts < internal::MaxAttempts && Now < Work->Deadline && !Ended;
   if (!MayRetry)
     return finishWith(Failure);
+  if (Failure.Code == ErrorCode::Overloaded)
+    Work->NotBefore = Now + internal::BusyPause;
   // An attempt that was turned away may wait a little again.
   Work->GiveUpAt =
       std::max(Work->GiveUpAt,
--- a/src/Proxy/CallerSession.h
+++ b/src/Proxy/CallerSession.h
@@ -72,6 +72,7 @@
     TimePoint Since;
     TimePoint Deadline;
     TimePoint GiveUpAt;
+    TimePoint NotBefore;
     unsigned Attempts = 0;
     TimePoint AttemptSince;
     /// Whether a write or commit has left for a target.
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -193,7 +193,7 @@
   bool IsPrimary = Instance == Leader.primary();
   // The last free connection of the primary is kept for what needs it.
   bool Spill = IsPrimary && !Request.NeedsPrimary && HasAlternatives;
-  if (T->Free.size() < (Spill ? 2U : 1U))
+  if (T->Free.size() < (Spill ? 2U : 1U) || !T->Running.allows(T->lent()))
     return false;
   LinkGrant Grant;
   Grant.Link = T->Free.back();
@@ -207,6 +207,8 @@
 }
 
 bool GroupDispatcher::tryPlace(LinkRequest &Request, TimePoint Now) {
+  if (Now < Request.NotBefore)
+    return false;
   std::optional<LogPosition> Position;
   if (!Request.NeedsPrimary) {
     Position = Leader.positionFor(Request.Horizon, Request.Own);
@@ -360,6 +362,12 @@
     Leader.refuteLead(Instance, Reply.SentAt);
   }
   Watch.setPrimary(Leader.primary(), Now);
+  if (Target *T = find(Instance)) {
+    if (Reply.Refused && Reply.Refused->Code == ErrorCode::Overloaded)
+      T->Running.onRefused(T->lent());
+    else if (Succeeded)
+      T->Running.onServed();
+  }
   InstanceView *View = viewOf(Instance);
   if (!View)
     return;
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -1,6 +1,7 @@
 #ifndef CICADAWIND_PROXY_GROUPDISPATCHER_H
 #define CICADAWIND_PROXY_GROUPDISPATCHER_H
 
+#include "Admission/ConcurrencyLimit.h"
 #include "Core/Random.h"
 #include "Groups/LeaderView.h"
 #include "Proxy/LinkRequest.h"
@@ -141,6 +142,9 @@
     std::optional<TimePoint> UnreachableSince;
     /// When that was last tried.
     TimePoint LastDirect;
+    /// Statements that this VM has the target run at once; falls when the
+    /// target is too busy and grows while it is not.
+    ConcurrencyLimit Running;
     unsigned Opening = 0;
     unsigned FailuresInRow = 0;
     TimePoint NextOpen;
@@ -148,6 +152,7 @@
     unsigned Cap = 0;
     TimePoint CapUntil;
 
+    std::size_t lent() const { return All.size() - Free.size() - Opening; }
     void noteUnreachable(TimePoint Now) {
       UnreachableSince = UnreachableSince.value_or(Now);
       LastDirect = Now;
--- a/src/Proxy/LinkRequest.h
+++ b/src/Proxy/LinkRequest.h
@@ -37,6 +37,8 @@
   std::optional<SessionWrite> Own;
   /// 0 goes first.
   unsigned Priority = 0;
+  /// Not granted before this time, after a target turned it away.
+  TimePoint NotBefore;
   /// Time at which the request is refused if it still waits.
   TimePoint GiveUpAt;
   /// Target that is not to be chosen while another suits.
--- a/test/Proxy/VerdictTest.cpp
+++ b/test/Proxy/VerdictTest.cpp
@@ -150,3 +150,16 @@
       BOOST_TEST(Left.count(Run.Connection) == 0);
   }
 }
+
+// Trying again at once would only keep a busy target busy.
+BOOST_AUTO_TEST_CASE(aBusyTargetIsNotPressed) {
+  ProxyWorld World;
+  ProxyCaller Caller(World, "latest");
+  World.instance("a").Faults.Busy = 1000;
+  TimePoint Start = BootClock::now();
+  BOOST_TEST(codeOf(Caller.ask("WRITE i1 x")) == "BUSY");
+  Duration Took = BootClock::now() - Start;
+  std::size_t Attempts = World.recordsOf(Caller.lastId()).size();
+  BOOST_TEST(Attempts >= 2);
+  BOOST_TEST((Took >= (Attempts - 1) * std::chrono::milliseconds(10)));
+}
