Open connections to a target one at a time

Cause: after a restart of all VMs each opened up to four connections to each target at once; an opening takes a slot for 27 ms, a statement for 8. Change: one opening a target and VM at a time, and none beyond what the target takes.

--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -232,8 +232,9 @@
 
 bool GroupDispatcher::mayOpen(const Target &T, TimePoint Now) const {
   unsigned Limit = Now < T.CapUntil ? std::min(Share, T.Cap) : Share;
-  // Openings beyond what waits would only cost the target time.
-  return T.All.size() < Limit && Now >= T.NextOpen && T.Opening <= Queue.size();
+  // Each opening takes a slot of the target for longer than a statement does.
+  return T.All.size() < Limit && T.Running.allows(T.All.size()) &&
+         Now >= T.NextOpen && T.Opening == 0;
 }
 
 std::string GroupDispatcher::relayFor(const std::string &Instance,
