Bound the proxy's log, serve its metrics, and read changed settings

Change: LineSink writes whole lines to standard output without waiting and counts those dropped; LogBudget gives each outcome a share (5 served, 100 unserved lines a second); metrics on a port of their own; settings are read again at SIGHUP and when the file changes, with what needs a restart.

--- a/src/Daemons/DaemonStart.cpp
+++ b/src/Daemons/DaemonStart.cpp
@@ -19,16 +19,6 @@
 
 namespace internal {
 
-static LogLevel levelOf(const std::string &Name) {
-  if (Name == "debug")
-    return LogLevel::Debug;
-  if (Name == "warning")
-    return LogLevel::Warning;
-  if (Name == "error")
-    return LogLevel::Error;
-  return LogLevel::Info;
-}
-
 constexpr int WrongSettings = 2;
 constexpr int StartFailed = 1;
 
@@ -58,7 +48,7 @@
   }
   const DaemonSettings &Checked = valueOf(Settings);
   std::string Name = Role == DaemonRole::Router ? "router" : "pooler";
-  Log::start(Checked.Vm, internal::levelOf(Checked.LogLevel));
+  Log::start(Checked.Vm, Log::levelOf(Checked.LogLevel));
   Span::configure(Checked.TraceFile, "cicadawind-" + Name);
   try {
     DaemonRuntime Runtime(
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -21,6 +21,8 @@
 /// Descriptors kept for targets, peers, the store and files.
 constexpr std::size_t ReservedDescriptors = 700;
 constexpr int Backlog = 1024;
+/// Period at which the settings file is looked at; it may change unannounced.
+constexpr Duration SettingsPeriod = std::chrono::seconds(2);
 
 static RandomSource seededRandom() {
   std::random_device Device;
@@ -60,6 +62,15 @@
   return Out;
 }
 
+/// IP addresses of "ip:port" texts.
+static std::vector<std::string>
+addressesOf(const std::vector<std::string> &Endpoints) {
+  std::vector<std::string> Out;
+  for (const std::string &Each : Endpoints)
+    Out.push_back(Each.substr(0, Each.rfind(':')));
+  return Out;
+}
+
 static PeerExchange::Options peerOptions(const ProxySettings &Settings) {
   PeerExchange::Options Out;
   Out.Vm = Settings.Vm;
@@ -68,8 +79,7 @@
   Out.Address = Settings.Address;
   Out.Port = Settings.PeerPort;
   Out.RelayPort = Settings.RelayPort;
-  for (const std::string &Seed : Settings.Seeds)
-    Out.SeedAddresses.push_back(Seed.substr(0, Seed.rfind(':')));
+  Out.SeedAddresses = addressesOf(Settings.Seeds);
   Out.Random = seededRandom();
   return Out;
 }
@@ -135,13 +145,39 @@
     if (Code)
       return;
     if (Which == SIGHUP)
-      internal::Logger.info("settings signal", {{"applied", "at restart"}});
+      reloadSettings();
     else
       leave();
     listenForSignals();
   });
 }
 
+void ProxyDaemon::checkSettings() {
+  std::error_code Code;
+  auto Time = std::filesystem::last_write_time(Opts.SettingsPath, Code);
+  if (Code || Time == SettingsTime)
+    return;
+  SettingsTime = Time;
+  reloadSettings();
+}
+
+void ProxyDaemon::reloadSettings() {
+  Result<ProxySettings> Read = ProxySettings::load(Opts.SettingsPath);
+  if (const Error *E = errorOf(Read)) {
+    internal::Logger.error("settings not applied", {{"why", E->Message}});
+    return;
+  }
+  const ProxySettings &Newer = valueOf(Read);
+  ProxySettings::Changes Changed = Opts.Settings.changesTo(Newer);
+  Log::setLowest(Log::levelOf(Newer.LogLevel));
+  Peers.setSeeds(internal::addressesOf(Newer.Seeds));
+  Opts.Settings.LogLevel = Newer.LogLevel;
+  Opts.Settings.Seeds = Newer.Seeds;
+  Opts.Settings.Grace = Newer.Grace;
+  internal::Logger.info("settings read", {{"applied", Changed.Applied},
+                                          {"at_restart", Changed.AtRestart}});
+}
+
 void ProxyDaemon::leave() {
   Service.beginDrain(Opts.Settings.Grace);
   Peers.announceLeaving();
@@ -182,6 +218,16 @@
         [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
           co_return answerOperator(Request);
         });
+  if (!Opts.Settings.Metrics.empty())
+    MetricsServer = std::make_unique<HttpServer>(
+        Loop, internal::serverOptions(Opts.Settings.Metrics),
+        [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+          co_return answerOperator(Request);
+        });
+  std::error_code Ignored; // A file that cannot be read was refused before.
+  SettingsTime = std::filesystem::last_write_time(Opts.SettingsPath, Ignored);
+  SettingsCheck = timers().every(internal::SettingsPeriod,
+                                 [this](TimePoint) { checkSettings(); });
   Peers.start();
   Relay.start();
   spawn(Loop, Registration.run());
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <filesystem>
 #include <memory>
 #include <string>
 
@@ -34,6 +35,8 @@
 public:
   struct Options {
     ProxySettings Settings;
+    /// File that the settings came from; read again when it changes.
+    std::string SettingsPath;
     const StatementCodec *Codec = nullptr;
     ObjectStore *Store = nullptr;
     KindWatcher *Listings = nullptr;
@@ -55,6 +58,8 @@
   void listenForCallers();
   void acceptNext();
   void leave();
+  void checkSettings();
+  void reloadSettings();
   void listenForSignals();
   HttpResponse answerOperator(const HttpRequest &Request) const;
   void sweep(TimePoint Now);
@@ -72,6 +77,9 @@
   boost::asio::signal_set Signals;
   std::unique_ptr<HttpServer> ReadinessServer;
   std::unique_ptr<HttpServer> OperatorServer;
+  std::unique_ptr<HttpServer> MetricsServer;
+  std::filesystem::file_time_type SettingsTime;
+  TimerSubscription SettingsCheck;
   TimerSubscription Sweeping;
 };
 
--- a/src/Observability/Log.cpp
+++ b/src/Observability/Log.cpp
@@ -1,7 +1,10 @@
 #include "Observability/Log.h"
 
+#include "Observability/LineSink.h"
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -10,6 +13,8 @@
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <chrono>
 #include <ctime>
 #include <iostream>
@@ -49,12 +54,40 @@
   return std::string(Text, Length) + "." + Millis + "Z";
 }
 
+/// Hands formatted lines to a LineSink on standard output.
+class LineBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                        char, boost::log::sinks::synchronized_feeding> {
+public:
+  void consume(const boost::log::record_view &, const std::string &Line) {
+    Sink.write(Line);
+  }
+
+private:
+  LineSink Sink{STDOUT_FILENO};
+};
+
 } // namespace internal
 
-void Log::start(const std::string &Vm, LogLevel Lowest) {
+void Log::setLowest(LogLevel Lowest) { internal::LowestLevel = Lowest; }
+
+LogLevel Log::levelOf(const std::string &Name) {
+  if (Name == "debug")
+    return LogLevel::Debug;
+  if (Name == "warning")
+    return LogLevel::Warning;
+  return Name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+void Log::start(const std::string &Vm, LogLevel Lowest, LogOutput Output) {
   namespace logging = boost::log;
   internal::LoggedVm = Vm;
   internal::LowestLevel = Lowest;
+  if (Output == LogOutput::StandardOutput) {
+    using Lines = logging::sinks::synchronous_sink<internal::LineBackend>;
+    logging::core::get()->remove_all_sinks();
+    logging::core::get()->add_sink(boost::make_shared<Lines>());
+    return;
+  }
   using Backend = logging::sinks::text_ostream_backend;
   auto Stream = boost::make_shared<Backend>();
   Stream->add_stream(
--- a/src/Observability/Log.h
+++ b/src/Observability/Log.h
@@ -13,15 +13,24 @@
 /// Named values of a log line.
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
+/// Where lines go.
+enum class LogOutput { StandardError, StandardOutput };
+
 /// \class Log
-/// \brief Writes JSON lines to standard error, over Boost.Log.
+/// \brief Writes JSON lines over Boost.Log.
 ///
 /// Each line holds time, level, component, vm, message and the given fields.
 /// Thread safe.
 class Log {
 public:
   /// Sets up the sink; call once at start. Lines below \p Lowest are dropped.
-  static void start(const std::string &Vm, LogLevel Lowest);
+  /// Lines to StandardOutput never wait for its reader, see LineSink.
+  static void start(const std::string &Vm, LogLevel Lowest,
+                    LogOutput Output = LogOutput::StandardError);
+  /// Changes which lines are dropped.
+  static void setLowest(LogLevel Lowest);
+  /// Level of that name; Info for an unknown one.
+  static LogLevel levelOf(const std::string &Name);
 
   explicit Log(std::string Component) : Component(std::move(Component)) {}
 
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -62,6 +62,10 @@
   /// Listens; throws when the port is taken.
   void start();
 
+  void setSeeds(std::vector<std::string> Addresses) {
+    Opts.SeedAddresses = std::move(Addresses);
+  }
+
   /// Sends hellos and drops what is too old; called every few milliseconds.
   void sweep(TimePoint Now);
 
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -13,6 +13,9 @@
 namespace internal {
 
 static const Log Logger("proxy");
+/// Lines a second about requests; refusals matter more than what went well.
+constexpr unsigned ServedLines = 5;
+constexpr unsigned UnservedLines = 100;
 /// Sessions closed in one sweep while leaving, so that callers do not all
 /// reconnect at once.
 constexpr std::size_t ClosedPerSweep = 2;
@@ -155,10 +158,12 @@
   MetricLabels Labels{{"kind", Each.Kind}, {"outcome", Each.Outcome}};
   Meter.count("requests_total", Labels);
   Meter.observe("request_seconds", Each.Took, {{"kind", Each.Kind}});
-  if (Each.Outcome == "ok")
+  bool Served = Each.Outcome == "ok";
+  unsigned PerSecond = Served ? internal::ServedLines : internal::UnservedLines;
+  if (!Lines.allow(Each.Outcome, PerSecond, BootClock::now()))
     return;
   internal::Logger.info(
-      "request not served",
+      Served ? "request served" : "request not served",
       {{"id", Each.Id},
        {"database", Each.Database},
        {"kind", Each.Kind},
@@ -166,9 +171,20 @@
        {"why", Each.Why},
        {"target", Each.Instance},
        {"attempts", std::to_string(Each.Attempts)},
+       {"config", std::to_string(Config->Version)},
        {"took_ms", std::to_string(toMillis(Each.Took).count())}});
 }
 
+void ProxyService::reportLinesLeftOut(TimePoint Now) {
+  for (const auto &[Kind, Count] : Lines.takeLeftOut(Now)) {
+    Meter.count("log_lines_left_out_total", {{"kind", Kind}},
+                static_cast<double>(Count));
+    internal::Logger.info(
+        "request lines left out",
+        {{"outcome", Kind}, {"count", std::to_string(Count)}});
+  }
+}
+
 void ProxyService::sweep(TimePoint Now) {
   if (Directory.expire(Now))
     updateGroups();
@@ -180,6 +196,7 @@
     Group->sweep(Now);
   if (DrainSince)
     sweepDrain(Now);
+  reportLinesLeftOut(Now);
 }
 
 void ProxyService::beginDrain(Duration Grace) {
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_PROXY_PROXYSERVICE_H
 
 #include "Core/Random.h"
+#include "Observability/LogBudget.h"
 #include "Proxy/CallerSession.h"
 #include "Proxy/GroupDispatcher.h"
 #include "Proxy/ProxyConfig.h"
@@ -94,6 +95,7 @@
 
 private:
   void report(const RequestReport &Report);
+  void reportLinesLeftOut(TimePoint Now);
   void updateGroups();
   void updateShares();
   void openWaiting();
@@ -111,6 +113,7 @@
   std::size_t Vms = 1;
   std::uint64_t TargetsRevision = 0;
   std::function<void()> ConfigHook;
+  LogBudget Lines;
   std::optional<TimePoint> DrainSince;
   TimePoint DrainEnd;
 };
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -62,6 +62,34 @@
 
 } // namespace internal
 
+ProxySettings::Changes
+ProxySettings::changesTo(const ProxySettings &Newer) const {
+  Changes Out;
+  auto Compare = [](std::string &List, const char *Name, bool Same) {
+    if (!Same)
+      List += (List.empty() ? "" : " ") + std::string(Name);
+  };
+  Compare(Out.Applied, "log_level", LogLevel == Newer.LogLevel);
+  Compare(Out.Applied, "seeds", Seeds == Newer.Seeds);
+  Compare(Out.Applied, "grace_s", Grace == Newer.Grace);
+  Compare(Out.AtRestart, "vm", Vm == Newer.Vm);
+  Compare(Out.AtRestart, "failure_domain",
+          FailureDomain == Newer.FailureDomain);
+  Compare(Out.AtRestart, "region", Region == Newer.Region);
+  Compare(Out.AtRestart, "regions", Regions == Newer.Regions);
+  Compare(Out.AtRestart, "address", Address == Newer.Address);
+  Compare(Out.AtRestart, "callers", Callers == Newer.Callers);
+  Compare(Out.AtRestart, "readiness", Readiness == Newer.Readiness);
+  Compare(Out.AtRestart, "operators", Operators == Newer.Operators);
+  Compare(Out.AtRestart, "metrics", Metrics == Newer.Metrics);
+  Compare(Out.AtRestart, "first_port", PeerPort == Newer.PeerPort);
+  Compare(Out.AtRestart, "store", Store == Newer.Store);
+  Compare(Out.AtRestart, "orders", Orders == Newer.Orders);
+  Compare(Out.AtRestart, "max_descriptors",
+          MaxDescriptors == Newer.MaxDescriptors);
+  return Out;
+}
+
 Result<ProxySettings> ProxySettings::load(const std::string &Path) {
   std::ifstream File(Path);
   if (!File) {
@@ -92,6 +120,8 @@
   Out.Readiness = internal::endpoint(Reader, "listen", "readiness");
   Out.Operators = Reader.textOr("listen", "operators", "");
   internal::checkEndpoint(Reader, "listen", "operators", Out.Operators);
+  Out.Metrics = Reader.textOr("listen", "metrics", "");
+  internal::checkEndpoint(Reader, "listen", "metrics", Out.Metrics);
   internal::readPeers(Reader, Out);
   Out.Store = internal::endpoint(Reader, "platform", "store");
   Out.Orders = internal::endpoint(Reader, "platform", "orders");
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -28,6 +28,8 @@
   std::string Readiness;
   /// "ip:port" for operators; empty when they are not served.
   std::string Operators;
+  /// "ip:port" that serves the metrics; empty when it does not.
+  std::string Metrics;
 
   /// First of the ports for talk between VMs, the same on all of them.
   std::uint16_t PeerPort = 0;
@@ -44,6 +46,14 @@
   /// Time between the request to stop and the kill.
   std::chrono::seconds Grace = std::chrono::seconds(6);
 
+  /// Names of settings that differ, separated by blanks.
+  struct Changes {
+    /// Those that take effect at once.
+    std::string Applied;
+    std::string AtRestart;
+  };
+  Changes changesTo(const ProxySettings &Newer) const;
+
   /// Reads and checks the whole file. The error lists every fault with its
   /// line, key and permitted range.
   static Result<ProxySettings> load(const std::string &Path);
--- /dev/null
+++ b/test/Observability/LogBoundsTest.cpp
@@ -0,0 +1,80 @@
+#define BOOST_TEST_MODULE LogBounds
+#include <boost/test/unit_test.hpp>
+
+#include "Observability/LineSink.h"
+#include "Observability/LogBudget.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace cicadawind;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_CASE(linesBeyondAKindsShareAreCounted) {
+  LogBudget Budget;
+  TimePoint Start{1000s};
+  int Written = 0;
+  for (int I = 0; I < 50; ++I)
+    Written += Budget.allow("ok", 5, Start + I * 1ms) ? 1 : 0;
+  BOOST_TEST(Written == 5);
+  BOOST_TEST(Budget.takeLeftOut(Start + 500ms).empty());
+  LogBudget::Counts Left = Budget.takeLeftOut(Start + 1s);
+  BOOST_TEST(Left["ok"] == 45U);
+  BOOST_TEST(Budget.takeLeftOut(Start + 2s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aKindThatFloodsTakesNothingFromOthers) {
+  LogBudget Budget;
+  TimePoint Start{1000s};
+  for (int I = 0; I < 1000; ++I)
+    Budget.allow("ok", 5, Start);
+  BOOST_TEST(Budget.allow("refused", 100, Start));
+}
+
+BOOST_AUTO_TEST_CASE(aNewSecondHasANewShare) {
+  LogBudget Budget;
+  TimePoint Start{1000s};
+  BOOST_TEST(Budget.allow("ok", 1, Start));
+  BOOST_TEST(!Budget.allow("ok", 1, Start + 999ms));
+  BOOST_TEST(Budget.allow("ok", 1, Start + 1s));
+}
+
+// A reader that stops reading costs lines, not time.
+BOOST_AUTO_TEST_CASE(aFullPipeDropsLinesAndSaysSoLater) {
+  int Ends[2];
+  BOOST_REQUIRE(pipe(Ends) == 0);
+  LineSink Sink(Ends[1]);
+  std::string Line(1000, 'x');
+  TimePoint Start = BootClock::now();
+  for (int I = 0; I < 1000; ++I)
+    Sink.write(Line);
+  BOOST_TEST((BootClock::now() - Start < 1s));
+  BOOST_TEST(Sink.dropped() > 0U);
+  std::uint64_t Dropped = Sink.dropped();
+  fcntl(Ends[0], F_SETFL, O_NONBLOCK);
+  char Part[65536];
+  while (read(Ends[0], Part, sizeof Part) > 0) {
+  }
+  Sink.write("after");
+  ssize_t Count = read(Ends[0], Part, sizeof Part);
+  BOOST_REQUIRE(Count > 0);
+  std::string Text(Part, static_cast<std::size_t>(Count));
+  BOOST_TEST(Text.find("\"count\":\"" + std::to_string(Dropped) + "\"") !=
+             std::string::npos);
+  BOOST_TEST(Text.find("after\n") != std::string::npos);
+  close(Ends[0]);
+  close(Ends[1]);
+}
+
+BOOST_AUTO_TEST_CASE(aLongLineIsCutAndWhole) {
+  int Ends[2];
+  BOOST_REQUIRE(pipe(Ends) == 0);
+  LineSink Sink(Ends[1]);
+  Sink.write(std::string(100000, 'x'));
+  char Part[65536];
+  ssize_t Count = read(Ends[0], Part, sizeof Part);
+  BOOST_TEST(Count == static_cast<ssize_t>(LineSink::MaxLineBytes));
+  BOOST_TEST(Part[Count - 1] == '\n');
+  close(Ends[0]);
+  close(Ends[1]);
+}
--- /dev/null
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -0,0 +1,99 @@
+#define BOOST_TEST_MODULE ProxySettings
+#include <boost/test/unit_test.hpp>
+
+#include "Settings/ProxySettings.h"
+
+using namespace cicadawind;
+
+namespace {
+
+const std::string Good = R"([daemon]
+vm = "vm-1"
+failure_domain = "oaxaca"
+region = "centro-sur"
+regions = ["oaxaca=centro-sur","queretaro=bajio"]
+log_level = "info"
+[listen]
+address = "10.1.0.8"
+callers = "10.1.0.8:8784"
+readiness = "10.1.0.8:8785"
+operators = "10.1.0.8:8782"
+metrics = "10.1.0.8:9464"
+[peers]
+first_port = 7440
+last_port = 7455
+seeds = ["10.1.0.8:8782"]
+[platform]
+store = "10.200.1.7:8783"
+orders = "10.200.0.160:8783"
+[limits]
+max_descriptors = 4300
+grace_s = 6
+)";
+
+std::string with(const std::string &Old, const std::string &New) {
+  std::string Text = Good;
+  Text.replace(Text.find(Old), Old.size(), New);
+  return Text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(goodSettingsAreRead) {
+  Result<ProxySettings> Read = ProxySettings::parse(Good, "s.toml");
+  BOOST_REQUIRE(!errorOf(Read));
+  const ProxySettings &Known = valueOf(Read);
+  BOOST_TEST(Known.Vm == "vm-1");
+  BOOST_TEST(Known.Regions.at("queretaro") == "bajio");
+  BOOST_TEST(Known.PeerPort == 7440);
+  BOOST_TEST(Known.RelayPort == 7441);
+  BOOST_TEST(Known.Grace.count() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(eachFaultIsNamedWithItsLine) {
+  struct Case {
+    std::string Old;
+    std::string New;
+    std::string Fault;
+  };
+  const std::vector<Case> Table{
+      {"vm = \"vm-1\"", "vm = 5", "s.toml:2: daemon.vm"},
+      {"\"info\"", "\"loud\"", "daemon.log_level"},
+      {"oaxaca=centro-sur", "oaxaca", "daemon.regions"},
+      {"10.1.0.8:8784", "10.1.0.8", "listen.callers"},
+      {"10.1.0.8:9464", "here", "listen.metrics"},
+      {"last_port = 7455", "last_port = 7440", "peers.last_port"},
+      {"first_port = 7440", "first_port = 99999", "peers.first_port"},
+      {"store = ", "shop = ", "platform.store"},
+      {"grace_s = 6", "grace_s = 0", "limits.grace_s"},
+      {"[limits]", "[limits", "s.toml:"},
+  };
+  for (const Case &Each : Table) {
+    BOOST_TEST_CONTEXT(Each.New) {
+      Result<ProxySettings> Read =
+          ProxySettings::parse(with(Each.Old, Each.New), "s.toml");
+      const Error *E = errorOf(Read);
+      BOOST_REQUIRE(E);
+      BOOST_TEST(E->Message.find(Each.Fault) != std::string::npos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(allFaultsAreListedAtOnce) {
+  Result<ProxySettings> Read = ProxySettings::parse("", "s.toml");
+  const Error *E = errorOf(Read);
+  BOOST_REQUIRE(E);
+  for (const char *Key : {"daemon.vm", "listen.callers", "platform.store"})
+    BOOST_TEST(E->Message.find(Key) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(aChangeSaysWhatNeedsARestart) {
+  Result<ProxySettings> Old = ProxySettings::parse(Good, "s.toml");
+  Result<ProxySettings> New =
+      ProxySettings::parse(with("\"info\"", "\"debug\""), "s.toml");
+  ProxySettings::Changes Level = valueOf(Old).changesTo(valueOf(New));
+  BOOST_TEST(Level.Applied == "log_level");
+  BOOST_TEST(Level.AtRestart == "");
+  New = ProxySettings::parse(with("10.1.0.8:8784", "10.1.0.8:1"), "s.toml");
+  BOOST_TEST(valueOf(Old).changesTo(valueOf(New)).AtRestart == "callers");
+}
