--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -209,7 +209,6 @@
       Dispatcher && !Deferring && Dispatcher->leader().primary() == Old;
   if (!StillDue)
     co_return false;
-  std::uint64_t Epoch = Dispatcher->leader().epoch();
   if (Why == Reason::Leaving)
     co_await stepDown(Group, Old, Chosen->Instance,
                       Dispatcher->leader().term() + 1);
@@ -224,7 +223,7 @@
       co_await orderUntilAnswered(Group, Chosen->Instance, valueOf(Claimed));
   if (!Ordered)
     co_return false;
-  co_return co_await awaitPrimary(Group, Chosen->Instance, Epoch);
+  co_return co_await awaitPrimary(Group, Chosen->Instance);
 }
 
 boost::asio::awaitable<bool>
@@ -359,15 +358,15 @@
 }
 
 boost::asio::awaitable<bool>
-PromotionDriver::awaitPrimary(std::string Group, std::string Instance,
-                              std::uint64_t EpochBefore) {
+PromotionDriver::awaitPrimary(std::string Group, std::string Instance) {
   TimePoint End = BootClock::now() + Opts.OpenLimit;
   while (BootClock::now() < End) {
     GroupDispatcher *Dispatcher = Service.findGroup(Group);
     if (!Dispatcher)
       co_return false;
-    if (Dispatcher->leader().epoch() != EpochBefore &&
-        Dispatcher->leader().isProved())
+    // A late proof of the old primary is a change of epoch, too.
+    const LeaderView &Leader = Dispatcher->leader();
+    if (Leader.primary() == Instance && Leader.isProved())
       co_return true;
     Dispatcher->askStatus(Instance, [this, Group](const std::string &Name,
                                                   const TargetStatus *Status) {
--- a/src/Proxy/PromotionDriver.h
+++ b/src/Proxy/PromotionDriver.h
@@ -122,8 +122,7 @@
   boost::asio::awaitable<void> stepDown(std::string Group, std::string Old,
                                         std::string Successor, Term Below);
   boost::asio::awaitable<bool> awaitPrimary(std::string Group,
-                                            std::string Instance,
-                                            std::uint64_t EpochBefore);
+                                            std::string Instance);
 
   boost::asio::io_context &Loop;
   Options Opts;
--- /dev/null
+++ b/src/Proxy/Proxy.h
@@ -0,0 +1,20 @@
+/// \file
+/// Proxy module: callers' sessions before groups of targets, in one process a
+/// VM, and what VMs tell each other.
+#ifndef CICADAWIND_PROXY_PROXY_H
+#define CICADAWIND_PROXY_PROXY_H
+
+#include "Proxy/CallerSession.h"
+#include "Proxy/GroupDispatcher.h"
+#include "Proxy/PeerExchange.h"
+#include "Proxy/PrimaryWatch.h"
+#include "Proxy/PromotionDriver.h"
+#include "Proxy/ProxyConfig.h"
+#include "Proxy/ProxyService.h"
+#include "Proxy/ProxyState.h"
+#include "Proxy/TargetDirectory.h"
+#include "Proxy/TargetLink.h"
+#include "Proxy/TargetRelay.h"
+#include "Proxy/VmRegistration.h"
+
+#endif
--- a/test/Platform/EntryDecodersTest.cpp
+++ b/test/Platform/EntryDecodersTest.cpp
@@ -64,8 +64,9 @@
       BOOST_TEST(errorOf(platform::decodeInstance("i-1", Text)));
     }
   for (const char *Text : {"", "null", "[]", "\"x\"", "{", "{}"})
-    BOOST_TEST_CONTEXT(Text)
-  BOOST_TEST(errorOf(platform::decodeInstance("i-1", Text)));
+    BOOST_TEST_CONTEXT(Text) {
+      BOOST_TEST(errorOf(platform::decodeInstance("i-1", Text)));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(aBrokenEntryLeavesTheOthersStanding) {
--- a/test/Platform/LineProtocolTest.cpp
+++ b/test/Platform/LineProtocolTest.cpp
@@ -72,9 +72,10 @@
                            "QUERY 7 RESET",
                            "QUERY 7 BEGIN WRITE",
                            "STARTUP"})
-    BOOST_TEST_CONTEXT("'" << Line << "'")
-    BOOST_TEST(
-        std::holds_alternative<MalformedMessage>(Codec.decodeCaller(Line)));
+    BOOST_TEST_CONTEXT("'" << Line << "'") {
+      BOOST_TEST(
+          std::holds_alternative<MalformedMessage>(Codec.decodeCaller(Line)));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(targetsMessagesAreUnderstood) {
@@ -95,9 +96,10 @@
 
 BOOST_AUTO_TEST_CASE(brokenMessagesOfTargetsAreUnreadable) {
   for (const char *Line : {"", "READY", "READY X 3.1", "ROWS", "OK", "\x01"})
-    BOOST_TEST_CONTEXT("'" << Line << "'")
-    BOOST_TEST(
-        std::holds_alternative<UnreadableMessage>(Codec.decodeTarget(Line)));
+    BOOST_TEST_CONTEXT("'" << Line << "'") {
+      BOOST_TEST(
+          std::holds_alternative<UnreadableMessage>(Codec.decodeTarget(Line)));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(ownRequestsCarryNoCallersId) {
@@ -133,7 +135,9 @@
   BOOST_TEST(Status->Connections == 17);
   for (const char *Row : {"", "leader 3 3.1 0 0 0 0", "primary x 3.1 0 0 0 0",
                           "primary 3 31 0 0 0 0"})
-    BOOST_TEST_CONTEXT("'" << Row << "'") BOOST_TEST(!Codec.decodeStatus(Row));
+    BOOST_TEST_CONTEXT("'" << Row << "'") {
+      BOOST_TEST(!Codec.decodeStatus(Row));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(anErrorCodeComesBackAsItWasSent) {
--- a/test/Proxy/TargetRelayTest.cpp
+++ b/test/Proxy/TargetRelayTest.cpp
@@ -85,5 +85,5 @@
   RelayedWorld World;
   for (const char *Request :
        {"RELAY other a\r\n", "RELAY g\r\n", "FETCH g a\r\n", "\r\n"})
-    BOOST_TEST_CONTEXT(Request) BOOST_TEST(!World.openLink(Request));
+    BOOST_TEST_CONTEXT(Request) { BOOST_TEST(!World.openLink(Request)); }
 }
