--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -66,6 +66,7 @@
 static std::vector<std::string>
 addressesOf(const std::vector<std::string> &Endpoints) {
   std::vector<std::string> Out;
+  Out.reserve(Endpoints.size());
   for (const std::string &Each : Endpoints)
     Out.push_back(Each.substr(0, Each.rfind(':')));
   return Out;
--- a/src/Groups/LeaderView.cpp
+++ b/src/Groups/LeaderView.cpp
@@ -31,8 +31,7 @@
   Proved = false;
 }
 
-void LeaderView::noteClaim(const std::string &Instance, bool Claims,
-                           TimePoint Now) {
+void LeaderView::noteClaim(const std::string &Instance, bool Claims) {
   if (!Claims) {
     // The registry lags: it may doubt a guess, not a proof.
     if (Instance == Primary && !Proved)
@@ -44,7 +43,6 @@
   Refuted.erase(Instance);
   Primary = Instance;
   Proved = false;
-  (void)Now;
 }
 
 void LeaderView::forget(const std::string &Instance) {
--- a/src/Groups/LeaderView.h
+++ b/src/Groups/LeaderView.h
@@ -50,7 +50,7 @@
 
   /// The registry's entry of \p Instance says whether it sees itself as
   /// primary.
-  void noteClaim(const std::string &Instance, bool Claims, TimePoint Now);
+  void noteClaim(const std::string &Instance, bool Claims);
 
   /// \p Instance is gone or was restarted without its data.
   void forget(const std::string &Instance);
--- a/src/Proxy/CallerSession.h
+++ b/src/Proxy/CallerSession.h
@@ -21,6 +21,21 @@
 class GroupDispatcher;
 class LineStream;
 
+/// A caller's request that waits for its answer.
+struct RequestInWork {
+  Statement Request;
+  TimePoint Since;
+  TimePoint Deadline;
+  TimePoint GiveUpAt;
+  TimePoint NotBefore;
+  unsigned Attempts = 0;
+  TimePoint AttemptSince;
+  /// Whether a write or commit has left for a target.
+  bool EffectSent = false;
+  std::string LastInstance;
+  Error LastFailure;
+};
+
 /// \class CallerSession
 /// \brief One caller's connection: its values, prepared statements,
 /// transaction and the request in work.
@@ -66,21 +81,6 @@
   const std::string &database() const { return Database; }
 
 private:
-  /// A request that waits for its answer.
-  struct RequestInWork {
-    Statement Request;
-    TimePoint Since;
-    TimePoint Deadline;
-    TimePoint GiveUpAt;
-    TimePoint NotBefore;
-    unsigned Attempts = 0;
-    TimePoint AttemptSince;
-    /// Whether a write or commit has left for a target.
-    bool EffectSent = false;
-    std::string LastInstance;
-    Error LastFailure;
-  };
-
   void takeLine(std::string_view Line);
   void openSession(const std::string &Name);
   void rejectMessage(const MalformedMessage &Message);
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -4,7 +4,6 @@
 #include "Proxy/GroupDispatcher.h"
 
 #include "Observability/Log.h"
-#include "Proxy/TargetRelay.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -20,12 +19,10 @@
 constexpr std::size_t MaxReplicaAttempts = 8;
 /// Pause before a replica that lacked a position is tried again.
 constexpr Duration BehindPause = std::chrono::milliseconds(40);
-/// Pause before another connection after one failed, by failures in a row.
-constexpr Duration OpenPause = std::chrono::milliseconds(50);
-constexpr unsigned MaxOpenPauses = 4;
-/// How long a refusal for too many connections lowers this VM's share.
-constexpr Duration CapTime = std::chrono::milliseconds(1500);
-
+/// Pause before a target that did not answer is read from again.
+constexpr Duration SilentPause = std::chrono::milliseconds(500);
+/// Time in which a proof of lead is asked for.
+constexpr Duration ProofLimit = std::chrono::milliseconds(500);
 } // namespace internal
 
 static ReadRouter::Options routerOptions(const GroupDispatcher::Options &Opts) {
@@ -40,13 +37,25 @@
     : Loop(Loop), Opts(std::move(NewOpts)), Watch(Opts.Watch),
       Router(routerOptions(Opts), Opts.Random) {
   assert(Opts.Codec && "a dispatcher needs a codec");
+  auto Hooks = std::make_shared<TargetConnections::Events>();
+  Hooks->Contact = [this](const std::string &Instance) {
+    Watch.noteContact(Instance, BootClock::now());
+  };
+  Hooks->Failure = [this](const std::string &Instance, TimePoint Since) {
+    onFailure(Instance, Since);
+  };
+  Hooks->Silent = [this](const std::string &Instance) {
+    noteSilence(Instance);
+  };
+  Hooks->Free = [this] { schedulePump(); };
+  Tell = std::move(Hooks);
 }
 
 GroupDispatcher::~GroupDispatcher() { *Alive = false; }
 
-GroupDispatcher::Target *GroupDispatcher::find(const std::string &Instance) {
+TargetConnections *GroupDispatcher::find(const std::string &Instance) const {
   auto It = Targets.find(Instance);
-  return It == Targets.end() ? nullptr : &It->second;
+  return It == Targets.end() ? nullptr : It->second.get();
 }
 
 InstanceView *GroupDispatcher::viewOf(const std::string &Instance) {
@@ -58,28 +67,25 @@
 
 const TargetEntry *
 GroupDispatcher::findEntry(const std::string &Instance) const {
-  auto It = Targets.find(Instance);
-  return It == Targets.end() ? nullptr : &It->second.Entry;
+  const TargetConnections *Found = find(Instance);
+  return Found ? &Found->entry() : nullptr;
 }
 
 bool GroupDispatcher::isUnreachable(const std::string &Instance) const {
-  auto It = Targets.find(Instance);
-  return It == Targets.end() || It->second.UnreachableSince.has_value();
+  const TargetConnections *Found = find(Instance);
+  return !Found || Found->isUnreachable();
 }
 
 std::vector<TargetEntry> GroupDispatcher::entries() const {
   std::vector<TargetEntry> Out;
   for (const auto &[Name, T] : Targets)
-    Out.push_back(T.Entry);
+    Out.push_back(T->entry());
   return Out;
 }
 
 void GroupDispatcher::dropTarget(const std::string &Instance) {
-  Target *T = find(Instance);
-  if (!T)
-    return;
-  for (const std::shared_ptr<TargetLink> &Link : T->Free)
-    Link->close();
+  if (TargetConnections *Found = find(Instance))
+    Found->close();
   Targets.erase(Instance);
   Views.erase(std::remove_if(Views.begin(), Views.end(),
                              [&](const InstanceView &View) {
@@ -97,8 +103,8 @@
   for (const auto &[Name, T] : Targets) {
     auto It = Wanted.find(Name);
     bool Same = It != Wanted.end() &&
-                It->second->Incarnation == T.Entry.Incarnation &&
-                It->second->Address == T.Entry.Address;
+                It->second->Incarnation == T->entry().Incarnation &&
+                It->second->Address == T->entry().Address;
     if (!Same)
       Gone.push_back(Name);
   }
@@ -108,38 +114,47 @@
     dropTarget(Name);
     Leader.forget(Name);
   }
-  for (const TargetEntry &Entry : Entries) {
-    auto [It, IsNew] = Targets.try_emplace(Entry.Instance);
-    Target &T = It->second;
-    bool Changed = IsNew || T.Entry != Entry;
-    T.Entry = Entry;
-    if (IsNew) {
-      InstanceView View;
-      View.Name = Entry.Instance;
-      View.FailureDomain = Entry.FailureDomain;
-      auto Region = Opts.Regions.find(Entry.FailureDomain);
-      View.Region = Region == Opts.Regions.end() ? "" : Region->second;
-      Views.push_back(View);
-    }
-    viewOf(Entry.Instance)->Leaving = Entry.Leaving;
-    if (!Changed)
-      continue;
-    Leader.noteClaim(Entry.Instance, Entry.ClaimsPrimary, Now);
-    internal::Logger.info(
-        "target known",
-        {{"group", Opts.Group},
-         {"target", Entry.Instance},
-         {"address", Entry.Address},
-         {"domain", Entry.FailureDomain},
-         {"leaving", Entry.Leaving ? "yes" : "no"},
-         {"claims_primary", Entry.ClaimsPrimary ? "yes" : "no"}});
-    if (IsNew && Share > 0)
-      openLink(Entry.Instance, Now);
-  }
-  Watch.setPrimary(Leader.primary(), Now);
+  for (const TargetEntry &Entry : Entries)
+    setTarget(Entry, Now);
+  Watch.setPrimary(Leader.primary());
   schedulePump();
 }
 
+void GroupDispatcher::setTarget(const TargetEntry &Entry, TimePoint Now) {
+  TargetConnections *Known = find(Entry.Instance);
+  if (Known && Known->entry() == Entry)
+    return;
+  if (Known)
+    Known->setEntry(Entry);
+  else
+    addTarget(Entry, Now);
+  viewOf(Entry.Instance)->Leaving = Entry.Leaving;
+  Leader.noteClaim(Entry.Instance, Entry.ClaimsPrimary);
+  internal::Logger.info(
+      "target known", {{"group", Opts.Group},
+                       {"target", Entry.Instance},
+                       {"address", Entry.Address},
+                       {"domain", Entry.FailureDomain},
+                       {"leaving", Entry.Leaving ? "yes" : "no"},
+                       {"claims_primary", Entry.ClaimsPrimary ? "yes" : "no"}});
+}
+
+void GroupDispatcher::addTarget(const TargetEntry &Entry, TimePoint Now) {
+  InstanceView View;
+  View.Name = Entry.Instance;
+  View.FailureDomain = Entry.FailureDomain;
+  auto Region = Opts.Regions.find(Entry.FailureDomain);
+  View.Region = Region == Opts.Regions.end() ? "" : Region->second;
+  Views.push_back(View);
+  TargetConnections::Options LinksOpts = Opts.Links;
+  LinksOpts.Codec = Opts.Codec;
+  LinksOpts.Group = Opts.Group;
+  auto Links =
+      std::make_shared<TargetConnections>(Loop, LinksOpts, Entry, Tell);
+  Targets[Entry.Instance] = Links;
+  Links->openIfAllowed(Share, "", Now);
+}
+
 GroupDispatcher::Ticket GroupDispatcher::submit(LinkRequest Request) {
   Ticket Id = ++LastTicket;
   // The hook may submit again, so the request is placed before it is queued.
@@ -185,19 +200,16 @@
                                 LinkRequest &Request,
                                 std::optional<LogPosition> Position,
                                 bool HasAlternatives) {
-  Target *T = find(Instance);
-  if (!T)
+  TargetConnections *Links = find(Instance);
+  if (!Links)
     return false;
-  while (!T->Free.empty() && !T->Free.back()->isOpen())
-    T->Free.pop_back();
   bool IsPrimary = Instance == Leader.primary();
   // The last free connection of the primary is kept for what needs it.
   bool Spill = IsPrimary && !Request.NeedsPrimary && HasAlternatives;
-  if (T->Free.size() < (Spill ? 2U : 1U) || !T->Running.allows(T->lent()))
-    return false;
   LinkGrant Grant;
-  Grant.Link = T->Free.back();
-  T->Free.pop_back();
+  Grant.Link = Links->take(Spill ? 1 : 0);
+  if (!Grant.Link)
+    return false;
   Grant.Instance = Instance;
   Grant.IsPrimary = IsPrimary;
   if (!IsPrimary)
@@ -221,122 +233,39 @@
     if (grantFrom(Name, Request, Position, Names.size() > 1))
       return true;
   for (const std::string &Name : Names) {
-    Target *T = find(Name);
-    if (T && mayOpen(*T, Now)) {
-      openLink(Name, Now);
+    TargetConnections *Links = find(Name);
+    if (Links && Links->openIfAllowed(Share, relayFor(Name, Now), Now))
       break;
-    }
   }
   return false;
 }
 
-bool GroupDispatcher::mayOpen(const Target &T, TimePoint Now) const {
-  unsigned Limit = Now < T.CapUntil ? std::min(Share, T.Cap) : Share;
-  // Each opening takes a slot of the target for longer than a statement does.
-  return T.All.size() < Limit && T.Running.allows(T.All.size()) &&
-         Now >= T.NextOpen && T.Opening == 0;
-}
-
 std::string GroupDispatcher::relayFor(const std::string &Instance,
-                                      const Target &T, TimePoint Now) const {
-  bool Direct = !T.UnreachableSince || Now - T.LastDirect > Opts.DirectPause;
-  if (Direct || Instance != Watch.primary() || !Opts.RelayOf)
+                                      TimePoint Now) const {
+  if (Instance != Watch.primary() || !Opts.RelayOf)
     return {};
   std::optional<std::string> Peer = Watch.relayPeer(Now);
   return Peer ? Opts.RelayOf(*Peer) : std::string();
 }
 
-void GroupDispatcher::openLink(const std::string &Instance, TimePoint Now) {
-  Target *T = find(Instance);
-  assert(T && "only known targets are connected to");
-  TargetLink::Options LinkOpts;
-  LinkOpts.Codec = Opts.Codec;
-  LinkOpts.Group = Opts.Group;
-  LinkOpts.Instance = Instance;
-  LinkOpts.Address = T->Entry.Address;
-  LinkOpts.Stream = Opts.Stream;
-  std::string Relay = relayFor(Instance, *T, Now);
-  if (!Relay.empty()) {
-    LinkOpts.Address = Relay;
-    LinkOpts.RelayRequest = TargetRelay::requestFor(Opts.Group, Instance);
-  }
-  auto Link = std::make_shared<TargetLink>(Loop, LinkOpts);
-  ++T->Opening;
-  ++Opened;
-  T->All.push_back(Link);
-  Link->open([this, Still = Alive, Instance, Link](std::optional<Error> E) {
-    if (*Still)
-      onOpened(Instance, Link, std::move(E));
-  });
-}
-
-void GroupDispatcher::onOpened(const std::string &Instance,
-                               const std::shared_ptr<TargetLink> &Link,
-                               std::optional<Error> Failure) {
+void GroupDispatcher::onFailure(const std::string &Instance, TimePoint Since) {
   TimePoint Now = BootClock::now();
-  Target *T = find(Instance);
-  if (!T)
-    return Link->close();
-  if (T->Opening > 0)
-    --T->Opening;
-  if (!Failure) {
-    if (!Link->isRelayed())
-      T->UnreachableSince.reset();
-    else if (T->FailuresInRow > 0)
-      internal::Logger.info("target reached through a peer",
-                            {{"group", Opts.Group}, {"target", Instance}});
-    T->FailuresInRow = 0;
-    Watch.noteContact(Instance, Now);
-    Link->onLost([this, Still = Alive, Instance] {
-      if (*Still)
-        onLinkLost(Instance);
-    });
-    return giveBack(Link);
-  }
-  // Further failures in a row say nothing new.
-  if (T->FailuresInRow < internal::MaxOpenPauses)
-    internal::Logger.info("connection not opened",
-                          {{"group", Opts.Group},
-                           {"target", Instance},
-                           {"address", Link->address()},
-                           {"through_peer", Link->isRelayed() ? "yes" : "no"},
-                           {"code", std::string(toString(Failure->Code))},
-                           {"why", Failure->Message}});
-  T->All.erase(std::remove_if(T->All.begin(), T->All.end(),
-                              [&](const std::weak_ptr<TargetLink> &Weak) {
-                                auto Each = Weak.lock();
-                                return !Each || Each == Link;
-                              }),
-               T->All.end());
-  T->FailuresInRow = std::min(T->FailuresInRow + 1, internal::MaxOpenPauses);
-  T->NextOpen = Now + T->FailuresInRow * internal::OpenPause;
-  if (Failure->Code == ErrorCode::TooManyConnections) {
-    T->Cap = std::max<unsigned>(1, T->All.size());
-    T->CapUntil = Now + internal::CapTime;
-    return;
-  }
-  if (!Link->isRelayed())
-    T->noteUnreachable(Now);
-  Watch.noteFailure(Instance, Now);
-  if (InstanceView *View = viewOf(Instance))
-    View->NotBefore = T->NextOpen;
-}
-
-void GroupDispatcher::onLinkLost(const std::string &Instance) {
-  Watch.noteFailure(Instance, BootClock::now());
+  // A target that answers others in the meantime is slow, not silent.
+  std::optional<Duration> Heard = Watch.heard(Instance, Now);
+  if (!Heard || *Heard >= Now - Since)
+    Watch.noteFailure(Instance, Since);
+  const TargetConnections *Links = find(Instance);
+  InstanceView *View = viewOf(Instance);
+  if (Links && View)
+    View->NotBefore = std::max(View->NotBefore, Links->nextOpen());
   schedulePump();
 }
 
 void GroupDispatcher::giveBack(const std::shared_ptr<TargetLink> &Link) {
-  // From here on a session limits its requests.
-  Probes.erase(Link.get());
-  Target *T = find(Link->instance());
-  if (!T || !Link->isOpen() || !Link->isIdle())
+  TargetConnections *Links = find(Link->instance());
+  if (!Links)
     return Link->close();
-  if (serveStatus(*T, Link))
-    return;
-  T->Free.push_back(Link);
-  schedulePump();
+  Links->giveBack(Link);
 }
 
 void GroupDispatcher::learn(const std::string &Instance,
@@ -362,12 +291,12 @@
                             {{"group", Opts.Group}, {"target", Instance}});
     Leader.refuteLead(Instance, Reply.SentAt);
   }
-  Watch.setPrimary(Leader.primary(), Now);
-  if (Target *T = find(Instance)) {
+  Watch.setPrimary(Leader.primary());
+  if (TargetConnections *Links = find(Instance)) {
     if (Reply.Refused && Reply.Refused->Code == ErrorCode::Overloaded)
-      T->Running.onRefused(T->lent());
+      Links->noteBusy();
     else if (Succeeded)
-      T->Running.onServed();
+      Links->noteServed();
   }
   InstanceView *View = viewOf(Instance);
   if (!View)
@@ -387,7 +316,7 @@
     return;
   std::uint64_t Epoch = Leader.epoch();
   Leader.proveLead(Instance, End, Asked);
-  Watch.setPrimary(Leader.primary(), BootClock::now());
+  Watch.setPrimary(Leader.primary());
   if (Epoch != Leader.epoch())
     internal::Logger.info("primary proved to a peer",
                           {{"group", Opts.Group},
@@ -400,14 +329,9 @@
   TimePoint Now = BootClock::now();
   Watch.noteFailure(Instance, Now);
   if (InstanceView *View = viewOf(Instance))
-    View->NotBefore = Now + Opts.ProbeLimit;
-  Target *T = find(Instance);
-  if (T)
-    T->noteUnreachable(Now);
-  // What waits idle on the same path is probably as silent.
-  if (T)
-    for (const std::shared_ptr<TargetLink> &Link : std::exchange(T->Free, {}))
-      Link->close();
+    View->NotBefore = Now + internal::SilentPause;
+  if (TargetConnections *Links = find(Instance))
+    Links->noteSilent(Now);
 }
 
 void GroupDispatcher::schedulePump() {
@@ -460,68 +384,6 @@
                              : "no connection became free in time"});
 }
 
-void GroupDispatcher::checkLinks(TimePoint Now) {
-  for (auto &[Name, T] : Targets) {
-    std::vector<std::shared_ptr<TargetLink>> Overdue;
-    for (const std::weak_ptr<TargetLink> &Weak : T.All) {
-      std::shared_ptr<TargetLink> Link = Weak.lock();
-      std::optional<TimePoint> Since;
-      if (Link)
-        Since = Link->waitingSince();
-      if (!Since)
-        continue;
-      if (Now - *Since > Opts.SilenceLimit)
-        noteUnanswered(Name, *Since, Now);
-      if (!Link->isOpen() && Now - *Since > Opts.OpenLimit)
-        Overdue.push_back(Link);
-    }
-    for (const std::shared_ptr<TargetLink> &Link : Overdue)
-      Link->abandon();
-    T.All.erase(std::remove_if(T.All.begin(), T.All.end(),
-                               [](const std::weak_ptr<TargetLink> &Weak) {
-                                 auto Link = Weak.lock();
-                                 return !Link || Link->isClosed();
-                               }),
-                T.All.end());
-    T.Free.erase(std::remove_if(T.Free.begin(), T.Free.end(),
-                                [](const std::shared_ptr<TargetLink> &Link) {
-                                  return !Link->isOpen();
-                                }),
-                 T.Free.end());
-  }
-}
-
-void GroupDispatcher::noteUnanswered(const std::string &Instance,
-                                     TimePoint Since, TimePoint Now) {
-  // A target that answers others in the meantime is slow, not silent.
-  std::optional<Duration> Heard = Watch.heard(Instance, Now);
-  if (!Heard || *Heard >= Now - Since)
-    Watch.noteFailure(Instance, Since);
-}
-
-void GroupDispatcher::checkProbes(TimePoint Now) {
-  std::vector<std::shared_ptr<TargetLink>> Silent;
-  for (auto It = Probes.begin(); It != Probes.end();) {
-    std::shared_ptr<TargetLink> Link = It->second.lock();
-    std::optional<TimePoint> Since;
-    if (Link && Link->isOpen())
-      Since = Link->waitingSince();
-    if (Since && Now - *Since <= Opts.ProbeLimit) {
-      ++It;
-      continue;
-    }
-    if (Since)
-      Silent.push_back(Link);
-    It = Probes.erase(It);
-  }
-  for (const std::shared_ptr<TargetLink> &Link : Silent) {
-    internal::Logger.info("target is silent", {{"group", Opts.Group},
-                                               {"target", Link->instance()}});
-    noteSilence(Link->instance());
-    Link->abandon();
-  }
-}
-
 void GroupDispatcher::refreshProof(TimePoint Now) {
   bool Unproved = !Leader.primary().empty() && !Leader.isProved();
   // Evidence on a primary in doubt must not depend on callers' traffic.
@@ -535,28 +397,36 @@
     return;
   ProofWanted = false;
   ProofUnderway = true;
-  LinkRequest Request;
-  Request.GiveUpAt = Now + Opts.ProbeLimit;
-  Request.Refused = [this](const Error &) { ProofUnderway = false; };
-  Request.Granted = [this](LinkGrant Grant) {
-    // The target checks its lead when a transaction begins.
-    std::shared_ptr<TargetLink> Link = Grant.Link;
-    Probes[Link.get()] = Link;
-    Link->begin(false, std::nullopt,
-                [this, Still = Alive, Link](const TargetReply *Reply) {
-                  if (!*Still)
-                    return;
-                  ProofUnderway = false;
-                  if (!Reply)
-                    return;
-                  learn(Link->instance(), *Reply, true);
-                  Link->rollback([this, Still, Link](const TargetReply *Ended) {
-                    if (*Still && Ended)
-                      giveBack(Link);
-                  });
-                });
-  };
-  submit(std::move(Request));
+  TargetConnections *Links = find(Leader.primary());
+  if (!Links) {
+    ProofUnderway = false;
+    return;
+  }
+  if (!Links->hasFree())
+    Links->openIfAllowed(Share, relayFor(Leader.primary(), Now), Now);
+  // The target checks its lead when a transaction begins.
+  Links->request(
+      "proof",
+      [](TargetLink &Link, TargetLink::ReplyHook Hook) {
+        // Answered in order: the second answer ends the request.
+        auto Begun = std::make_shared<std::optional<TargetReply>>();
+        Link.begin(false, std::nullopt, [Begun](const TargetReply *Reply) {
+          if (Reply)
+            *Begun = *Reply;
+        });
+        Link.rollback([Begun, Hook](const TargetReply *Ended) {
+          Hook(Ended && *Begun ? &**Begun : nullptr);
+        });
+      },
+      [this, Still = Alive,
+       Instance = Leader.primary()](const TargetReply *Reply) {
+        if (!*Still)
+          return;
+        ProofUnderway = false;
+        if (Reply)
+          learn(Instance, *Reply, true);
+      },
+      Now);
 }
 
 void GroupDispatcher::searchPrimary(TimePoint Now) {
@@ -583,8 +453,8 @@
 
 void GroupDispatcher::noteClaim(const std::string &Instance) {
   TimePoint Now = BootClock::now();
-  Leader.noteClaim(Instance, true, Now);
-  Watch.setPrimary(Leader.primary(), Now);
+  Leader.noteClaim(Instance, true);
+  Watch.setPrimary(Leader.primary());
   schedulePump();
 }
 
@@ -594,98 +464,59 @@
 }
 
 void GroupDispatcher::askStatus(const std::string &Instance, StatusHook Hook) {
-  TimePoint Now = BootClock::now();
-  Target *T = find(Instance);
-  if (!T)
-    return Hook(Instance, nullptr);
-  while (!T->Free.empty() && !T->Free.back()->isOpen())
-    T->Free.pop_back();
-  T->StatusWaiters.push_back(
-      {.Hook = std::move(Hook), .GiveUpAt = Now + Opts.ProbeLimit});
-  if (!T->Free.empty()) {
-    std::shared_ptr<TargetLink> Link = T->Free.back();
-    T->Free.pop_back();
-    serveStatus(*T, Link);
-    return;
-  }
-  if (T->All.size() < std::max(Share, 1U) && Now >= T->NextOpen)
-    openLink(Instance, Now);
-}
-
-bool GroupDispatcher::serveStatus(Target &T,
-                                  const std::shared_ptr<TargetLink> &Link) {
-  if (T.StatusWaiters.empty())
-    return false;
-  // One answer serves all that wait.
-  std::deque<StatusWaiter> Waiters = std::exchange(T.StatusWaiters, {});
-  Probes[Link.get()] = Link;
-  Link->askStatus(
-      [this, Still = Alive, Link, Waiters](const TargetReply *Reply) {
-        if (!*Still)
-          return;
-        if (Reply)
-          giveBack(Link);
-        for (const StatusWaiter &Each : Waiters)
-          takeStatus(Link->instance(), Reply, Each.Hook);
-      });
-  return true;
-}
-
-void GroupDispatcher::expireStatus(TimePoint Now) {
-  std::vector<std::pair<std::string, StatusHook>> Late;
-  for (auto &[Name, T] : Targets)
-    while (!T.StatusWaiters.empty() &&
-           Now >= T.StatusWaiters.front().GiveUpAt) {
-      Late.emplace_back(Name, std::move(T.StatusWaiters.front().Hook));
-      T.StatusWaiters.pop_front();
-    }
-  for (const auto &[Name, Hook] : Late)
-    Hook(Name, nullptr);
+  control(
+      Instance, "status",
+      [](TargetLink &Link, TargetLink::ReplyHook OnReply) {
+        Link.askStatus(std::move(OnReply));
+      },
+      std::move(Hook));
 }
 
 void GroupDispatcher::demote(const std::string &Instance, Term Below,
                              StatusHook Hook) {
-  Target *T = find(Instance);
-  if (!T || T->Free.empty())
+  control(
+      Instance, "demote",
+      [Below](TargetLink &Link, TargetLink::ReplyHook OnReply) {
+        Link.demote(Below, std::move(OnReply));
+      },
+      std::move(Hook));
+}
+
+void GroupDispatcher::control(const std::string &Instance,
+                              const std::string &Key,
+                              TargetConnections::OwnRequest Request,
+                              StatusHook Hook) {
+  TimePoint Now = BootClock::now();
+  TargetConnections *Links = find(Instance);
+  if (!Links)
     return Hook(Instance, nullptr);
-  std::shared_ptr<TargetLink> Link = T->Free.back();
-  T->Free.pop_back();
-  Probes[Link.get()] = Link;
-  Link->demote(Below, [this, Still = Alive, Link, Hook](const TargetReply *R) {
-    if (!*Still)
-      return;
-    if (R)
-      giveBack(Link);
-    takeStatus(Link->instance(), R, Hook);
-  });
-}
-
-void GroupDispatcher::takeStatus(const std::string &Instance,
-                                 const TargetReply *Reply,
-                                 const StatusHook &Hook) {
-  std::optional<TargetStatus> Status;
-  if (Reply && Reply->Rows.size() == 1)
-    Status = Opts.Codec->decodeStatus(Reply->Rows.front());
-  if (Reply)
-    Watch.noteContact(Instance, BootClock::now());
-  Hook(Instance, Status ? &*Status : nullptr);
+  if (!Links->hasFree())
+    Links->openIfAllowed(Share, relayFor(Instance, Now), Now);
+  Links->request(
+      Key, std::move(Request),
+      [this, Still = Alive, Instance,
+       Hook = std::move(Hook)](const TargetReply *Reply) {
+        if (!*Still)
+          return;
+        std::optional<TargetStatus> Status;
+        if (Reply && Reply->Rows.size() == 1)
+          Status = Opts.Codec->decodeStatus(Reply->Rows.front());
+        Hook(Instance, Status ? &*Status : nullptr);
+      },
+      Now);
 }
 
 void GroupDispatcher::sweep(TimePoint Now) {
   expire(Now);
-  expireStatus(Now);
-  checkLinks(Now);
-  checkProbes(Now);
+  std::vector<std::shared_ptr<TargetConnections>> Current;
+  for (const auto &[Name, Links] : Targets)
+    Current.push_back(Links);
+  for (const std::shared_ptr<TargetConnections> &Links : Current)
+    Links->sweep(Now);
   searchPrimary(Now);
   refreshProof(Now);
   if (!Queue.empty())
     pump();
 }
 
-void GroupDispatcher::stop() {
-  for (auto &[Name, T] : Targets)
-    for (const std::shared_ptr<TargetLink> &Link : std::exchange(T.Free, {}))
-      Link->close();
-}
-
 } // namespace cicadawind
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -1,16 +1,13 @@
 #ifndef CICADAWIND_PROXY_GROUPDISPATCHER_H
 #define CICADAWIND_PROXY_GROUPDISPATCHER_H
 
-#include "Admission/ConcurrencyLimit.h"
 #include "Core/Random.h"
 #include "Groups/LeaderView.h"
 #include "Proxy/LinkRequest.h"
 #include "Proxy/PrimaryWatch.h"
-#include "Proxy/TargetEntry.h"
-#include "Proxy/TargetLink.h"
+#include "Proxy/TargetConnections.h"
 #include "Routing/ReadRouter.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,14 +36,7 @@
     /// Region of each failure domain.
     std::map<std::string, std::string> Regions;
     RandomSource Random;
-    LineStream::Options Stream;
-    /// Time that opening a connection may take.
-    Duration OpenLimit = std::chrono::milliseconds(700);
-    /// Wait for an answer, or for a connection, after which the primary is in
-    /// doubt unless it answers something else meanwhile.
-    Duration SilenceLimit = std::chrono::milliseconds(250);
-    /// Time that an own request to a target may take.
-    Duration ProbeLimit = std::chrono::milliseconds(500);
+    TargetConnections::Options Links;
     /// Age of the newest proof of lead at which another is asked for, while
     /// reads that need one arrive. A third of the least staleness in use.
     Duration ProofAge = std::chrono::milliseconds(400);
@@ -55,8 +45,6 @@
     PrimaryWatch::Options Watch;
     /// Time without a known primary after which there is none.
     Duration NoPrimaryAfter = std::chrono::milliseconds(600);
-    /// Time between attempts to reach a target directly that peers reach.
-    Duration DirectPause = std::chrono::milliseconds(1000);
     /// "ip:port" at which the VM \p Peer carries connections to targets; empty
     /// when it does not.
     std::function<std::string(const std::string &Peer)> RelayOf;
@@ -113,9 +101,6 @@
   /// milliseconds.
   void sweep(TimePoint Now);
 
-  /// Ends all idle connections and refuses what waits.
-  void stop();
-
   LeaderView &leader() { return Leader; }
   PrimaryWatch &watch() { return Watch; }
   const std::string &group() const { return Opts.Group; }
@@ -123,45 +108,14 @@
   std::vector<TargetEntry> entries() const;
   /// Whether this VM cannot open connections to \p Instance itself.
   bool isUnreachable(const std::string &Instance) const;
-  std::size_t waiting() const { return Queue.size(); }
-  std::uint64_t linksOpened() const { return Opened; }
 
 private:
-  struct StatusWaiter {
-    StatusHook Hook;
-    TimePoint GiveUpAt;
-  };
-  struct Target {
-    TargetEntry Entry;
-    std::vector<std::shared_ptr<TargetLink>> Free;
-    /// Every link that is open, opening or lent.
-    std::vector<std::weak_ptr<TargetLink>> All;
-    /// Go before callers' statements: a promotion may wait for them.
-    std::deque<StatusWaiter> StatusWaiters;
-    /// Since when no connection could be opened directly.
-    std::optional<TimePoint> UnreachableSince;
-    /// When that was last tried.
-    TimePoint LastDirect;
-    /// Statements that this VM has the target run at once; falls when the
-    /// target is too busy and grows while it is not.
-    ConcurrencyLimit Running;
-    unsigned Opening = 0;
-    unsigned FailuresInRow = 0;
-    TimePoint NextOpen;
-    /// Fewer than the share after the target refused a connection.
-    unsigned Cap = 0;
-    TimePoint CapUntil;
-
-    std::size_t lent() const { return All.size() - Free.size() - Opening; }
-    void noteUnreachable(TimePoint Now) {
-      UnreachableSince = UnreachableSince.value_or(Now);
-      LastDirect = Now;
-    }
-  };
   using QueueKey = std::pair<unsigned, Ticket>;
 
-  Target *find(const std::string &Instance);
+  TargetConnections *find(const std::string &Instance) const;
   InstanceView *viewOf(const std::string &Instance);
+  void setTarget(const TargetEntry &Entry, TimePoint Now);
+  void addTarget(const TargetEntry &Entry, TimePoint Now);
   void dropTarget(const std::string &Instance);
   bool tryPlace(LinkRequest &Request, TimePoint Now);
   std::vector<std::string> candidatesFor(const LinkRequest &Request,
@@ -169,29 +123,18 @@
                                          TimePoint Now);
   bool grantFrom(const std::string &Instance, LinkRequest &Request,
                  std::optional<LogPosition> Position, bool HasAlternatives);
-  bool mayOpen(const Target &T, TimePoint Now) const;
-  /// "ip:port" of a VM that reaches the target, when this one does not.
-  std::string relayFor(const std::string &Instance, const Target &T,
-                       TimePoint Now) const;
-  void openLink(const std::string &Instance, TimePoint Now);
-  void onOpened(const std::string &Instance,
-                const std::shared_ptr<TargetLink> &Link,
-                std::optional<Error> Failure);
-  void onLinkLost(const std::string &Instance);
+  /// "ip:port" of a VM that reaches the primary \p Instance; empty when none
+  /// is known.
+  std::string relayFor(const std::string &Instance, TimePoint Now) const;
+  void onFailure(const std::string &Instance, TimePoint Since);
   void schedulePump();
   void pump();
   void expire(TimePoint Now);
-  void checkLinks(TimePoint Now);
-  void checkProbes(TimePoint Now);
-  void noteUnanswered(const std::string &Instance, TimePoint Since,
-                      TimePoint Now);
   void refreshProof(TimePoint Now);
   void searchPrimary(TimePoint Now);
-  /// Uses \p Link for a status that is waited for; false when none is.
-  bool serveStatus(Target &T, const std::shared_ptr<TargetLink> &Link);
-  void expireStatus(TimePoint Now);
-  void takeStatus(const std::string &Instance, const TargetReply *Reply,
-                  const StatusHook &Hook);
+  /// Sends a request that a target answers with its status.
+  void control(const std::string &Instance, const std::string &Key,
+               TargetConnections::OwnRequest Request, StatusHook Hook);
 
   boost::asio::io_context &Loop;
   Options Opts;
@@ -199,15 +142,13 @@
   LeaderView Leader;
   PrimaryWatch Watch;
   ReadRouter Router;
-  std::map<std::string, Target> Targets;
+  std::shared_ptr<const TargetConnections::Events> Tell;
+  std::map<std::string, std::shared_ptr<TargetConnections>> Targets;
   std::vector<InstanceView> Views;
   std::map<QueueKey, LinkRequest> Queue;
   std::map<Ticket, unsigned> PriorityOf;
   Ticket LastTicket = 0;
   unsigned Share = 1;
-  std::uint64_t Opened = 0;
-  /// Links that carry own requests, which no session limits.
-  std::map<const TargetLink *, std::weak_ptr<TargetLink>> Probes;
   bool PumpScheduled = false;
   bool ProofWanted = false;
   bool ProofUnderway = false;
--- a/src/Proxy/PrimaryWatch.cpp
+++ b/src/Proxy/PrimaryWatch.cpp
@@ -2,14 +2,13 @@
 
 namespace cicadawind {
 
-void PrimaryWatch::setPrimary(const std::string &Instance, TimePoint Now) {
+void PrimaryWatch::setPrimary(const std::string &Instance) {
   if (Instance == Primary)
     return;
   Primary = Instance;
   HeardAt.reset();
   FailingSince.reset();
   Peers.clear();
-  (void)Now;
 }
 
 void PrimaryWatch::noteContact(const std::string &Instance, TimePoint Now) {
--- a/src/Proxy/PrimaryWatch.h
+++ b/src/Proxy/PrimaryWatch.h
@@ -32,7 +32,7 @@
   explicit PrimaryWatch(Options Opts) : Opts(Opts) {}
 
   /// Evidence from now on concerns \p Instance; empty for none.
-  void setPrimary(const std::string &Instance, TimePoint Now);
+  void setPrimary(const std::string &Instance);
   /// The primary answered something.
   void noteContact(const std::string &Instance, TimePoint Now);
   /// An attempt to reach it failed or had no answer.
--- a/src/Proxy/Proxy.h
+++ b/src/Proxy/Proxy.h
@@ -12,6 +12,7 @@
 #include "Proxy/ProxyConfig.h"
 #include "Proxy/ProxyService.h"
 #include "Proxy/ProxyState.h"
+#include "Proxy/TargetConnections.h"
 #include "Proxy/TargetDirectory.h"
 #include "Proxy/TargetLink.h"
 #include "Proxy/TargetRelay.h"
--- /dev/null
+++ b/src/Proxy/TargetConnections.cpp
@@ -0,0 +1,281 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/TargetConnections.h"
+
+#include "Observability/Log.h"
+#include "Proxy/TargetRelay.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("connections");
+/// Pause before another connection after one failed, by failures in a row.
+constexpr Duration OpenPause = std::chrono::milliseconds(50);
+constexpr unsigned MaxOpenPauses = 4;
+/// How long a refusal for too many connections lowers this VM's share.
+constexpr Duration CapTime = std::chrono::milliseconds(1500);
+
+} // namespace internal
+
+TargetConnections::TargetConnections(boost::asio::io_context &Loop,
+                                     Options NewOpts, TargetEntry NewEntry,
+                                     std::shared_ptr<const Events> NewTell)
+    : Loop(Loop), Opts(std::move(NewOpts)), Entry(std::move(NewEntry)),
+      Tell(std::move(NewTell)) {
+  assert(Opts.Codec && Tell && "connections need a codec and a holder");
+}
+
+std::size_t TargetConnections::lent() const {
+  return All.size() - Free.size() - Opening;
+}
+
+std::shared_ptr<TargetLink> TargetConnections::popFree() {
+  while (!Free.empty()) {
+    std::shared_ptr<TargetLink> Link = std::move(Free.back().Link);
+    Free.pop_back();
+    if (Link->isOpen())
+      return Link;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<TargetLink> TargetConnections::take(std::size_t Keep) {
+  if (Free.size() <= Keep || !Running.allows(lent()))
+    return nullptr;
+  return popFree();
+}
+
+void TargetConnections::giveBack(const std::shared_ptr<TargetLink> &Link) {
+  // From here on a session limits its requests.
+  Probes.erase(Link.get());
+  if (!Link->isOpen() || !Link->isIdle())
+    return Link->close();
+  if (serveWaiting(Link))
+    return;
+  Free.push_back({.Link = Link, .Since = BootClock::now()});
+  Tell->Free();
+}
+
+bool TargetConnections::openIfAllowed(unsigned Share, const std::string &Relay,
+                                      TimePoint Now) {
+  unsigned Limit = Now < CapUntil ? std::min(Share, Cap) : Share;
+  // Each opening takes a slot of the target for longer than a statement does.
+  bool Allowed = All.size() < Limit && Running.allows(All.size()) &&
+                 Now >= NextOpen && Opening == 0;
+  if (!Allowed)
+    return false;
+  bool Direct = !UnreachableSince || Now - LastDirect > Opts.DirectPause;
+  open(Direct ? std::string() : Relay);
+  return true;
+}
+
+void TargetConnections::open(const std::string &Relay) {
+  TargetLink::Options LinkOpts;
+  LinkOpts.Codec = Opts.Codec;
+  LinkOpts.Group = Opts.Group;
+  LinkOpts.Instance = Entry.Instance;
+  LinkOpts.Address = Entry.Address;
+  LinkOpts.Stream = Opts.Stream;
+  if (!Relay.empty()) {
+    LinkOpts.Address = Relay;
+    LinkOpts.RelayRequest = TargetRelay::requestFor(Opts.Group, Entry.Instance);
+  }
+  auto Link = std::make_shared<TargetLink>(Loop, LinkOpts);
+  ++Opening;
+  All.push_back(Link);
+  Link->open([Weak = weak_from_this(), Link](const std::optional<Error> &E) {
+    if (std::shared_ptr<TargetConnections> Self = Weak.lock())
+      Self->onOpened(Link, E);
+    else
+      Link->close();
+  });
+}
+
+void TargetConnections::onOpened(const std::shared_ptr<TargetLink> &Link,
+                                 const std::optional<Error> &Failure) {
+  if (Opening > 0)
+    --Opening;
+  if (Failure) {
+    forgetClosed();
+    return onNotOpened(*Link, *Failure, BootClock::now());
+  }
+  if (!Link->isRelayed())
+    UnreachableSince.reset();
+  else if (FailuresInRow > 0)
+    internal::Logger.info("target reached through a peer",
+                          {{"group", Opts.Group}, {"target", Entry.Instance}});
+  FailuresInRow = 0;
+  Tell->Contact(Entry.Instance);
+  Link->onLost([Weak = weak_from_this()] {
+    if (std::shared_ptr<TargetConnections> Self = Weak.lock())
+      Self->Tell->Failure(Self->Entry.Instance, BootClock::now());
+  });
+  giveBack(Link);
+}
+
+void TargetConnections::onNotOpened(const TargetLink &Link,
+                                    const Error &Failure, TimePoint Now) {
+  // Further failures in a row say nothing new.
+  if (FailuresInRow < internal::MaxOpenPauses)
+    internal::Logger.info("connection not opened",
+                          {{"group", Opts.Group},
+                           {"target", Entry.Instance},
+                           {"address", Link.address()},
+                           {"through_peer", Link.isRelayed() ? "yes" : "no"},
+                           {"code", std::string(toString(Failure.Code))},
+                           {"why", Failure.Message}});
+  FailuresInRow = std::min(FailuresInRow + 1, internal::MaxOpenPauses);
+  NextOpen = Now + FailuresInRow * internal::OpenPause;
+  if (Failure.Code == ErrorCode::TooManyConnections) {
+    Cap = std::max<unsigned>(1, static_cast<unsigned>(All.size()));
+    CapUntil = Now + internal::CapTime;
+    return;
+  }
+  if (!Link.isRelayed())
+    noteUnreachable(Now);
+  Tell->Failure(Entry.Instance, Now);
+}
+
+void TargetConnections::noteUnreachable(TimePoint Now) {
+  UnreachableSince = UnreachableSince.value_or(Now);
+  LastDirect = Now;
+}
+
+void TargetConnections::noteSilent(TimePoint Now) {
+  noteUnreachable(Now);
+  // What waits idle on the same path is probably as silent.
+  close();
+}
+
+void TargetConnections::request(const std::string &Key, OwnRequest Request,
+                                OwnReplyHook Hook, TimePoint Now) {
+  for (Waiting &Each : Queue)
+    if (Each.Key == Key) {
+      Each.Hooks.push_back(std::move(Hook));
+      return;
+    }
+  Waiting Next;
+  Next.Key = Key;
+  Next.Send = std::move(Request);
+  Next.Hooks.push_back(std::move(Hook));
+  Next.GiveUpAt = Now + Opts.ProbeLimit;
+  Queue.push_back(std::move(Next));
+  if (std::shared_ptr<TargetLink> Link = popFree())
+    serveWaiting(Link);
+}
+
+bool TargetConnections::serveWaiting(const std::shared_ptr<TargetLink> &Link) {
+  if (Queue.empty())
+    return false;
+  Waiting First = std::move(Queue.front());
+  Queue.pop_front();
+  Probes[Link.get()] = Link;
+  First.Send(*Link, [Weak = weak_from_this(), Link,
+                     Hooks = std::move(First.Hooks)](const TargetReply *Reply) {
+    std::shared_ptr<TargetConnections> Self = Weak.lock();
+    if (!Self)
+      return;
+    if (Reply) {
+      Self->Tell->Contact(Self->Entry.Instance);
+      Self->giveBack(Link);
+    }
+    for (const OwnReplyHook &Hook : Hooks)
+      Hook(Reply);
+  });
+  return true;
+}
+
+void TargetConnections::expireWaiting(TimePoint Now) {
+  std::vector<OwnReplyHook> Late;
+  while (!Queue.empty() && Now >= Queue.front().GiveUpAt) {
+    std::vector<OwnReplyHook> &Hooks = Queue.front().Hooks;
+    std::move(Hooks.begin(), Hooks.end(), std::back_inserter(Late));
+    Queue.pop_front();
+  }
+  for (const OwnReplyHook &Hook : Late)
+    Hook(nullptr);
+}
+
+void TargetConnections::endOverdueOpenings(TimePoint Now) {
+  std::vector<std::shared_ptr<TargetLink>> Overdue;
+  for (const std::weak_ptr<TargetLink> &Weak : All) {
+    std::shared_ptr<TargetLink> Link = Weak.lock();
+    std::optional<TimePoint> Since;
+    if (Link)
+      Since = Link->waitingSince();
+    if (!Since)
+      continue;
+    if (Now - *Since > Opts.SilenceLimit)
+      Tell->Failure(Entry.Instance, *Since);
+    if (!Link->isOpen() && Now - *Since > Opts.OpenLimit)
+      Overdue.push_back(Link);
+  }
+  for (const std::shared_ptr<TargetLink> &Link : Overdue)
+    Link->abandon();
+}
+
+void TargetConnections::endSilentProbes(TimePoint Now) {
+  std::vector<std::shared_ptr<TargetLink>> Silent;
+  for (auto It = Probes.begin(); It != Probes.end();) {
+    std::shared_ptr<TargetLink> Link = It->second.lock();
+    std::optional<TimePoint> Since;
+    if (Link && Link->isOpen())
+      Since = Link->waitingSince();
+    if (Since && Now - *Since <= Opts.ProbeLimit) {
+      ++It;
+      continue;
+    }
+    if (Since)
+      Silent.push_back(Link);
+    It = Probes.erase(It);
+  }
+  for (const std::shared_ptr<TargetLink> &Link : Silent) {
+    internal::Logger.info("target is silent",
+                          {{"group", Opts.Group}, {"target", Entry.Instance}});
+    Tell->Silent(Entry.Instance);
+    Link->abandon();
+  }
+}
+
+void TargetConnections::forgetClosed() {
+  All.erase(std::remove_if(All.begin(), All.end(),
+                           [](const std::weak_ptr<TargetLink> &Weak) {
+                             auto Link = Weak.lock();
+                             return !Link || Link->isClosed();
+                           }),
+            All.end());
+  Free.erase(
+      std::remove_if(Free.begin(), Free.end(),
+                     [](const FreeLink &Each) { return !Each.Link->isOpen(); }),
+      Free.end());
+}
+
+void TargetConnections::closeUnused(TimePoint Now) {
+  // The first in the list was used least recently.
+  while (All.size() > 1 && !Free.empty() &&
+         Now - Free.front().Since > Opts.IdleLimit) {
+    Free.front().Link->close();
+    Free.erase(Free.begin());
+    forgetClosed();
+  }
+}
+
+void TargetConnections::sweep(TimePoint Now) {
+  std::shared_ptr<TargetConnections> Keep = shared_from_this();
+  expireWaiting(Now);
+  endOverdueOpenings(Now);
+  endSilentProbes(Now);
+  forgetClosed();
+  closeUnused(Now);
+}
+
+void TargetConnections::close() {
+  for (const FreeLink &Each : std::exchange(Free, {}))
+    Each.Link->close();
+}
+
+} // namespace cicadawind
--- a/test/Groups/LeaderViewTest.cpp
+++ b/test/Groups/LeaderViewTest.cpp
@@ -78,11 +78,11 @@
 
 BOOST_AUTO_TEST_CASE(theRegistryGuessesButDoesNotProve) {
   LeaderView View;
-  View.noteClaim("a", true, Start);
+  View.noteClaim("a", true);
   BOOST_TEST(View.primary() == "a");
   BOOST_TEST(!View.isProved());
   BOOST_TEST(!View.positionFor(Start, {}));
   View.proveLead("a", at(1, 1), Start);
-  View.noteClaim("a", false, Start + 1s);
+  View.noteClaim("a", false);
   BOOST_TEST(View.primary() == "a");
 }
--- a/test/Proxy/PrimaryWatchTest.cpp
+++ b/test/Proxy/PrimaryWatchTest.cpp
@@ -11,7 +11,7 @@
 const TimePoint Start{1000s};
 
 struct WatchOfSeven {
-  WatchOfSeven() { Watch.setPrimary("a", Start); }
+  WatchOfSeven() { Watch.setPrimary("a"); }
 
   /// Peers "p1" to "pN" say at \p Now that they heard the primary \p Heard ago.
   void peersSay(int Count, std::optional<Duration> Heard, TimePoint Now) {
@@ -77,7 +77,7 @@
   WatchOfSeven W;
   W.Watch.noteFailure("a", Start);
   W.peersSay(6, std::nullopt, Start + 1s);
-  W.Watch.setPrimary("b", Start + 1s);
+  W.Watch.setPrimary("b");
   BOOST_TEST(!W.Watch.isSuspect(Start + 1s));
   BOOST_TEST(!W.Watch.isLost(6, Start + 1s));
 }
