--- a/src/Proxy/TargetConnections.h
+++ b/src/Proxy/TargetConnections.h
@@ -37,7 +37,7 @@
     Duration ProbeLimit = std::chrono::milliseconds(500);
     /// Connections beyond the first that were not used for this long are
     /// closed: those of VMs that lost power block the target for seconds.
-    Duration IdleLimit = std::chrono::milliseconds(1500);
+    Duration IdleLimit = std::chrono::milliseconds(500);
     /// Time between attempts to reach a target directly that peers reach.
     Duration DirectPause = std::chrono::milliseconds(1000);
   };
