--- /dev/null
+++ b/test/Emulator/EmulatedStore.h
@@ -0,0 +1,90 @@
+#ifndef CICADAWIND_TEST_EMULATOR_EMULATEDSTORE_H
+#define CICADAWIND_TEST_EMULATOR_EMULATEDSTORE_H
+
+#include "Async/AsyncSignal.h"
+#include "Fakes/FakeHttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cicadawind::emulator {
+
+/// Faults of the emulated store.
+struct StoreFaults {
+  /// Closes connections without an answer.
+  bool Outage = false;
+  /// Answers this to every call; 0 for none.
+  int Refusal = 0;
+  /// Writes to come that take effect and lose their answer.
+  int LoseAnswers = 0;
+  /// Objects in one page of a list.
+  std::size_t PageSize = 500;
+};
+
+/// \class EmulatedStore
+/// \brief The platform's metadata store and its calls that promote, over HTTP.
+class EmulatedStore {
+public:
+  /// Carries out an order to promote; false refuses it.
+  using PromoteHook = std::function<bool(const std::string &Group,
+                                         const std::string &Instance)>;
+  /// Answers paths below /admin.
+  using AdminHook = std::function<nlohmann::json(const HttpRequest &Request)>;
+
+  EmulatedStore(boost::asio::io_context &Loop, const std::string &Address,
+                std::uint16_t Port);
+
+  std::uint16_t port() const { return Server.port(); }
+
+  /// Writes an object as the operator or an instance would.
+  void put(const std::string &Kind, const std::string &Name,
+           nlohmann::json Spec);
+  void remove(const std::string &Kind, const std::string &Name);
+  /// Drops the history, so that earlier watches are told that it is gone.
+  void compact();
+
+  void onPromote(PromoteHook Hook) { Promote = std::move(Hook); }
+  void onAdmin(AdminHook Hook) { Admin = std::move(Hook); }
+
+  StoreFaults Faults;
+  std::map<std::string, std::uint64_t> Calls;
+
+private:
+  using ObjectKey = std::pair<std::string, std::string>;
+  struct Event {
+    std::uint64_t Revision = 0;
+    std::string Kind;
+    bool Removed = false;
+    nlohmann::json Object;
+  };
+
+  boost::asio::awaitable<HttpResponse> handle(HttpRequest Request,
+                                              fakes::AnswerFate &Fate);
+  boost::asio::awaitable<HttpResponse> get(const HttpRequest &Request,
+                                           std::string Kind, std::string Name);
+  boost::asio::awaitable<HttpResponse> watch(const HttpRequest &Request,
+                                             std::string Kind);
+  HttpResponse list(const HttpRequest &Request, const std::string &Kind);
+  HttpResponse write(const HttpRequest &Request, const std::string &Kind,
+                     const std::string &Name, fakes::AnswerFate &Fate);
+  HttpResponse promote(const HttpRequest &Request, fakes::AnswerFate &Fate);
+
+  AsyncSignal Changed;
+  std::map<ObjectKey, nlohmann::json> Objects;
+  std::vector<Event> History;
+  std::uint64_t Revision = 100;
+  std::uint64_t OldestKept = 0;
+  std::map<std::string, std::uint64_t> HighestToken;
+  PromoteHook Promote;
+  AdminHook Admin;
+  fakes::FakeHttpServer Server;
+};
+
+} // namespace cicadawind::emulator
+
+#endif
--- a/test/Fakes/FakeHttpServer.cpp
+++ b/test/Fakes/FakeHttpServer.cpp
@@ -3,6 +3,7 @@
 
 #include "Fakes/FakeHttpServer.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core.hpp>
@@ -31,6 +32,9 @@
         Out.Query[Pair.substr(0, Equals)] = Pair.substr(Equals + 1);
     }
   }
+  for (const auto &Field : In)
+    Out.Headers[boost::algorithm::to_lower_copy(
+        std::string(Field.name_string()))] = std::string(Field.value());
   Out.Body = In.body();
   return Out;
 }
--- /dev/null
+++ b/test/Platform/ObjectsClientTest.cpp
@@ -0,0 +1,157 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE ObjectsClient
+#include <boost/test/unit_test.hpp>
+
+#include "Emulator/EmulatedStore.h"
+#include "Http/HttpClient.h"
+#include "LoopRunner.h"
+#include "ObjectsClient.h"
+#include "Observability/Log.h"
+#include "Observability/Metrics.h"
+#include "PromotionCalls.h"
+
+using namespace cicadawind;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ClientAndStore {
+  ClientAndStore()
+      : Store(Loop, "127.0.0.1", 0), Http(Loop, HttpClient::Options{}),
+        Address("127.0.0.1:" + std::to_string(Store.port())),
+        Client(Loop, Http, {.Address = Address, .WatchWait = 300ms}, Meter),
+        Orders(Http, Address, Meter) {
+    Log::start("test", LogLevel::Error);
+  }
+
+  WriteAnswer write(const std::string &Value, std::uint64_t Expected) {
+    return test::runOn(Loop, Client.write("k", "n", Value, Expected, 1s));
+  }
+  Result<StoredObject> read() {
+    return test::runOn(Loop, Client.read("k", "n", 1s));
+  }
+  OrderEnd promote(std::uint64_t Token) {
+    return test::runOn(Loop, Orders.promote("g", "a", "vm-1", Token, 1s));
+  }
+  /// Follows a kind and counts what it is told.
+  void follow() {
+    Client.follow(
+        "k",
+        [this](const ObjectsByName &Objects, std::uint64_t) {
+          Seen = Objects;
+          ++Changes;
+        },
+        [this](bool Reachable) { Reached = Reachable; });
+  }
+  bool runUntil(const std::function<bool()> &Done) {
+    TimePoint End = BootClock::now() + 5s;
+    while (!Done() && BootClock::now() < End) {
+      Loop.restart();
+      Loop.run_one_for(5ms);
+    }
+    return Done();
+  }
+
+  boost::asio::io_context Loop;
+  Metrics Meter;
+  emulator::EmulatedStore Store;
+  HttpClient Http;
+  std::string Address;
+  platform::ObjectsClient Client;
+  platform::PromotionCalls Orders;
+  ObjectsByName Seen;
+  int Changes = 0;
+  bool Reached = true;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(anObjectIsCreatedReplacedAndRead) {
+  ClientAndStore T;
+  BOOST_TEST(!valueOf(T.read()).exists());
+  WriteAnswer Created = T.write(R"({"x":1})", 0);
+  BOOST_TEST((Created.End == WriteEnd::Accepted));
+  BOOST_TEST(valueOf(T.read()).Version == Created.Version);
+  BOOST_TEST((T.write(R"({"x":2})", 0).End == WriteEnd::Conflict));
+  WriteAnswer Replaced = T.write(R"({"x":3})", Created.Version);
+  BOOST_TEST((Replaced.End == WriteEnd::Accepted));
+  BOOST_TEST(valueOf(T.read()).Value == R"({"x":3})");
+  BOOST_TEST(
+      (T.write(R"({"x":4})", Created.Version).End == WriteEnd::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(eachFailureOfAWriteSaysWhatItMeans) {
+  struct Case {
+    int Refusal;
+    WriteEnd End;
+  };
+  for (const Case &Each :
+       {Case{503, WriteEnd::NotWritten}, Case{429, WriteEnd::NotWritten},
+        Case{500, WriteEnd::Unknown}})
+    BOOST_TEST_CONTEXT(Each.Refusal) {
+      ClientAndStore T;
+      T.Store.Faults.Refusal = Each.Refusal;
+      BOOST_TEST((T.write("{}", 0).End == Each.End));
+    }
+  ClientAndStore Lost;
+  Lost.Store.Faults.LoseAnswers = 1;
+  BOOST_TEST((Lost.write("{}", 0).End == WriteEnd::Unknown));
+  BOOST_TEST(valueOf(Lost.read()).exists());
+}
+
+BOOST_AUTO_TEST_CASE(aKindIsFollowedThroughPagesChangesAndRemovals) {
+  ClientAndStore T;
+  T.Store.Faults.PageSize = 2;
+  for (const char *Name : {"a", "b", "c", "d", "e"})
+    T.Store.put("k", Name, Name);
+  T.Store.put("other", "z", 1);
+  T.follow();
+  BOOST_TEST(T.runUntil([&] { return T.Seen.size() == 5; }));
+  T.Store.put("k", "f", "f");
+  T.Store.remove("k", "a");
+  BOOST_TEST(T.runUntil(
+      [&] { return T.Seen.count("f") == 1 && T.Seen.count("a") == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(afterForgottenHistoryTheKindIsListedAgain) {
+  ClientAndStore T;
+  T.Store.put("k", "a", 1);
+  T.follow();
+  BOOST_TEST(T.runUntil([&] { return T.Seen.size() == 1; }));
+  T.Store.Faults.Outage = true;
+  T.Store.put("k", "b", 2);
+  BOOST_TEST(T.runUntil([&] { return !T.Reached; }));
+  T.Store.put("k", "c", 3);
+  T.Store.compact();
+  T.Store.Faults.Outage = false;
+  BOOST_TEST(T.runUntil([&] { return T.Seen.size() == 3; }));
+  BOOST_TEST(T.Reached);
+}
+
+// A watch counts as one call: a calm store must not be polled.
+BOOST_AUTO_TEST_CASE(aCalmKindCostsOneCallAWait) {
+  ClientAndStore T;
+  T.follow();
+  TimePoint End = BootClock::now() + 1s;
+  T.runUntil([&] { return BootClock::now() > End; });
+  BOOST_TEST(T.Store.Calls["list"] == 1U);
+  BOOST_TEST(T.Store.Calls["watch"] <= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(ordersEndAsThePlatformSays) {
+  ClientAndStore T;
+  int Promoted = 0;
+  T.Store.onPromote([&](const std::string &Group, const std::string &Id) {
+    ++Promoted;
+    return Group == "g" && Id == "a";
+  });
+  BOOST_TEST((T.promote(5) == OrderEnd::Accepted));
+  BOOST_TEST((T.promote(4) == OrderEnd::Refused));
+  BOOST_TEST(Promoted == 1);
+  T.Store.Faults.LoseAnswers = 1;
+  BOOST_TEST((T.promote(6) == OrderEnd::Unknown));
+  T.Store.Faults.Refusal = 503;
+  BOOST_TEST((T.promote(7) == OrderEnd::NotTaken));
+}
