Give evidence a file of its own, and each class a header

Cause: GroupDispatcher.cpp held placing of requests and learning from answers (522 lines); some headers of src/Proxy held several classes. Conclusion: structure only.

--- a/src/Groups/Groups.h
+++ b/src/Groups/Groups.h
@@ -6,6 +6,7 @@
 #include "Groups/FreshnessMarks.h"
 #include "Groups/GroupCommand.h"
 #include "Groups/GroupController.h"
+#include "Groups/LeaderView.h"
 #include "Groups/ReportCadence.h"
 
 #endif
--- a/src/Observability/Observability.h
+++ b/src/Observability/Observability.h
@@ -3,7 +3,9 @@
 #ifndef CICADAWIND_OBSERVABILITY_OBSERVABILITY_H
 #define CICADAWIND_OBSERVABILITY_OBSERVABILITY_H
 
+#include "Observability/LineSink.h"
 #include "Observability/Log.h"
+#include "Observability/LogBudget.h"
 #include "Observability/Metrics.h"
 #include "Observability/Span.h"
 #include "Observability/TraceContext.h"
--- a/src/Proxy/CallerSession.h
+++ b/src/Proxy/CallerSession.h
@@ -4,7 +4,10 @@
 #include "Core/Error.h"
 #include "Proxy/CallerTransaction.h"
 #include "Proxy/LinkRequest.h"
+#include "Proxy/PreparedShape.h"
 #include "Proxy/ProxyConfig.h"
+#include "Proxy/RequestInWork.h"
+#include "Proxy/RequestReport.h"
 #include "Proxy/TargetLink.h"
 #include "Statements/StatementCodec.h"
 
@@ -21,21 +24,6 @@
 class GroupDispatcher;
 class LineStream;
 
-/// A caller's request that waits for its answer.
-struct RequestInWork {
-  Statement Request;
-  TimePoint Since;
-  TimePoint Deadline;
-  TimePoint GiveUpAt;
-  TimePoint NotBefore;
-  unsigned Attempts = 0;
-  TimePoint AttemptSince;
-  /// Whether a write or commit has left for a target.
-  bool EffectSent = false;
-  std::string LastInstance;
-  Error LastFailure;
-};
-
 /// \class CallerSession
 /// \brief One caller's connection: its values, prepared statements,
 /// transaction and the request in work.
--- a/src/Proxy/CallerTransaction.h
+++ b/src/Proxy/CallerTransaction.h
@@ -3,8 +3,6 @@
 
 #include "Core/Clock.h"
 
-#include <string>
-
 namespace cicadawind {
 
 /// \class CallerTransaction
@@ -29,25 +27,6 @@
   bool isOpen() const { return At != Stage::None; }
 };
 
-/// A shape that a caller has prepared.
-struct PreparedShape {
-  bool Writes = false;
-  std::string Shape;
-};
-
-/// What is logged and counted of a finished request.
-struct RequestReport {
-  std::string Id;
-  std::string Database;
-  std::string Kind;
-  /// "ok", "refused", "in_doubt" or "failed".
-  std::string Outcome;
-  std::string Why;
-  std::string Instance;
-  unsigned Attempts = 0;
-  Duration Took = Duration::zero();
-};
-
 } // namespace cicadawind
 
 #endif
--- /dev/null
+++ b/src/Proxy/GroupEvidence.cpp
@@ -0,0 +1,208 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/GroupDispatcher.h"
+
+#include "Observability/Log.h"
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("dispatch");
+/// Pause before a replica that lacked a position is tried again.
+constexpr Duration BehindPause = std::chrono::milliseconds(40);
+/// Pause before a target that did not answer is read from again.
+constexpr Duration SilentPause = std::chrono::milliseconds(500);
+/// Time in which a proof of lead is asked for.
+constexpr Duration ProofLimit = std::chrono::milliseconds(500);
+} // namespace internal
+
+void GroupDispatcher::learn(const std::string &Instance,
+                            const TargetReply &Reply, bool ProvesLead) {
+  TimePoint Now = BootClock::now();
+  Watch.noteContact(Instance, Now);
+  bool Succeeded = Reply.Receipt.has_value();
+  if (ProvesLead && Succeeded && Reply.Ready.Position) {
+    std::string Before = Leader.primary();
+    std::uint64_t Epoch = Leader.epoch();
+    Leader.proveLead(Instance, *Reply.Ready.Position, Reply.SentAt);
+    if (Epoch != Leader.epoch())
+      internal::Logger.info("primary proved",
+                            {{"group", Opts.Group},
+                             {"target", Leader.primary()},
+                             {"before", Before},
+                             {"term", std::to_string(Leader.term())},
+                             {"epoch", std::to_string(Leader.epoch())}});
+  }
+  if (Reply.Refused && Reply.Refused->Code == ErrorCode::NotPrimary) {
+    if (Instance == Leader.primary())
+      internal::Logger.info("target is not primary",
+                            {{"group", Opts.Group}, {"target", Instance}});
+    Leader.refuteLead(Instance, Reply.SentAt);
+  }
+  Watch.setPrimary(Leader.primary());
+  if (TargetConnections *Links = find(Instance)) {
+    if (Reply.Refused && Reply.Refused->Code == ErrorCode::Overloaded)
+      Links->noteBusy();
+    else if (Succeeded)
+      Links->noteServed();
+  }
+  InstanceView *View = viewOf(Instance);
+  if (!View)
+    return;
+  if (Reply.Refused && Reply.Refused->Code == ErrorCode::ReplicaBehind)
+    View->NotBefore = Now + internal::BehindPause;
+  if (!Reply.Ready.Position)
+    return;
+  std::optional<Duration> Age = Leader.ageOf(*Reply.Ready.Position, Now);
+  if (Age)
+    View->learn(*Reply.Ready.Position, toMillis(*Age), Now);
+}
+
+void GroupDispatcher::learnProof(const std::string &Instance, LogPosition End,
+                                 TimePoint Asked) {
+  if (!find(Instance))
+    return;
+  std::uint64_t Epoch = Leader.epoch();
+  Leader.proveLead(Instance, End, Asked);
+  Watch.setPrimary(Leader.primary());
+  if (Epoch != Leader.epoch())
+    internal::Logger.info("primary proved to a peer",
+                          {{"group", Opts.Group},
+                           {"target", Instance},
+                           {"term", std::to_string(Leader.term())}});
+  schedulePump();
+}
+
+void GroupDispatcher::noteSilence(const std::string &Instance) {
+  TimePoint Now = BootClock::now();
+  Watch.noteFailure(Instance, Now);
+  if (InstanceView *View = viewOf(Instance))
+    View->NotBefore = Now + internal::SilentPause;
+  if (TargetConnections *Links = find(Instance))
+    Links->noteSilent(Now);
+}
+
+void GroupDispatcher::refreshProof(TimePoint Now) {
+  bool Unproved = !Leader.primary().empty() && !Leader.isProved();
+  // Evidence on a primary in doubt must not depend on callers' traffic.
+  if (Watch.failingSince())
+    ProofWanted = true;
+  std::optional<LeaderProof> Newest = Leader.newest();
+  bool Old = !Newest || Now - Newest->Asked > 2 * Opts.ProofAge;
+  if (ProofWanted && Old && Opts.AskPeers)
+    Opts.AskPeers(Opts.Group, "");
+  if (!(ProofWanted || Unproved) || ProofUnderway || Leader.primary().empty())
+    return;
+  ProofWanted = false;
+  ProofUnderway = true;
+  TargetConnections *Links = find(Leader.primary());
+  if (!Links) {
+    ProofUnderway = false;
+    return;
+  }
+  if (!Links->hasFree())
+    Links->openIfAllowed(Share, relayFor(Leader.primary(), Now), Now);
+  // The target checks its lead when a transaction begins.
+  Links->request(
+      "proof",
+      [](TargetLink &Link, TargetLink::ReplyHook Hook) {
+        // Answered in order: the second answer ends the request.
+        auto Begun = std::make_shared<std::optional<TargetReply>>();
+        Link.begin(false, std::nullopt, [Begun](const TargetReply *Reply) {
+          if (Reply)
+            *Begun = *Reply;
+        });
+        Link.rollback([Begun, Hook](const TargetReply *Ended) {
+          Hook(Ended && *Begun ? &**Begun : nullptr);
+        });
+      },
+      [this, Still = Alive,
+       Instance = Leader.primary()](const TargetReply *Reply) {
+        if (!*Still)
+          return;
+        ProofUnderway = false;
+        if (Reply)
+          learn(Instance, *Reply, true);
+      },
+      Now);
+}
+
+void GroupDispatcher::searchPrimary(TimePoint Now) {
+  bool Known = !Leader.primary().empty();
+  if (Known)
+    WithoutPrimarySince.reset();
+  else if (!WithoutPrimarySince)
+    WithoutPrimarySince = Now;
+  if (Known || Now - LastSearch < Opts.SearchPause)
+    return;
+  LastSearch = Now;
+  std::vector<std::string> Names;
+  for (const auto &[Name, T] : Targets)
+    Names.push_back(Name);
+  for (const std::string &Each : Names)
+    askStatus(Each,
+              [this](const std::string &Instance, const TargetStatus *Status) {
+                if (Status && Status->IsPrimary && Leader.primary().empty())
+                  noteClaim(Instance);
+              });
+  if (Opts.AskPeers)
+    Opts.AskPeers(Opts.Group, "");
+}
+
+void GroupDispatcher::noteClaim(const std::string &Instance) {
+  TimePoint Now = BootClock::now();
+  Leader.noteClaim(Instance, true);
+  Watch.setPrimary(Leader.primary());
+  schedulePump();
+}
+
+bool GroupDispatcher::hasNoPrimary(TimePoint Now) const {
+  return WithoutPrimarySince && !Targets.empty() &&
+         Now - *WithoutPrimarySince > Opts.NoPrimaryAfter;
+}
+
+void GroupDispatcher::askStatus(const std::string &Instance, StatusHook Hook) {
+  control(
+      Instance, "status",
+      [](TargetLink &Link, TargetLink::ReplyHook OnReply) {
+        Link.askStatus(std::move(OnReply));
+      },
+      std::move(Hook));
+}
+
+void GroupDispatcher::demote(const std::string &Instance, Term Below,
+                             StatusHook Hook) {
+  control(
+      Instance, "demote",
+      [Below](TargetLink &Link, TargetLink::ReplyHook OnReply) {
+        Link.demote(Below, std::move(OnReply));
+      },
+      std::move(Hook));
+}
+
+void GroupDispatcher::control(const std::string &Instance,
+                              const std::string &Key,
+                              TargetConnections::OwnRequest Request,
+                              StatusHook Hook) {
+  TimePoint Now = BootClock::now();
+  TargetConnections *Links = find(Instance);
+  if (!Links)
+    return Hook(Instance, nullptr);
+  if (!Links->hasFree())
+    Links->openIfAllowed(Share, relayFor(Instance, Now), Now);
+  Links->request(
+      Key, std::move(Request),
+      [this, Still = Alive, Instance,
+       Hook = std::move(Hook)](const TargetReply *Reply) {
+        if (!*Still)
+          return;
+        std::optional<TargetStatus> Status;
+        if (Reply && Reply->Rows.size() == 1)
+          Status = Opts.Codec->decodeStatus(Reply->Rows.front());
+        Hook(Instance, Status ? &*Status : nullptr);
+      },
+      Now);
+}
+
+} // namespace cicadawind
--- a/src/Proxy/LinkRequest.h
+++ b/src/Proxy/LinkRequest.h
@@ -3,29 +3,14 @@
 
 #include "Core/Error.h"
 #include "Groups/LeaderView.h"
+#include "Proxy/LinkGrant.h"
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 
 namespace cicadawind {
 
-class TargetLink;
-
-/// A connection that is lent, and what a read on it has to demand.
-struct LinkGrant {
-  std::shared_ptr<TargetLink> Link;
-  std::string Instance;
-  /// Whether the target is believed to be primary; a read there has to make
-  /// the target check its lead.
-  bool IsPrimary = false;
-  /// Position that the target's log must hold; set for replicas.
-  std::optional<LogPosition> After;
-  /// Its holder has sent what returns it to the dispatcher.
-  bool EndsItself = false;
-};
-
 /// \class LinkRequest
 /// \brief What a statement or transaction needs a connection for.
 struct LinkRequest {
--- a/src/Settings/Settings.h
+++ b/src/Settings/Settings.h
@@ -4,5 +4,6 @@
 #define CICADAWIND_SETTINGS_SETTINGS_H
 
 #include "Settings/DaemonSettings.h"
+#include "Settings/ProxySettings.h"
 
 #endif
