--- a/test/Proxy/PromotionDriverTest.cpp
+++ b/test/Proxy/PromotionDriverTest.cpp
@@ -109,8 +109,10 @@
   PromotingWorld World;
   for (const char *Id : {"b", "c"})
     World.instance(Id).Faults.Work = std::chrono::milliseconds(40);
+  constexpr int CallerCount = 40;
   std::vector<std::unique_ptr<ProxyCaller>> Callers;
-  for (int I = 0; I < 40; ++I)
+  Callers.reserve(CallerCount);
+  for (int I = 0; I < CallerCount; ++I)
     Callers.push_back(std::make_unique<ProxyCaller>(World, "bounded"));
   ProxyCaller Writer(World, "latest");
   World.Group.at("b").Deaf = true;
