--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -14,7 +14,7 @@
 
 static const Log Logger("proxy");
 /// Lines a second about requests; refusals matter more than what went well.
-constexpr unsigned ServedLines = 5;
+constexpr unsigned ServedLines = 1;
 constexpr unsigned UnservedLines = 100;
 /// Sessions closed in one sweep while leaving, so that callers do not all
 /// reconnect at once.
