Log what each attempt of a request ended with

Cause: a refused request's line held only the target's name as its reason; a busy and a lagging target looked alike, refusals without a target (a failed transaction, an unknown prepared name) had no line, and a caller that left with a request in work had none either. Ruled out: one line an attempt; its number grows with retries, just when load is high. Change: the line names the code, the attempts as target:code, the position that was demanded and the age of the newest proof of lead; local refusals and abandoned requests are reported. requests_total has the code as a label. Before/after: RequestLogTest, five cases, none of whose fields existed before. Conclusion: a request's line says what it met.

--- a/src/Core/LogPosition.h
+++ b/src/Core/LogPosition.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace cicadawind {
 
@@ -25,6 +26,9 @@
   auto operator<=>(const LogPosition &) const = default;
 };
 
+/// "term.index".
+std::string toString(LogPosition Position);
+
 } // namespace cicadawind
 
 #endif
--- a/src/Proxy/CallerRequests.cpp
+++ b/src/Proxy/CallerRequests.cpp
@@ -16,31 +16,6 @@
 /// Pause after a target was too busy to take a statement.
 constexpr Duration BusyPause = std::chrono::milliseconds(10);
 
-static const char *nameOf(StatementKind Kind) {
-  switch (Kind) {
-  case StatementKind::Begin:
-  case StatementKind::BeginReadOnly:
-    return "begin";
-  case StatementKind::Commit:
-    return "commit";
-  case StatementKind::Rollback:
-    return "rollback";
-  case StatementKind::Read:
-    return "read";
-  case StatementKind::Write:
-    return "write";
-  case StatementKind::SetValue:
-    return "set";
-  case StatementKind::Prepare:
-    return "prepare";
-  case StatementKind::ExecutePrepared:
-    return "execute";
-  case StatementKind::ClosePrepared:
-    return "close";
-  }
-  return "unknown";
-}
-
 } // namespace internal
 
 bool CallerSession::isWrite(const Statement &Request) const {
@@ -84,7 +59,7 @@
       releaseLink(true);
       Open.At = CallerTransaction::Stage::Failed;
     }
-    return replyLocally(&Failure);
+    return replyLocally(Request, &Failure);
   }
   Work.emplace();
   Work->Request = std::move(Request);
@@ -143,6 +118,7 @@
   ++Work->Attempts;
   Work->AttemptSince = BootClock::now();
   Work->LastInstance = Lent.Instance;
+  Work->AtLeast = Lent.After;
   Lent.Link->applyValues(Values);
   if (Open.isOpen()) {
     bool ReadOnly = Open.ReadOnly && !Lent.IsPrimary;
@@ -240,7 +216,7 @@
   Serve->Codec->encodeReady(Bytes, phase());
   if (!Open.isOpen())
     releaseLink(true);
-  finish(Bytes, "ok", "");
+  finish(Bytes, "ok", nullptr);
 }
 
 void CallerSession::releaseLink(bool Healthy) {
@@ -280,8 +256,10 @@
     std::string Bytes;
     Serve->Codec->encodeError(Bytes, Failure.Code, Failure.Message);
     Serve->Codec->encodeReady(Bytes, phase());
-    return finish(Bytes, "refused", Failure.Message);
+    Work->noteFailure(Failure);
+    return finish(Bytes, "refused", &Failure);
   }
+  Work->noteFailure(Failure);
   // A prepared name that the target does not know: what this link is believed
   // to hold is wrong.
   releaseLink(Failure.Code != ErrorCode::NotFound);
@@ -295,28 +273,27 @@
 void CallerSession::onLostLink() {
   releaseLink(false);
   bool Commits = Work->Request.Kind == StatementKind::Commit;
-  Error Failure{.Code = ErrorCode::TransactionEnded,
+  bool InTransaction = Open.isOpen();
+  Error Failure{.Code = ErrorCode::StatementFailed,
                 .Message = "the connection to the target was lost"};
-  if (Open.isOpen()) {
-    bool EffectPossible = Commits && Open.Wrote && Work->EffectSent;
-    Open.At = CallerTransaction::Stage::Failed;
-    if (Commits)
-      Open = CallerTransaction();
-    if (EffectPossible)
-      Failure.Code = ErrorCode::NotConfirmed;
-    return finishWith(Failure);
-  }
-  if (Work->EffectSent) {
+  bool EffectPossible =
+      Work->EffectSent && (!InTransaction || (Commits && Open.Wrote));
+  if (EffectPossible)
     Failure.Code = ErrorCode::NotConfirmed;
-    return finishWith(Failure);
-  }
-  Failure.Code = ErrorCode::StatementFailed;
-  retryOrRefuse(Failure);
+  else if (InTransaction)
+    Failure.Code = ErrorCode::TransactionEnded;
+  Work->noteFailure(Failure);
+  if (!InTransaction && !EffectPossible)
+    return retryOrRefuse(Failure);
+  if (InTransaction)
+    Open.At = CallerTransaction::Stage::Failed;
+  if (Commits)
+    Open = CallerTransaction();
+  finishWith(Failure);
 }
 
 void CallerSession::retryOrRefuse(Error Failure) {
   TimePoint Now = BootClock::now();
-  Work->LastFailure = Failure;
   bool MayRetry =
       Work->Attempts < internal::MaxAttempts && Now < Work->Deadline && !Ended;
   if (!MayRetry)
@@ -339,24 +316,42 @@
   Serve->Codec->encodeReady(Bytes, phase());
   const char *Outcome =
       Failure.Code == ErrorCode::NotConfirmed ? "in_doubt" : "refused";
-  finish(Bytes, Outcome, Failure.Message);
+  finish(Bytes, Outcome, &Failure);
 }
 
 void CallerSession::finish(const std::string &Bytes, const char *Outcome,
-                           const std::string &Why) {
+                           const Error *Failure) {
   ++Attempt;
-  Serve->Report({.Id = Work->Request.Id,
-                 .Database = Database,
-                 .Kind = internal::nameOf(Work->Request.Kind),
-                 .Outcome = Outcome,
-                 .Why = Why,
-                 .Instance = Work->LastInstance,
-                 .Attempts = Work->Attempts,
-                 .Took = BootClock::now() - Work->Since});
+  report(Outcome, Failure);
   Work.reset();
   LastActivity = BootClock::now();
   Stream->send(Bytes);
   takeNext();
 }
 
+void CallerSession::report(const char *Outcome, const Error *Failure) const {
+  TimePoint Now = BootClock::now();
+  RequestReport Report;
+  Report.Id = Work->Request.Id;
+  Report.Database = Database;
+  Report.Kind = toString(Work->Request.Kind);
+  Report.Outcome = Outcome;
+  if (Failure) {
+    Report.Why = Failure->Message;
+    Report.Code = toString(Failure->Code);
+  }
+  Report.Tries = Work->Tries;
+  Report.Instance = Work->LastInstance;
+  if (Work->AtLeast)
+    Report.AtLeast = toString(*Work->AtLeast);
+  std::optional<LeaderProof> Proof;
+  if (Dispatcher)
+    Proof = Dispatcher->leader().newest();
+  if (Proof)
+    Report.ProofAge = Now - Proof->Asked;
+  Report.Attempts = Work->Attempts;
+  Report.Took = Now - Work->Since;
+  Serve->Report(Report);
+}
+
 } // namespace cicadawind
--- a/src/Proxy/CallerSession.cpp
+++ b/src/Proxy/CallerSession.cpp
@@ -74,7 +74,8 @@
                    .Database = Name,
                    .Kind = "open",
                    .Outcome = "refused",
-                   .Why = "no such database"});
+                   .Why = "no such database",
+                   .Code = std::string(toString(ErrorCode::UnknownDatabase))});
     Stream->send(Bytes);
     Stream->closeAfterSending();
     return end();
@@ -95,7 +96,8 @@
                  .Database = Database,
                  .Kind = "malformed",
                  .Outcome = "refused",
-                 .Why = Message.Reason});
+                 .Why = Message.Reason,
+                 .Code = std::string(toString(ErrorCode::BadRequest))});
   // Behind a request in work the error would be taken for its answer.
   if (!Work)
     Stream->send(Bytes);
@@ -136,7 +138,7 @@
   case StatementKind::BeginReadOnly:
     return beginTransaction(Request);
   case StatementKind::Rollback:
-    return rollBack();
+    return rollBack(Request);
   case StatementKind::SetValue:
   case StatementKind::Prepare:
   case StatementKind::ClosePrepared:
@@ -146,13 +148,24 @@
   }
 }
 
-void CallerSession::replyLocally(const Error *Failure) {
+void CallerSession::replyLocally(const Statement &Request,
+                                 const Error *Failure) {
   std::string Bytes;
   if (Failure)
     Serve->Codec->encodeError(Bytes, Failure->Code, Failure->Message);
   else
     Serve->Codec->encodeCompleted(Bytes, "");
   Serve->Codec->encodeReady(Bytes, phase());
+  if (Failure) {
+    RequestReport Report;
+    Report.Id = Request.Id;
+    Report.Database = Database;
+    Report.Kind = toString(Request.Kind);
+    Report.Outcome = "refused";
+    Report.Why = Failure->Message;
+    Report.Code = toString(Failure->Code);
+    Serve->Report(Report);
+  }
   Stream->send(Bytes);
 }
 
@@ -162,45 +175,45 @@
   if (!Ends) {
     Error Failure{.Code = ErrorCode::BadRequest,
                   .Message = "the transaction has failed; roll it back"};
-    return replyLocally(&Failure);
+    return replyLocally(Request, &Failure);
   }
   Open = CallerTransaction();
   if (Request.Kind == StatementKind::Rollback)
-    return replyLocally(nullptr);
+    return replyLocally(Request, nullptr);
   Error Failure{.Code = ErrorCode::TransactionEnded,
                 .Message = "the transaction had failed and is rolled back"};
-  replyLocally(&Failure);
+  replyLocally(Request, &Failure);
 }
 
 void CallerSession::beginTransaction(const Statement &Request) {
   Error Failure{.Code = ErrorCode::BadRequest,
                 .Message = "a transaction is open"};
   if (Open.isOpen())
-    return replyLocally(&Failure);
+    return replyLocally(Request, &Failure);
   const RouteConfig *Found = route();
   if (!Found) {
     Failure = Error{.Code = ErrorCode::UnknownDatabase,
                     .Message = "the database was withdrawn"};
-    return replyLocally(&Failure);
+    return replyLocally(Request, &Failure);
   }
   Route = *Found;
   Open.At = CallerTransaction::Stage::Announced;
   Open.ReadOnly = Request.Kind == StatementKind::BeginReadOnly;
   Open.Since = BootClock::now();
-  replyLocally(nullptr);
+  replyLocally(Request, nullptr);
 }
 
-void CallerSession::rollBack() {
+void CallerSession::rollBack(const Statement &Request) {
   if (!Open.isOpen()) {
     Error Failure{.Code = ErrorCode::BadRequest,
                   .Message = "no transaction is open"};
-    return replyLocally(&Failure);
+    return replyLocally(Request, &Failure);
   }
   bool Pinned = Open.At == CallerTransaction::Stage::Pinned;
   Open = CallerTransaction();
   if (Pinned)
     releaseLink(true);
-  replyLocally(nullptr);
+  replyLocally(Request, nullptr);
 }
 
 void CallerSession::handleLocally(const Statement &Request) {
@@ -211,7 +224,7 @@
                               .Shape = Request.Rest};
   else
     Prepared.erase(Request.Name);
-  replyLocally(nullptr);
+  replyLocally(Request, nullptr);
 }
 
 void CallerSession::sweep(TimePoint Now) {
@@ -263,7 +276,8 @@
                  .Database = Database,
                  .Kind = "transaction",
                  .Outcome = "refused",
-                 .Why = std::string("ended while ") + Why});
+                 .Why = std::string("ended while ") + Why,
+                 .Code = std::string(toString(ErrorCode::TransactionEnded))});
 }
 
 void CallerSession::close() {
@@ -278,6 +292,13 @@
   ++Attempt;
   if (Ticket && Dispatcher)
     Dispatcher->cancel(std::exchange(Ticket, 0));
+  if (Work) {
+    bool MayHaveRun = Work->EffectSent;
+    Error Failure{.Code = MayHaveRun ? ErrorCode::NotConfirmed
+                                     : ErrorCode::ConnectionLost,
+                  .Message = "the caller's connection ended"};
+    report(MayHaveRun ? "in_doubt" : "failed", &Failure);
+  }
   // A statement in work may still run; its connection is not lent again.
   releaseLink(!Work);
   Open = CallerTransaction();
--- a/src/Proxy/CallerSession.h
+++ b/src/Proxy/CallerSession.h
@@ -76,7 +76,7 @@
   void handle(Statement Request);
   void handleInFailed(const Statement &Request);
   void beginTransaction(const Statement &Request);
-  void rollBack();
+  void rollBack(const Statement &Request);
   void handleLocally(const Statement &Request);
   void runOnTarget(Statement Request);
   std::string textFor(const Statement &Request, TargetLink &Link) const;
@@ -97,9 +97,11 @@
   void answer(const TargetReply &Reply);
   void finishWith(const Error &Failure);
   void finish(const std::string &Bytes, const char *Outcome,
-              const std::string &Why);
+              const Error *Failure);
+  /// Tells the host how the request in work ended.
+  void report(const char *Outcome, const Error *Failure) const;
   SessionPhase phase() const;
-  void replyLocally(const Error *Failure);
+  void replyLocally(const Statement &Request, const Error *Failure);
   const RouteConfig *route() const;
   void end();
 
--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -212,13 +212,11 @@
   if (Why == Reason::Leaving)
     co_await stepDown(Group, Old, Chosen->Instance,
                       Dispatcher->leader().term() + 1);
-  internal::Logger.info(
-      "successor chosen",
-      {{"group", Group},
-       {"target", Chosen->Instance},
-       {"received", std::to_string(Chosen->Received.WrittenIn) + "." +
-                        std::to_string(Chosen->Received.Index)},
-       {"answers", std::to_string(Known.size())}});
+  internal::Logger.info("successor chosen",
+                        {{"group", Group},
+                         {"target", Chosen->Instance},
+                         {"received", toString(Chosen->Received)},
+                         {"answers", std::to_string(Known.size())}});
   bool Ordered =
       co_await orderUntilAnswered(Group, Chosen->Instance, valueOf(Claimed));
   if (!Ordered)
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -155,7 +155,8 @@
 }
 
 void ProxyService::report(const RequestReport &Each) {
-  MetricLabels Labels{{"kind", Each.Kind}, {"outcome", Each.Outcome}};
+  MetricLabels Labels{
+      {"kind", Each.Kind}, {"outcome", Each.Outcome}, {"code", Each.Code}};
   Meter.count("requests_total", Labels);
   Meter.observe("request_seconds", Each.Took, {{"kind", Each.Kind}});
   bool Served = Each.Outcome == "ok";
@@ -168,9 +169,15 @@
        {"database", Each.Database},
        {"kind", Each.Kind},
        {"outcome", Each.Outcome},
+       {"code", Each.Code},
        {"why", Each.Why},
        {"target", Each.Instance},
        {"attempts", std::to_string(Each.Attempts)},
+       {"tries", Each.Tries},
+       {"at_least", Each.AtLeast},
+       {"proof_age_ms", Each.ProofAge
+                            ? std::to_string(toMillis(*Each.ProofAge).count())
+                            : std::string()},
        {"config", std::to_string(Config->Version)},
        {"took_ms", std::to_string(toMillis(Each.Took).count())}});
 }
--- a/src/Proxy/RequestInWork.h
+++ b/src/Proxy/RequestInWork.h
@@ -2,8 +2,10 @@
 #define CICADAWIND_PROXY_REQUESTINWORK_H
 
 #include "Core/Error.h"
+#include "Core/LogPosition.h"
 #include "Statements/Statement.h"
 
+#include <optional>
 #include <string>
 
 namespace cicadawind {
@@ -21,6 +23,17 @@
   bool EffectSent = false;
   std::string LastInstance;
   Error LastFailure;
+  /// What each failed attempt ended with, "target:code" apart by commas.
+  std::string Tries;
+  /// Position that the last target had to hold, if any.
+  std::optional<LogPosition> AtLeast;
+
+  void noteFailure(const Error &Failure) {
+    LastFailure = Failure;
+    if (!Tries.empty())
+      Tries += ',';
+    Tries += LastInstance + ':' + std::string(toString(Failure.Code));
+  }
 };
 
 } // namespace cicadawind
--- a/src/Proxy/RequestReport.h
+++ b/src/Proxy/RequestReport.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 
+#include <optional>
 #include <string>
 
 namespace cicadawind {
@@ -15,7 +16,16 @@
   /// "ok", "refused", "in_doubt" or "failed".
   std::string Outcome;
   std::string Why;
+  /// Name of the error code that the caller got; empty when served.
+  std::string Code;
+  /// What each failed attempt ended with, "target:code" apart by commas.
+  std::string Tries;
   std::string Instance;
+  /// Position that the last target had to hold, "term.index"; empty when none
+  /// was demanded.
+  std::string AtLeast;
+  /// Age of the newest proof of lead when it ended; empty when there is none.
+  std::optional<Duration> ProofAge;
   unsigned Attempts = 0;
   Duration Took = Duration::zero();
 };
--- a/src/Statements/Statement.h
+++ b/src/Statements/Statement.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_STATEMENTS_STATEMENT_H
 
 #include <string>
+#include <string_view>
 
 namespace cicadawind {
 
@@ -18,6 +19,9 @@
   ClosePrepared,
 };
 
+/// Name for logs and metrics, such as "read".
+std::string_view toString(StatementKind Kind);
+
 /// \class Statement
 /// \brief One statement of a caller, parsed as far as routing needs.
 struct Statement {
--- a/test/Emulator/EmulatedInstance.cpp
+++ b/test/Emulator/EmulatedInstance.cpp
@@ -23,11 +23,6 @@
   return Word;
 }
 
-static std::string toText(LogPosition Position) {
-  return std::to_string(Position.WrittenIn) + "." +
-         std::to_string(Position.Index);
-}
-
 static LogPosition positionFrom(const std::string &Text) {
   std::size_t Dot = Text.find('.');
   return {.WrittenIn = std::stoull(Text.substr(0, Dot)),
@@ -99,7 +94,7 @@
     if (Loses)
       return close();
     LogPosition End = Owner.Group.applied(Owner.Id);
-    Stream->send(Answer + "READY " + State + " " + toText(End) + "\r\n");
+    Stream->send(Answer + "READY " + State + " " + toString(End) + "\r\n");
   }
 
   void open(std::string Line) {
@@ -112,7 +107,7 @@
                    Owner.Id + "\r\n");
       return Stream->closeAfterSending();
     }
-    Stream->send("READY I " + toText(Owner.Group.applied(Owner.Id)) + "\r\n");
+    Stream->send("READY I " + toString(Owner.Group.applied(Owner.Id)) + "\r\n");
   }
 
   bool leads() const { return Owner.Group.primary() == Owner.Id; }
@@ -187,7 +182,7 @@
       Owner.Group.demote(Owner.Id, std::stoull(Text));
     std::ostringstream Row;
     Row << "ROW " << (leads() ? "primary" : "replica") << " "
-        << Owner.Group.term() << " " << toText(Owner.Group.received(Owner.Id))
+        << Owner.Group.term() << " " << toString(Owner.Group.received(Owner.Id))
         << " 0 0 0 " << Owner.connections() << "\r\n";
     return Row.str() + done("-");
   }
--- /dev/null
+++ b/test/Proxy/RequestLogTest.cpp
@@ -0,0 +1,120 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE RequestLog
+#include <boost/test/unit_test.hpp>
+
+#include "Observability/Log.h"
+#include "Proxy/ProxyWorld.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <sstream>
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+
+namespace {
+
+/// Reads the lines that are logged while it lives. Made after the world, which
+/// logs errors only.
+class LoggedLines {
+public:
+  LoggedLines() : Before(std::clog.rdbuf(Text.rdbuf())) {
+    Log::setLowest(LogLevel::Info);
+  }
+  ~LoggedLines() { std::clog.rdbuf(Before); }
+  LoggedLines(const LoggedLines &) = delete;
+  LoggedLines &operator=(const LoggedLines &) = delete;
+
+  /// The line of the request \p Id; null when there is none.
+  nlohmann::json lineOf(const std::string &Id) const {
+    std::istringstream Lines(Text.str());
+    for (std::string Line; std::getline(Lines, Line);) {
+      nlohmann::json Json = nlohmann::json::parse(Line, nullptr, false);
+      if (Json.is_object() && Json.value("id", "") == Id)
+        return Json;
+    }
+    return nullptr;
+  }
+
+private:
+  std::ostringstream Text;
+  std::streambuf *Before;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aBusyTargetIsNamedWithItsCode) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "latest");
+  World.instance("a").Faults.Busy = 1000;
+  Caller.ask("WRITE i1 x");
+  nlohmann::json Line = Lines.lineOf(Caller.lastId());
+  BOOST_REQUIRE(Line.is_object());
+  BOOST_TEST(Line["message"] == "request not served");
+  BOOST_TEST(Line["code"] == "overloaded");
+  BOOST_TEST(Line["tries"].get<std::string>().starts_with(
+      "a:overloaded,a:overloaded"));
+}
+
+BOOST_AUTO_TEST_CASE(aLaggingReplicaIsNamedWithThePositionItLacks) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "own");
+  Caller.ask("READ i1");
+  World.Group.at("b").Deaf = true;
+  World.Group.at("c").Deaf = true;
+  Caller.ask("WRITE i1 x");
+  // Of served requests one a second is logged.
+  World.runFor(std::chrono::milliseconds(1100));
+  Caller.ask("READ i1");
+  nlohmann::json Line = Lines.lineOf(Caller.lastId());
+  BOOST_REQUIRE(Line.is_object());
+  BOOST_TEST(Line["message"] == "request served");
+  BOOST_TEST(Line["target"] == "a");
+  std::string Tries = Line["tries"];
+  BOOST_TEST((Tries.find("b:replica_behind") != std::string::npos ||
+              Tries.find("c:replica_behind") != std::string::npos));
+}
+
+BOOST_AUTO_TEST_CASE(aLostAnswerIsLoggedAsInDoubt) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "latest");
+  World.instance("a").Faults.LoseAnswers = 1;
+  Caller.ask("WRITE i1 x");
+  nlohmann::json Line = Lines.lineOf(Caller.lastId());
+  BOOST_REQUIRE(Line.is_object());
+  BOOST_TEST(Line["outcome"] == "in_doubt");
+  BOOST_TEST(Line["code"] == "not_confirmed");
+  BOOST_TEST(Line["tries"] == "a:not_confirmed");
+}
+
+BOOST_AUTO_TEST_CASE(whatNoTargetSawIsLoggedToo) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "latest");
+  Caller.ask("EXECUTE nothing i1");
+  nlohmann::json Line = Lines.lineOf(Caller.lastId());
+  BOOST_REQUIRE(Line.is_object());
+  BOOST_TEST(Line["code"] == "not_found");
+  BOOST_TEST(Line["kind"] == "execute");
+  BOOST_TEST(Line["attempts"] == "0");
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesWithARequestInWorkIsLogged) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "latest");
+  World.instance("a").Faults.Silent = true;
+  Caller.send("QUERY q77 WRITE i1 x");
+  World.runFor(std::chrono::milliseconds(100));
+  Caller.close();
+  World.runUntil([&] { return World.Service->sessions() == 0; });
+  nlohmann::json Line = Lines.lineOf("q77");
+  BOOST_REQUIRE(Line.is_object());
+  BOOST_TEST(Line["outcome"] == "in_doubt");
+}
