End HTTP connections whose message stops in the middle

Cause: RESTinio limits the wait for a message and its reading together, by the idle limit of 120 s, so a connection that stops in a header stays open that long. Ruled out: lowering the idle limit; callers' idle connections would be closed under their next request. Change: the server's sockets note when bytes of a message arrive; messages that are incomplete after 3 s end their connection. Before/after: PartialMessagesTest fails in its first three cases without the search for overdue messages and passes with it; a request in work and an idle connection stay open.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -3,6 +3,9 @@
 
 #include "Http/HttpServer.h"
 
+#include "Http/GuardedSocket.h"
+#include "Http/PartialMessages.h"
+
 #include <boost/asio.hpp>
 #include <restinio/all.hpp>
 
@@ -22,6 +25,8 @@
 constexpr std::uint64_t MaxHeaderNameBytes = 256;
 constexpr std::uint64_t MaxHeaderValueBytes = std::size_t{16} * 1024;
 constexpr std::size_t MaxHeaderCount = 64;
+/// Pause between searches for messages that are overdue.
+constexpr Duration OverduePeriod = std::chrono::milliseconds(250);
 
 /// Counts connections by peer address.
 struct PeerConnections {
@@ -91,6 +96,8 @@
   static constexpr bool
       use_connection_count_limiter = // NOLINT(readability-identifier-naming)
       true;
+  using stream_socket_t = // NOLINT(readability-identifier-naming)
+      GuardedSocket;
 };
 
 static std::string lowerCase(std::string Text) {
@@ -156,7 +163,9 @@
 
   Impl(boost::asio::io_context &Loop, Options NewOpts, HttpHandler NewHandler)
       : Loop(Loop), Opts(std::move(NewOpts)), Handler(std::move(NewHandler)),
-        Peers(std::make_shared<internal::PeerConnections>()) {
+        Peers(std::make_shared<internal::PeerConnections>()),
+        Partials(boost::asio::use_service<PartialMessages>(Loop)),
+        Overdue(Loop) {
     Peers->Limit = Opts.MaxConnectionsPerPeer;
     Listener = std::make_unique<Server>(
         restinio::external_io_context(Loop),
@@ -168,6 +177,7 @@
       Loop.run_one();
     if (OpenError)
       std::rethrow_exception(OpenError);
+    endOverdueLater();
   }
 
   std::uint16_t port() const { return Port; }
@@ -175,6 +185,7 @@
   void stop() {
     if (std::exchange(Stopped, true))
       return;
+    Overdue.cancel();
     Listener->close_async([] {}, [](std::exception_ptr) {});
   }
 
@@ -208,12 +219,23 @@
         .acceptor_post_bind_hook(
             [this](auto &Acceptor) { Port = Acceptor.local_endpoint().port(); })
         .request_handler([this](restinio::request_handle_t Incoming) {
+          Partials.complete(Port, Incoming->remote_endpoint());
           boost::asio::co_spawn(Loop, serve(std::move(Incoming)),
                                 boost::asio::detached);
           return restinio::request_accepted();
         });
   }
 
+  void endOverdueLater() {
+    Overdue.expires_after(internal::OverduePeriod);
+    Overdue.async_wait([this](const boost::system::error_code &Code) {
+      if (Code)
+        return;
+      Partials.endOverdue(Port, Opts.MessageLimit);
+      endOverdueLater();
+    });
+  }
+
   boost::asio::awaitable<void> serve(restinio::request_handle_t Incoming) {
     HttpRequest Request = internal::toRequest(Incoming);
     HttpResponse Response;
@@ -239,6 +261,8 @@
   Options Opts;
   HttpHandler Handler;
   std::shared_ptr<internal::PeerConnections> Peers;
+  PartialMessages &Partials;
+  boost::asio::steady_timer Overdue;
   std::unique_ptr<Server> Listener;
   std::exception_ptr OpenError;
   std::uint16_t Port = 0;
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -36,7 +36,11 @@
     std::size_t MaxBodyBytes = std::size_t{256} * 1024;
     std::size_t MaxConnectionsPerPeer = 16384;
     std::size_t MaxConnections = 20000;
-    /// An idle connection, or one whose header or body stalls, is closed.
+    /// Time in which a message that has begun must be complete; its connection
+    /// is closed then. A message behind another in one packet only counts from
+    /// its next bytes on.
+    Duration MessageLimit = std::chrono::milliseconds(3000);
+    /// An idle connection is closed.
     std::chrono::seconds IdleLimit = std::chrono::seconds(120);
     /// Longer than any deadline that release notes allow.
     std::chrono::seconds HandleLimit = std::chrono::hours(25);
