--- /dev/null
+++ b/src/Cli/RequestExplanation.cpp
@@ -0,0 +1,209 @@
+#include "Cli/RequestExplanation.h"
+
+#include <algorithm>
+#include <ctime>
+#include <set>
+
+namespace cicadawind {
+namespace internal {
+
+using Json = nlohmann::json;
+
+/// Milliseconds since 1970 of "2026-01-31T12:00:00.123Z"; -1 when it is none.
+static std::int64_t millisOf(const std::string &Time) {
+  std::tm Parts{};
+  const char *Rest = strptime(Time.c_str(), "%Y-%m-%dT%H:%M:%S", &Parts);
+  if (!Rest || *Rest != '.')
+    return -1;
+  return static_cast<std::int64_t>(timegm(&Parts)) * 1000 +
+         std::strtoll(Rest + 1, nullptr, 10);
+}
+
+static std::string textOf(const Json &Fields, const char *Key) {
+  auto It = Fields.find(Key);
+  return It != Fields.end() && It->is_string() ? It->get<std::string>() : "";
+}
+
+static bool isRequestLine(const Json &Fields) {
+  std::string Message = textOf(Fields, "message");
+  return Message == "request served" || Message == "request not served";
+}
+
+static bool hasMessage(const std::vector<Json> &Lines, const char *Message) {
+  return std::any_of(Lines.begin(), Lines.end(), [&](const Json &Line) {
+    return textOf(Line, "message") == Message;
+  });
+}
+
+struct Finding {
+  std::string Cause;
+  std::string Advice;
+};
+
+/// Of a request that waited in vain for a connection.
+static Finding waitedInVain(const Json &Request,
+                            const std::vector<Json> &Evidence) {
+  bool Promoting = hasMessage(Evidence, "promotion begins");
+  if (textOf(Request, "why") == "no primary is known")
+    return {"no primary was known when it came",
+            Promoting ? "see the promotion below; it ends with 'primary proved'"
+                      : "see whether targets of the group answer at all"};
+  if (Promoting)
+    return {"its group's primary was being replaced, or callers that had "
+            "waited for that were served first",
+            "see the promotion below; it ends with 'primary proved'"};
+  bool Missing = hasMessage(Evidence, "connection not opened") ||
+                 hasMessage(Evidence, "target is silent") ||
+                 hasMessage(Evidence, "target gone");
+  if (Missing)
+    return {"fewer targets of its group took connections than usual",
+            "see which targets the lines below name"};
+  return {
+      "callers asked for more than the group's targets run at once",
+      "compare requests_total{outcome=\"refused\"} of all VMs; add slots or "
+      "targets if it lasts"};
+}
+
+static Finding judge(const Json &Request, const std::vector<Json> &Evidence) {
+  std::string Code = textOf(Request, "code");
+  std::string Tries = textOf(Request, "tries");
+  bool Promoting = hasMessage(Evidence, "promotion begins") ||
+                   hasMessage(Evidence, "primary in doubt");
+  if (textOf(Request, "outcome") == "ok")
+    return {Tries.empty() ? "it was served at once"
+                          : "it was served after failed attempts: " + Tries,
+            "nothing"};
+  if (Code == "overloaded" && Tries.empty())
+    return waitedInVain(Request, Evidence);
+  if (Code == "overloaded")
+    return {"targets were too busy to take it: " + Tries,
+            "if many VMs see this, the group's slots are all in use"};
+  if (Code == "replica_behind")
+    return {"replicas had not reached position " + textOf(Request, "at_least") +
+                ": " + Tries,
+            "see the replicas' lag; proof_age_ms says how old the demand was"};
+  if (Code == "not_confirmed")
+    return {Promoting ? "its write or commit had left for a primary that was "
+                        "lost or in doubt"
+                      : "the connection ended after its write or commit had "
+                        "left, or its time limit passed: " +
+                            Tries,
+            "the write may be kept: 'successor chosen' tells the position that "
+            "survived; the caller has to look before it repeats"};
+  if (Code == "transaction_ended")
+    return {Promoting ? "its transaction ended with the group's primary"
+                      : "its transaction was ended: " + textOf(Request, "why"),
+            "nothing of it is kept; the caller may repeat it"};
+  if (Code == "unknown_database")
+    return {"the configuration in force lists no such database",
+            "see 'configuration in force' below for the version and its time"};
+  if (Code == "statement_failed" || Code == "connection_lost")
+    return {"the connection was lost: " + textOf(Request, "why") +
+                (Tries.empty() ? "" : " (" + Tries + ")"),
+            "see what the lines below say of the target"};
+  if (Code == "bad_request" || Code == "not_found")
+    return {"the request itself was wrong: " + textOf(Request, "why"),
+            "correct the caller"};
+  return {"it ended with " + (Code.empty() ? "no code" : Code) + ": " +
+              textOf(Request, "why"),
+          "see the lines below"};
+}
+
+} // namespace internal
+
+void RequestExplanation::addLine(const std::string &Line) {
+  std::size_t Begin = Line.find('{');
+  if (Begin == std::string::npos)
+    return;
+  internal::Json Fields =
+      internal::Json::parse(Line.begin() + static_cast<std::ptrdiff_t>(Begin),
+                            Line.end(), nullptr, false);
+  if (!Fields.is_object())
+    return;
+  std::int64_t At = internal::millisOf(internal::textOf(Fields, "time"));
+  if (At >= 0)
+    Lines.push_back({.AtMs = At, .Fields = std::move(Fields)});
+}
+
+const RequestExplanation::LogLine *
+RequestExplanation::find(const std::string &Id) const {
+  const LogLine *Found = nullptr;
+  // Of several attempts of a caller the last counts.
+  for (const LogLine &Line : Lines)
+    if (internal::isRequestLine(Line.Fields) &&
+        internal::textOf(Line.Fields, "id") == Id &&
+        (!Found || Line.AtMs >= Found->AtMs))
+      Found = &Line;
+  return Found;
+}
+
+bool RequestExplanation::concerns(const LogLine &Line,
+                                  const LogLine &Request) const {
+  bool InTime = Line.AtMs >= Request.AtMs - Opts.BeforeMs &&
+                Line.AtMs <= Request.AtMs + Opts.AfterMs;
+  if (!InTime || internal::isRequestLine(Line.Fields))
+    return false;
+  static const std::set<std::string> OfVm{"configuration in force",
+                                          "serving",
+                                          "leaving",
+                                          "stopped",
+                                          "store lost",
+                                          "store regained",
+                                          "settings read"};
+  std::string Group = internal::textOf(Line.Fields, "group");
+  bool SameVm = internal::textOf(Line.Fields, "vm") ==
+                internal::textOf(Request.Fields, "vm");
+  if (Group.empty())
+    return SameVm && OfVm.count(internal::textOf(Line.Fields, "message")) != 0;
+  bool Promotes = internal::textOf(Line.Fields, "component") == "promotion";
+  return Group == internal::textOf(Request.Fields, "group") &&
+         (SameVm || Promotes);
+}
+
+std::vector<nlohmann::json>
+RequestExplanation::evidenceFor(const LogLine &Request) const {
+  std::vector<const LogLine *> Near;
+  for (const LogLine &Line : Lines)
+    if (concerns(Line, Request))
+      Near.push_back(&Line);
+  auto DistanceOf = [&](const LogLine *Line) {
+    return std::abs(Line->AtMs - Request.AtMs);
+  };
+  std::stable_sort(Near.begin(), Near.end(),
+                   [&](const LogLine *A, const LogLine *B) {
+                     return DistanceOf(A) < DistanceOf(B);
+                   });
+  Near.resize(std::min(Near.size(), Opts.MaxEvidence));
+  std::stable_sort(
+      Near.begin(), Near.end(),
+      [](const LogLine *A, const LogLine *B) { return A->AtMs < B->AtMs; });
+  std::vector<nlohmann::json> Out;
+  Out.reserve(Near.size());
+  for (const LogLine *Line : Near)
+    Out.push_back(Line->Fields);
+  return Out;
+}
+
+RequestExplanation::Result
+RequestExplanation::explain(const std::string &Id) const {
+  Result Out;
+  const LogLine *Request = find(Id);
+  for (const LogLine &Line : Lines)
+    if (internal::textOf(Line.Fields, "message") == "request lines left out")
+      Out.LinesLeftOut += std::strtoull(
+          internal::textOf(Line.Fields, "count").c_str(), nullptr, 10);
+  if (!Request) {
+    Out.Cause = "no line of these logs names it";
+    Out.Advice = "give the logs of all VMs; of served requests one a second is "
+                 "logged, of others up to a hundred";
+    return Out;
+  }
+  Out.Request = Request->Fields;
+  Out.Evidence = evidenceFor(*Request);
+  internal::Finding Found = internal::judge(Request->Fields, Out.Evidence);
+  Out.Cause = std::move(Found.Cause);
+  Out.Advice = std::move(Found.Advice);
+  return Out;
+}
+
+} // namespace cicadawind
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -5,6 +5,7 @@
 
 #include "Async/AsyncSignal.h"
 #include "Observability/Log.h"
+#include "Proxy/ProxyStatus.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -104,6 +105,8 @@
                    return Service.addressOf(Group, Instance);
                  }}),
       Acceptor(Loop), Signals(Loop) {
+  Peers.onRequest(
+      [this](const HttpRequest &Request) { return answerOperator(Request); });
   Service.setRelayOf(
       [this](const std::string &Peer) { return Peers.relayOf(Peer); });
   Service.onConfig([this] { Peers.announce(); });
@@ -191,6 +194,10 @@
     Response.ContentType = "text/plain; version=0.0.4";
     return Response;
   }
+  if (Request.Path == "/status") {
+    Response.Body = statusOf(Service, Peers, BootClock::now()).dump();
+    return Response;
+  }
   Response.Status = 404;
   Response.Body = R"({"error":{"code":"not_found"}})";
   return Response;
--- a/src/Proxy/CallerRequests.cpp
+++ b/src/Proxy/CallerRequests.cpp
@@ -334,6 +334,7 @@
   RequestReport Report;
   Report.Id = Work->Request.Id;
   Report.Database = Database;
+  Report.Group = Route.Group;
   Report.Kind = toString(Work->Request.Kind);
   Report.Outcome = Outcome;
   if (Failure) {
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -102,7 +102,11 @@
   void sweep(TimePoint Now);
 
   LeaderView &leader() { return Leader; }
+  const LeaderView &leader() const { return Leader; }
   PrimaryWatch &watch() { return Watch; }
+  const PrimaryWatch &watch() const { return Watch; }
+  /// Requests that wait for a connection.
+  std::size_t waiting() const { return Queue.size(); }
   const std::string &group() const { return Opts.Group; }
   const TargetEntry *findEntry(const std::string &Instance) const;
   std::vector<TargetEntry> entries() const;
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -82,8 +82,9 @@
   ServerOpts.MaxConnections = 64;
   StateServer = std::make_unique<HttpServer>(
       Loop, ServerOpts,
-      [this](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
-        co_return answerState();
+      [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+        bool ForState = Request.Path == "/state" || !RequestHook;
+        co_return ForState ? answerState() : RequestHook(Request);
       });
   receiveNext();
   for (const std::string &Address : Opts.SeedAddresses)
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -90,6 +90,11 @@
     NoticeHook = std::move(Hook);
   }
 
+  /// Answers what is asked over HTTP beside the state.
+  void onRequest(std::function<HttpResponse(const HttpRequest &)> Hook) {
+    RequestHook = std::move(Hook);
+  }
+
   /// Whether the own store can be read; if not, targets come from peers.
   void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
 
@@ -144,6 +149,7 @@
   std::map<QuestionKey, TimePoint> AskedAt;
   std::uint64_t LastQuestion = 0;
   std::function<void(const PromotionNotice &)> NoticeHook;
+  std::function<HttpResponse(const HttpRequest &)> RequestHook;
   TimePoint NextHello;
 };
 
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -167,6 +167,7 @@
       Served ? "request served" : "request not served",
       {{"id", Each.Id},
        {"database", Each.Database},
+       {"group", Each.Group},
        {"kind", Each.Kind},
        {"outcome", Each.Outcome},
        {"code", Each.Code},
--- /dev/null
+++ b/src/Proxy/ProxyStatus.cpp
@@ -0,0 +1,63 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/ProxyStatus.h"
+
+#include "Proxy/PeerExchange.h"
+#include "Proxy/ProxyService.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cicadawind {
+namespace internal {
+
+using Json = nlohmann::json;
+
+static Json targetStatus(const GroupDispatcher &Group,
+                         const TargetEntry &Entry) {
+  return {{"target", Entry.Instance},
+          {"address", Entry.Address},
+          {"failure_domain", Entry.FailureDomain},
+          {"leaving", Entry.Leaving},
+          {"reached", !Group.isUnreachable(Entry.Instance)}};
+}
+
+static Json groupStatus(const GroupDispatcher &Group, TimePoint Now) {
+  const LeaderView &Leader = Group.leader();
+  std::optional<LeaderProof> Proof = Leader.newest();
+  std::int64_t Age = Proof ? toMillis(Now - Proof->Asked).count() : -1;
+  Json Targets = Json::array();
+  for (const TargetEntry &Entry : Group.entries())
+    Targets.push_back(targetStatus(Group, Entry));
+  return {
+      {"group", Group.group()},      {"primary", Leader.primary()},
+      {"proved", Leader.isProved()}, {"term", Leader.term()},
+      {"proof_age_ms", Age},         {"in_doubt", Group.watch().isSuspect(Now)},
+      {"waiting", Group.waiting()},  {"targets", std::move(Targets)}};
+}
+
+} // namespace internal
+
+nlohmann::json statusOf(const ProxyService &Service, const PeerExchange &Peers,
+                        TimePoint Now) {
+  VmEntry Self = Peers.self();
+  internal::Json Heard = internal::Json::array();
+  for (const VmEntry &Each : Peers.livePeers(Now))
+    Heard.push_back({{"vm", Each.Vm},
+                     {"address", Each.RouterPeer},
+                     {"failure_domain", Each.FailureDomain}});
+  internal::Json Groups = internal::Json::array();
+  for (const auto &[Name, Group] : Service.groups())
+    Groups.push_back(internal::groupStatus(*Group, Now));
+  return {{"vm", Self.Vm},
+          {"failure_domain", Self.FailureDomain},
+          {"ready", Service.isReady()},
+          {"leaving", Service.isDraining()},
+          {"sessions", Service.sessions()},
+          {"config_version", Service.config().Version},
+          {"targets_revision", Service.targetsRevision()},
+          {"peers", std::move(Heard)},
+          {"groups", std::move(Groups)}};
+}
+
+} // namespace cicadawind
--- a/src/Proxy/RequestReport.h
+++ b/src/Proxy/RequestReport.h
@@ -12,6 +12,7 @@
 struct RequestReport {
   std::string Id;
   std::string Database;
+  std::string Group;
   std::string Kind;
   /// "ok", "refused", "in_doubt" or "failed".
   std::string Outcome;
