Test the notices between promoting VMs, question pauses and passed-on configuration

Ruled out: tests of the decoders alone; the mends are in how messages act. Conclusion: each mend is held by a test.

--- a/test/Proxy/PromotionDriverTest.cpp
+++ b/test/Proxy/PromotionDriverTest.cpp
@@ -8,9 +8,12 @@
 #include "Http/HttpClient.h"
 #include "Platform/PromotionOrders.h"
 #include "Proxy/PeerExchange.h"
+#include "Proxy/PeerVm.h"
 #include "Proxy/PromotionDriver.h"
 #include "Proxy/ProxyWorld.h"
+#include "System/PortBlock.h"
 
+#include <memory>
 #include <set>
 
 using namespace cicadawind;
@@ -46,23 +49,39 @@
   std::uint64_t Highest = 0;
 };
 
-/// A world whose VM promotes, without peers.
+/// A world whose VM promotes, without peers until it meets one.
 struct PromotingWorld : ProxyWorld {
   PromotingWorld()
       : Store(Loop), Orders(Group), Http(Loop, HttpClient::Options{}),
-        Peers(Loop, peerOptions(), Http, *Service),
+        OwnPort(static_cast<std::uint16_t>(Ports.next())),
+        Peers(Loop, peerOptions(OwnPort), Http, *Service),
         Driver(Loop, {.Vm = "vm-1"}, *Service, Peers, Store, Orders, Meter) {
     onSweep([this](TimePoint Now) { Driver.sweep(Now); });
   }
   ~PromotingWorld() { onSweep(nullptr); }
 
-  static PeerExchange::Options peerOptions() {
+  static PeerExchange::Options peerOptions(std::uint16_t Port) {
     PeerExchange::Options Out;
     Out.Vm = "vm-1";
     Out.Address = "127.0.0.1";
+    Out.Port = Port;
     Out.Random = [] { return 4; };
     return Out;
   }
+  /// From here on there is a peer, which has not heard the primary.
+  void meetPeer() {
+    Peer = std::make_unique<PeerVm>(
+        *this, static_cast<std::uint16_t>(Ports.next()), OwnPort);
+    Peers.start();
+    onSweep([this](TimePoint Now) {
+      Peers.sweep(Now);
+      Driver.sweep(Now);
+      Peer->denyQuestions();
+    });
+    Peer->greet(1);
+    BOOST_REQUIRE(runUntil(
+        [this] { return Peers.livePeers(BootClock::now()).size() == 1; }));
+  }
   bool primaryBecomes(const std::string &Id) {
     return runUntil([&] {
       return Group.primary() == Id &&
@@ -74,8 +93,11 @@
   fakes::MemoryStore Store;
   EmulatedOrders Orders;
   HttpClient Http;
+  PortBlock Ports;
+  std::uint16_t OwnPort;
   PeerExchange Peers;
   PromotionDriver Driver;
+  std::unique_ptr<PeerVm> Peer;
 };
 
 } // namespace
@@ -176,3 +198,48 @@
                                    World.Orders.Tokens.end());
   BOOST_TEST(Distinct.size() == World.Orders.Tokens.size());
 }
+
+// Two VMs that promote in turn would each replace the other's choice.
+BOOST_AUTO_TEST_CASE(aVmWaitsWhileAPeerPromotes) {
+  PromotingWorld World;
+  World.meetPeer();
+  World.Peer->send(PromotionNotice{.From = "vm-2", .Group = "g", .Token = 5});
+  World.runFor(std::chrono::milliseconds(50));
+  TimePoint Start = BootClock::now();
+  World.instance("a").crash();
+  World.runFor(std::chrono::milliseconds(1200));
+  BOOST_TEST(World.Orders.Tokens.empty());
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  BOOST_TEST((BootClock::now() - Start < std::chrono::seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatPromotesTellsItsPeersFirst) {
+  PromotingWorld World;
+  World.meetPeer();
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil(
+      [&] { return !World.Peer->received<PromotionNotice>().empty(); }));
+  BOOST_TEST(World.Orders.Tokens.empty());
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+}
+
+// One request without an answer, while others are answered, is a slow request.
+BOOST_AUTO_TEST_CASE(aPrimaryThatAnswersOthersIsNotInDoubt) {
+  PromotingWorld World;
+  ProxyCaller Slow(World, "latest");
+  ProxyCaller Others(World, "latest");
+  World.instance("a").Faults.Silent = true;
+  Slow.send("QUERY slow WRITE i1 x");
+  World.runFor(std::chrono::milliseconds(20));
+  World.instance("a").Faults.Silent = false;
+  bool Doubted = false;
+  TimePoint Start = BootClock::now();
+  while (BootClock::now() - Start < std::chrono::milliseconds(600)) {
+    Others.ask("WRITE i2 y");
+    World.runFor(std::chrono::milliseconds(7));
+    Doubted |=
+        World.Service->findGroup("g")->watch().isSuspect(BootClock::now());
+  }
+  BOOST_TEST(!Doubted);
+  BOOST_TEST(World.Orders.Tokens.empty());
+}
