--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -52,6 +52,7 @@
   const ProxySettings &Settings = Daemon.Settings;
   ProxyService::Options Out;
   Out.Codec = Daemon.Codec;
+  Out.Vm = Settings.Vm;
   Out.FailureDomain = Settings.FailureDomain;
   Out.Region = Settings.Region;
   Out.Regions = Settings.Regions;
@@ -97,18 +98,17 @@
                  *Opts.Orders, Meter),
       Registration(VmRegistration::Options{}, *Opts.Store, *Opts.Listings,
                    Peers),
-      Relay(Loop,
-            {.Address = Opts.Settings.Address,
-             .Port = Opts.Settings.RelayPort,
-             .AddressOf =
-                 [this](const std::string &Group, const std::string &Instance) {
-                   return Service.addressOf(Group, Instance);
-                 }}),
+      Carriers(Loop, {.Address = Opts.Settings.Address,
+                      .Port = Opts.Settings.RelayPort,
+                      .Host = {.Codec = Opts.Codec,
+                               .Carry =
+                                   [this](const std::string &Group,
+                                          const std::string &Instance) {
+                                     return Service.carry(Group, Instance);
+                                   }}}),
       Acceptor(Loop), Signals(Loop) {
   Peers.onRequest(
       [this](const HttpRequest &Request) { return answerOperator(Request); });
-  Service.setRelayOf(
-      [this](const std::string &Peer) { return Peers.relayOf(Peer); });
   Service.onConfig([this] { Peers.announce(); });
   Service.setAskPeers(
       [this](const std::string &Group, const std::string &Instance) {
@@ -237,7 +237,7 @@
   SettingsCheck = timers().every(internal::SettingsPeriod,
                                  [this](TimePoint) { checkSettings(); });
   Peers.start();
-  Relay.start();
+  Carriers.start();
   spawn(Loop, Registration.run());
   listenForCallers();
   listenForSignals();
--- a/src/Proxy/CallerRequests.cpp
+++ b/src/Proxy/CallerRequests.cpp
@@ -213,7 +213,7 @@
   for (const std::string &Row : Reply.Rows)
     Serve->Codec->encodeRow(Bytes, Row);
   Serve->Codec->encodeCompleted(Bytes, *Reply.Receipt);
-  Serve->Codec->encodeReady(Bytes, phase());
+  Serve->Codec->encodeReady(Bytes, phase(), std::nullopt);
   if (!Open.isOpen())
     releaseLink(true);
   finish(Bytes, "ok", nullptr);
@@ -238,6 +238,10 @@
 
 void CallerSession::onRefusal(const TargetReply &Reply) {
   Error Failure{.Code = Reply.Refused->Code, .Message = Reply.Refused->Text};
+  // Of a carrier, which has let the request wait already.
+  bool Waited = Failure.Code == ErrorCode::TooManyConnections;
+  if (Waited)
+    Failure.Code = ErrorCode::Overloaded;
   bool NotRun = Failure.Code == ErrorCode::Overloaded ||
                 Failure.Code == ErrorCode::ReplicaBehind ||
                 Failure.Code == ErrorCode::NotPrimary ||
@@ -255,7 +259,7 @@
     // What the target names in its refusal is of no use to the caller.
     std::string Bytes;
     Serve->Codec->encodeError(Bytes, Failure.Code, Failure.Message);
-    Serve->Codec->encodeReady(Bytes, phase());
+    Serve->Codec->encodeReady(Bytes, phase(), std::nullopt);
     Work->noteFailure(Failure);
     return finish(Bytes, "refused", &Failure);
   }
@@ -263,6 +267,8 @@
   // A prepared name that the target does not know: what this link is believed
   // to hold is wrong.
   releaseLink(Failure.Code != ErrorCode::NotFound);
+  if (Waited && BootClock::now() >= Work->GiveUpAt)
+    return finishWith(Failure);
   if (NotRun)
     return retryOrRefuse(Failure);
   if (!isWrite(Work->Request) && Work->Attempts < 2)
@@ -313,7 +319,7 @@
     Open.At = CallerTransaction::Stage::Failed;
   std::string Bytes;
   Serve->Codec->encodeError(Bytes, Failure.Code, Failure.Message);
-  Serve->Codec->encodeReady(Bytes, phase());
+  Serve->Codec->encodeReady(Bytes, phase(), std::nullopt);
   const char *Outcome =
       Failure.Code == ErrorCode::NotConfirmed ? "in_doubt" : "refused";
   finish(Bytes, Outcome, &Failure);
--- a/src/Proxy/CallerSession.cpp
+++ b/src/Proxy/CallerSession.cpp
@@ -82,7 +82,7 @@
   }
   Database = Name;
   Started = true;
-  Serve->Codec->encodeReady(Bytes, SessionPhase::Idle);
+  Serve->Codec->encodeReady(Bytes, SessionPhase::Idle, std::nullopt);
   Stream->send(Bytes);
 }
 
@@ -91,7 +91,7 @@
   Serve->Codec->encodeError(Bytes, ErrorCode::BadRequest, Message.Reason);
   bool Continues = Started && !Message.Id.empty() && !Work && Inbox.empty();
   if (Continues)
-    Serve->Codec->encodeReady(Bytes, phase());
+    Serve->Codec->encodeReady(Bytes, phase(), std::nullopt);
   Serve->Report({.Id = Message.Id,
                  .Database = Database,
                  .Kind = "malformed",
@@ -155,7 +155,7 @@
     Serve->Codec->encodeError(Bytes, Failure->Code, Failure->Message);
   else
     Serve->Codec->encodeCompleted(Bytes, "");
-  Serve->Codec->encodeReady(Bytes, phase());
+  Serve->Codec->encodeReady(Bytes, phase(), std::nullopt);
   if (Failure) {
     RequestReport Report;
     Report.Id = Request.Id;
--- /dev/null
+++ b/src/Proxy/CarriedSession.cpp
@@ -0,0 +1,307 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/CarriedSession.h"
+
+#include "Net/LineStream.h"
+#include "Observability/Log.h"
+#include "Proxy/CarriedLine.h"
+#include "Proxy/GroupDispatcher.h"
+
+#include <cassert>
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("carrier");
+/// Requests that a peer may send ahead of their answers.
+constexpr std::size_t MaxCarriedInbox = 64;
+
+} // namespace internal
+
+CarriedSession::CarriedSession(std::shared_ptr<LineStream> NewStream,
+                               std::shared_ptr<const Host> NewServe)
+    : Stream(std::move(NewStream)), Serve(std::move(NewServe)) {
+  assert(Serve && Serve->Codec && "a carried session needs its host");
+}
+
+void CarriedSession::start() {
+  Stream->onLine([Self = shared_from_this()](std::string_view Line) {
+    Self->takeLine(Line);
+  });
+  Stream->onEnd([Self = shared_from_this()](LineStream::End) { Self->end(); });
+  Stream->start();
+}
+
+void CarriedSession::close() {
+  // Answers that are ready still leave.
+  Stream->closeAfterSending();
+  end();
+}
+
+void CarriedSession::open(std::string_view Line) {
+  std::optional<CarriedLine> Opening = CarriedLine::parseOpening(Line);
+  if (Opening)
+    Dispatcher = Serve->Carry(Opening->Group, Opening->Instance);
+  if (!Dispatcher) {
+    internal::Logger.info("not carried", {{"request", std::string(Line)}});
+    return close();
+  }
+  Instance = Opening->Instance;
+}
+
+void CarriedSession::takeLine(std::string_view Line) {
+  if (!Dispatcher)
+    return open(Line);
+  if (!Opened) {
+    TargetRequest First = Serve->Codec->decodeTargetRequest(Line);
+    if (First.For != TargetRequest::Purpose::Open)
+      return close();
+    Opened = true;
+    std::string Bytes;
+    Serve->Codec->encodeReady(Bytes, Phase, std::nullopt);
+    return Stream->send(Bytes);
+  }
+  std::optional<CarriedLine> Carried = CarriedLine::parseRequest(Line);
+  if (!Carried || Inbox.size() >= internal::MaxCarriedInbox)
+    return close();
+  Waiting Next;
+  Next.Request = Serve->Codec->decodeTargetRequest(Carried->Line);
+  Next.Priority = Carried->Priority;
+  Next.GiveUpAt = BootClock::now() + Carried->MayWait;
+  if (Next.Request.For == TargetRequest::Purpose::Unreadable)
+    return close();
+  Inbox.push_back(std::move(Next));
+  takeNext();
+}
+
+bool CarriedSession::mayProceed() const {
+  return Unanswered == 0 || Phase == SessionPhase::InTransaction;
+}
+
+void CarriedSession::takeNext() {
+  while (!Inbox.empty() && !Ended && !Requesting && mayProceed()) {
+    const TargetRequest &First = Inbox.front().Request;
+    // Answers keep their order.
+    if (Unanswered > 0 && (isKeptHere(First) || refusalFor(First)))
+      return;
+    if (answerHere(First)) {
+      Inbox.pop_front();
+      continue;
+    }
+    if (!Lent.Link)
+      return requestLink(Inbox.front());
+    Waiting Next = std::move(Inbox.front());
+    Inbox.pop_front();
+    forward(Next.Request);
+  }
+}
+
+void CarriedSession::complete() {
+  std::string Bytes;
+  Serve->Codec->encodeCompleted(Bytes, "");
+  Serve->Codec->encodeReady(Bytes, Phase, std::nullopt);
+  Stream->send(Bytes);
+}
+
+void CarriedSession::refuse(const Error &Failure) {
+  std::string Bytes;
+  Serve->Codec->encodeError(Bytes, Failure.Code, Failure.Message);
+  Serve->Codec->encodeReady(Bytes, Phase, std::nullopt);
+  Stream->send(Bytes);
+}
+
+void CarriedSession::keepHere(const TargetRequest &Request) {
+  const Statement &Text = Request.Request;
+  if (Request.For == TargetRequest::Purpose::Reset) {
+    Values.clear();
+    Prepared.clear();
+  } else if (Text.Kind == StatementKind::SetValue) {
+    Values[Text.Name] = Text.Rest;
+  } else {
+    Prepared[Text.Name] = {.Writes = Text.PreparesWrite, .Shape = Text.Rest};
+  }
+}
+
+bool CarriedSession::isKeptHere(const TargetRequest &Request) {
+  using Purpose = TargetRequest::Purpose;
+  return Request.For == Purpose::Reset ||
+         (Request.For == Purpose::Run &&
+          (Request.Request.Kind == StatementKind::SetValue ||
+           Request.Request.Kind == StatementKind::Prepare));
+}
+
+std::optional<Error>
+CarriedSession::refusalFor(const TargetRequest &Request) const {
+  if (Request.For != TargetRequest::Purpose::Run)
+    return std::nullopt;
+  const Statement &Text = Request.Request;
+  bool Ends = Text.Kind == StatementKind::Rollback ||
+              Text.Kind == StatementKind::Commit;
+  if (Ends && !Lent.Link)
+    return Error{.Code = ErrorCode::BadRequest,
+                 .Message = "no transaction is open"};
+  // Names on this VM's links are its own and mean other shapes.
+  bool Unknown =
+      Text.Kind == StatementKind::ExecutePrepared && !Prepared.count(Text.Name);
+  if (Unknown)
+    return Error{.Code = ErrorCode::NotFound,
+                 .Message = "no such prepared statement"};
+  return std::nullopt;
+}
+
+bool CarriedSession::answerHere(const TargetRequest &Request) {
+  using Purpose = TargetRequest::Purpose;
+  std::optional<Error> Failure = refusalFor(Request);
+  if (Failure) {
+    refuse(*Failure);
+  } else if (isKeptHere(Request)) {
+    keepHere(Request);
+    complete();
+  } else if (Request.For == Purpose::AskStatus ||
+             Request.For == Purpose::Demote) {
+    sendOwnRequest(Request);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void CarriedSession::sendOwnRequest(const TargetRequest &Request) {
+  ++Unanswered;
+  bool Demotes = Request.For == TargetRequest::Purpose::Demote;
+  std::weak_ptr<CarriedSession> Weak = weak_from_this();
+  Dispatcher->request(
+      Instance, Demotes ? "demote" : "status",
+      [Demotes, Below = Request.Below](TargetLink &Link,
+                                       TargetLink::ReplyHook Hook) {
+        if (Demotes)
+          return Link.demote(Below, std::move(Hook));
+        Link.askStatus(std::move(Hook));
+      },
+      [Weak](const TargetReply *Reply) {
+        std::shared_ptr<CarriedSession> Self = Weak.lock();
+        if (!Self || Self->Ended)
+          return;
+        --Self->Unanswered;
+        if (!Reply)
+          return Self->close();
+        Self->answer(*Reply);
+        Self->takeNext();
+      });
+}
+
+void CarriedSession::requestLink(const Waiting &First) {
+  LinkRequest Request;
+  Request.Target = Instance;
+  Request.Priority = First.Priority;
+  Request.GiveUpAt = First.GiveUpAt;
+  std::weak_ptr<CarriedSession> Weak = weak_from_this();
+  Request.Granted = [Weak, D = Dispatcher](LinkGrant Grant) {
+    std::shared_ptr<CarriedSession> Self = Weak.lock();
+    if (!Self || Self->Ended)
+      return D->giveBack(Grant.Link);
+    Self->Ticket = 0;
+    Self->Requesting = false;
+    Self->Lent = std::move(Grant);
+    Self->takeNext();
+  };
+  Request.Refused = [Weak](const Error &) {
+    std::shared_ptr<CarriedSession> Self = Weak.lock();
+    if (!Self || Self->Ended)
+      return;
+    Self->Ticket = 0;
+    Self->Requesting = false;
+    Self->Inbox.pop_front();
+    Self->refuse(Error{.Code = ErrorCode::TooManyConnections,
+                       .Message = "no connection became free in time"});
+    Self->takeNext();
+  };
+  Requesting = true;
+  std::uint64_t Queued = Dispatcher->submit(std::move(Request));
+  // Granted at once otherwise.
+  if (Requesting)
+    Ticket = Queued;
+}
+
+void CarriedSession::forward(const TargetRequest &Request) {
+  const Statement &Text = Request.Request;
+  TargetLink &Link = *Lent.Link;
+  Link.applyValues(Values);
+  ++Unanswered;
+  std::weak_ptr<CarriedSession> Weak = weak_from_this();
+  bool Begins = Text.Kind == StatementKind::Begin ||
+                Text.Kind == StatementKind::BeginReadOnly;
+  bool Writes = Text.Kind == StatementKind::Write;
+  if (Text.Kind == StatementKind::ExecutePrepared)
+    Writes = Prepared.at(Text.Name).Writes;
+  // What only a primary answers; see CallerSession.
+  bool ProvesLead = Text.Kind == StatementKind::Begin || Writes ||
+                    (Text.Kind == StatementKind::Read &&
+                     Phase == SessionPhase::InTransaction);
+  auto Hook = [Weak, ProvesLead](const TargetReply *Reply) {
+    if (std::shared_ptr<CarriedSession> Self = Weak.lock())
+      Self->onReply(Reply, ProvesLead);
+  };
+  if (Begins)
+    return Link.begin(Text.Kind == StatementKind::BeginReadOnly, Request.After,
+                      Hook);
+  if (Text.Kind == StatementKind::Rollback && Request.IsOwn)
+    return Link.rollback(Hook);
+  std::string Sent = Text.Text;
+  if (Text.Kind == StatementKind::ExecutePrepared) {
+    const PreparedShape &Shape = Prepared.at(Text.Name);
+    Sent = Serve->Codec->executeText(Link.prepare(Shape.Writes, Shape.Shape),
+                                     Text.Rest);
+  }
+  Link.runStatement(Text.Id, Sent, Request.After, Hook);
+}
+
+void CarriedSession::onReply(const TargetReply *Reply, bool ProvesLead) {
+  if (Ended)
+    return;
+  if (!Reply)
+    return close();
+  --Unanswered;
+  bool IsPrimary = Dispatcher->leader().primary() == Instance;
+  Dispatcher->learn(Instance, *Reply, ProvesLead && IsPrimary);
+  Phase = Reply->Ready.Phase;
+  answer(*Reply);
+  if (Phase == SessionPhase::Idle && Unanswered == 0)
+    giveLinkBack();
+  takeNext();
+}
+
+void CarriedSession::answer(const TargetReply &Reply) {
+  std::string Bytes;
+  for (const std::string &Row : Reply.Rows)
+    Serve->Codec->encodeRow(Bytes, Row);
+  if (Reply.Receipt)
+    Serve->Codec->encodeCompleted(Bytes, *Reply.Receipt);
+  else
+    Serve->Codec->encodeError(Bytes, Reply.Refused->Code, Reply.Refused->Text);
+  Serve->Codec->encodeReady(Bytes, Phase, Reply.Ready.Position);
+  Stream->send(Bytes);
+}
+
+void CarriedSession::giveLinkBack() {
+  LinkGrant Held = std::exchange(Lent, LinkGrant());
+  if (Held.Link)
+    Dispatcher->giveBack(Held.Link);
+}
+
+void CarriedSession::end() {
+  if (std::exchange(Ended, true))
+    return;
+  std::shared_ptr<CarriedSession> Keep = shared_from_this();
+  if (Ticket)
+    Dispatcher->cancel(std::exchange(Ticket, 0));
+  // An open transaction ends with the connection.
+  LinkGrant Held = std::exchange(Lent, LinkGrant());
+  if (Held.Link)
+    Held.Link->close();
+  Inbox.clear();
+  Serve->Ended(Keep);
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Proxy/CarrierPlan.h
@@ -0,0 +1,95 @@
+#ifndef CICADAWIND_PROXY_CARRIERPLAN_H
+#define CICADAWIND_PROXY_CARRIERPLAN_H
+
+#include "Core/Clock.h"
+#include "Membership/VmEntry.h"
+#include "Proxy/TargetEntry.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+/// How a VM gets its statements to one target.
+struct TargetWay {
+  /// Whether it connects to the target itself.
+  bool Direct = true;
+  /// Connections that it may hold to the target, or to its carriers.
+  unsigned Share = 1;
+  /// VMs that carry its statements, the one to use first in front.
+  std::vector<VmEntry> Through;
+
+  bool operator==(const TargetWay &) const = default;
+};
+
+/// \class CarrierPlan
+/// \brief Which VMs hold connections to a target when it does not take enough
+/// for all of them.
+///
+/// While every VM can have LeastShare connections, each connects itself. Beyond
+/// that a few VMs carry everyone's statements: those of the target's failure
+/// domain that come first by rendezvous hashing, then of its region, then any.
+/// VMs with the same view choose the same ones; a VM that is asked to carry
+/// does so whatever its own view. Pure; wayTo costs O(VMs).
+class CarrierPlan {
+public:
+  struct Options {
+    std::string Vm;
+    std::string FailureDomain;
+    std::string Region;
+    /// Region of each failure domain.
+    std::map<std::string, std::string> Regions;
+    /// Carriers of a target: two may be lost at once.
+    std::size_t Carriers = 3;
+    /// Connections that each VM must be able to have for all to connect
+    /// themselves.
+    unsigned LeastShare = 1;
+    /// Connections of a target that are left to VMs which take over.
+    double Spare = 0.2;
+    /// Connections to carriers, each for one statement at a time.
+    unsigned CarriedShare = 8;
+    /// How long a VM that could not be reached is left out.
+    Duration SuspectFor = std::chrono::seconds(3);
+    /// How long a VM carries after it was last asked to.
+    Duration AdoptFor = std::chrono::seconds(10);
+  };
+
+  explicit CarrierPlan(Options Opts) : Opts(std::move(Opts)) {}
+
+  /// Takes in the other VMs that are alive and do not leave; true when they
+  /// differ from before.
+  bool setPeers(std::vector<VmEntry> Alive);
+  std::size_t vms() const { return Peers.size() + 1; }
+
+  /// \p Vm could not be reached.
+  void suspect(const std::string &Vm, TimePoint Now);
+  /// A peer asks this VM to carry statements to \p Instance.
+  void adopt(const std::string &Instance, TimePoint Now);
+  /// Forgets what is over; true when ways may have changed since the last call.
+  bool sweep(TimePoint Now);
+
+  /// This VM's way to \p Target, which takes \p MaxConnections from all.
+  TargetWay wayTo(const TargetEntry &Target, unsigned MaxConnections) const;
+  /// Names of the VMs that carry to \p Target; empty when all VMs connect
+  /// themselves.
+  std::set<std::string> carriersOf(const TargetEntry &Target,
+                                   unsigned MaxConnections) const;
+
+private:
+  bool allDirect(unsigned MaxConnections) const;
+  std::vector<VmEntry> choose(const TargetEntry &Target) const;
+  int distance(const VmEntry &Vm, const TargetEntry &Target) const;
+
+  Options Opts;
+  std::vector<VmEntry> Peers;
+  std::map<std::string, TimePoint> SuspectUntil;
+  std::map<std::string, TimePoint> AdoptedUntil;
+  bool Changed = false;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Proxy/CarrierService.cpp
@@ -0,0 +1,65 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Proxy/CarrierService.h"
+
+#include "Net/LineStream.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+
+namespace cicadawind {
+
+CarrierService::CarrierService(boost::asio::io_context &Loop, Options NewOpts)
+    : Opts(std::move(NewOpts)), Acceptor(Loop),
+      Host(std::make_shared<CarriedSession::Host>(Opts.Host)) {
+  Host->Ended = [this, Still = Alive](const auto &Session) {
+    if (*Still)
+      Sessions.erase(Session);
+  };
+}
+
+CarrierService::~CarrierService() {
+  *Alive = false;
+  for (const std::shared_ptr<CarriedSession> &Each : Sessions)
+    Each->close();
+}
+
+void CarrierService::start() {
+  boost::asio::ip::tcp::endpoint Endpoint(
+      boost::asio::ip::make_address(Opts.Address), Opts.Port);
+  Acceptor.open(Endpoint.protocol());
+  Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+  Acceptor.bind(Endpoint);
+  Acceptor.listen();
+  acceptNext();
+}
+
+std::uint16_t CarrierService::port() const {
+  return Acceptor.local_endpoint().port();
+}
+
+std::size_t CarrierService::busySessions() const {
+  return static_cast<std::size_t>(
+      std::count_if(Sessions.begin(), Sessions.end(),
+                    [](const auto &Each) { return Each->isBusy(); }));
+}
+
+void CarrierService::acceptNext() {
+  Acceptor.async_accept([this,
+                         Still = Alive](const boost::system::error_code &Code,
+                                        boost::asio::ip::tcp::socket Socket) {
+    if (!*Still || Code == boost::asio::error::operation_aborted)
+      return;
+    if (!Code && Sessions.size() < Opts.MaxSessions) {
+      auto Stream = LineStream::accepted(std::move(Socket), {});
+      auto Session = std::make_shared<CarriedSession>(std::move(Stream), Host);
+      Sessions.insert(Session);
+      Session->start();
+    }
+    acceptNext();
+  });
+}
+
+} // namespace cicadawind
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -41,6 +41,11 @@
   Hooks->Silent = [this](const std::string &Instance) {
     noteSilence(Instance);
   };
+  Hooks->CarrierFailed = [this](const std::string &Vm) {
+    if (Opts.CarrierFailed)
+      Opts.CarrierFailed(Vm);
+    schedulePump();
+  };
   Hooks->Free = [this] { schedulePump(); };
   Tell = std::move(Hooks);
 }
@@ -146,7 +151,25 @@
   auto Links =
       std::make_shared<TargetConnections>(Loop, LinksOpts, Entry, Tell);
   Targets[Entry.Instance] = Links;
-  Links->openIfAllowed(Share, "", Now);
+}
+
+void GroupDispatcher::setWays(const std::map<std::string, TargetWay> &Ways,
+                              bool MayJudge) {
+  Judges = MayJudge;
+  TimePoint Now = BootClock::now();
+  for (const auto &[Name, Links] : Targets) {
+    auto Way = Ways.find(Name);
+    if (Way == Ways.end())
+      continue;
+    Links->setWay(Way->second);
+    if (!Links->hasAny())
+      Links->openIfAllowed(std::nullopt, Now);
+  }
+}
+
+bool GroupDispatcher::isDirect(const std::string &Instance) const {
+  const TargetConnections *Found = find(Instance);
+  return Found && Found->way().Direct;
 }
 
 GroupDispatcher::Ticket GroupDispatcher::submit(LinkRequest Request) {
@@ -172,6 +195,10 @@
                                std::optional<LogPosition> Position,
                                TimePoint Now) {
   std::vector<std::string> Names;
+  if (!Request.Target.empty()) {
+    Names.push_back(Request.Target);
+    return Names;
+  }
   const std::string &Primary = Leader.primary();
   if (Request.NeedsPrimary || !Position) {
     if (!Primary.empty())
@@ -199,11 +226,14 @@
     return false;
   bool IsPrimary = Instance == Leader.primary();
   // The last free connection of the primary is kept for what needs it.
-  bool Spill = IsPrimary && !Request.NeedsPrimary && HasAlternatives;
+  bool Spill = IsPrimary && !Request.NeedsPrimary && HasAlternatives &&
+               Links->way().Direct;
   LinkGrant Grant;
   Grant.Link = Links->take(Spill ? 1 : 0);
   if (!Grant.Link)
     return false;
+  Millis MayWait = toMillis(Request.GiveUpAt - BootClock::now());
+  Grant.Link->setTerms(Request.Priority, std::max(MayWait, Millis::zero()));
   Grant.Instance = Instance;
   Grant.IsPrimary = IsPrimary;
   if (!IsPrimary)
@@ -216,7 +246,7 @@
   if (Now < Request.NotBefore)
     return false;
   std::optional<LogPosition> Position;
-  if (!Request.NeedsPrimary) {
+  if (!Request.NeedsPrimary && Request.Target.empty()) {
     Position = Leader.positionFor(Request.Horizon, Request.Own);
     std::optional<LeaderProof> Newest = Leader.newest();
     if (!Newest || Now - Newest->Asked > Opts.ProofAge)
@@ -228,18 +258,18 @@
       return true;
   for (const std::string &Name : Names) {
     TargetConnections *Links = find(Name);
-    if (Links && Links->openIfAllowed(Share, relayFor(Name, Now), Now))
+    if (Links && Links->openIfAllowed(helperFor(Name, Now), Now))
       break;
   }
   return false;
 }
 
-std::string GroupDispatcher::relayFor(const std::string &Instance,
-                                      TimePoint Now) const {
-  if (Instance != Watch.primary() || !Opts.RelayOf)
-    return {};
+std::optional<VmEntry> GroupDispatcher::helperFor(const std::string &Instance,
+                                                  TimePoint Now) const {
+  if (Instance != Watch.primary() || !Opts.CarrierOf)
+    return std::nullopt;
   std::optional<std::string> Peer = Watch.relayPeer(Now);
-  return Peer ? Opts.RelayOf(*Peer) : std::string();
+  return Peer ? Opts.CarrierOf(*Peer) : std::nullopt;
 }
 
 void GroupDispatcher::onFailure(const std::string &Instance, TimePoint Since) {
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -45,9 +45,14 @@
     PrimaryWatch::Options Watch;
     /// Time without a known primary after which there is none.
     Duration NoPrimaryAfter = std::chrono::milliseconds(600);
-    /// "ip:port" at which the VM \p Peer carries connections to targets; empty
-    /// when it does not.
-    std::function<std::string(const std::string &Peer)> RelayOf;
+    /// The VM of that name, where it carries to targets; empty when it is not
+    /// known.
+    std::function<std::optional<VmEntry>(const std::string &Vm)> CarrierOf;
+    /// A carrier could not be reached.
+    std::function<void(const std::string &Vm)> CarrierFailed;
+    /// Age up to which a proof of lead is not renewed by this VM itself while
+    /// it reaches the primary through others, which have newer ones.
+    Duration CarriedProofAge = std::chrono::milliseconds(1200);
     /// Asks peers about the group's primary; empty for no peers.
     std::function<void(const std::string &Group, const std::string &Instance)>
         AskPeers;
@@ -64,8 +69,14 @@
 
   /// Takes in the group's targets.
   void setTargets(const std::vector<TargetEntry> &Entries, TimePoint Now);
-  /// Sets how many connections this VM may hold to each target.
-  void setShare(unsigned Links) { Share = Links; }
+  /// Sets how this VM reaches each target, and whether it has to find out
+  /// about a missing primary itself.
+  void setWays(const std::map<std::string, TargetWay> &ByInstance,
+               bool MayJudge);
+  /// Whether this VM connects to \p Instance itself.
+  bool isDirect(const std::string &Instance) const;
+  /// Whether this VM's evidence on the group's primary counts.
+  bool judges() const { return Judges; }
 
   /// Queues \p Request; one of its hooks is called, possibly at once.
   Ticket submit(LinkRequest Request);
@@ -94,6 +105,11 @@
   /// Whether targets have been asked for long enough without one of them
   /// being primary.
   bool hasNoPrimary(TimePoint Now) const;
+  /// Sends an own request over the next connection to \p Instance that becomes
+  /// free, see TargetConnections; the hook gets null when none does in time.
+  void request(const std::string &Instance, const std::string &Key,
+               TargetConnections::OwnRequest Request,
+               TargetConnections::OwnReplyHook Hook);
   /// Sends the primary \p Instance back to being a replica.
   void demote(const std::string &Instance, Term Below, StatusHook Hook);
 
@@ -127,9 +143,9 @@
                                          TimePoint Now);
   bool grantFrom(const std::string &Instance, LinkRequest &Request,
                  std::optional<LogPosition> Position, bool HasAlternatives);
-  /// "ip:port" of a VM that reaches the primary \p Instance; empty when none
-  /// is known.
-  std::string relayFor(const std::string &Instance, TimePoint Now) const;
+  /// A VM that reaches the primary \p Instance; empty when none is known.
+  std::optional<VmEntry> helperFor(const std::string &Instance,
+                                   TimePoint Now) const;
   void onFailure(const std::string &Instance, TimePoint Since);
   void schedulePump();
   void pump();
@@ -152,7 +168,7 @@
   std::map<QueueKey, LinkRequest> Queue;
   std::map<Ticket, unsigned> PriorityOf;
   Ticket LastTicket = 0;
-  unsigned Share = 1;
+  bool Judges = true;
   bool PumpScheduled = false;
   bool ProofWanted = false;
   bool ProofUnderway = false;
--- a/src/Proxy/GroupEvidence.cpp
+++ b/src/Proxy/GroupEvidence.cpp
@@ -20,6 +20,15 @@
 void GroupDispatcher::learn(const std::string &Instance,
                             const TargetReply &Reply, bool ProvesLead) {
   TimePoint Now = BootClock::now();
+  TargetConnections *Links = find(Instance);
+  // A carrier's own refusal says nothing of the target.
+  bool OfCarrier =
+      Reply.Refused && Reply.Refused->Code == ErrorCode::TooManyConnections;
+  if (OfCarrier) {
+    if (Links)
+      Links->noteBusy();
+    return;
+  }
   Watch.noteContact(Instance, Now);
   bool Succeeded = Reply.Receipt.has_value();
   if (ProvesLead && Succeeded && Reply.Ready.Position) {
@@ -41,7 +50,7 @@
     Leader.refuteLead(Instance, Reply.SentAt);
   }
   Watch.setPrimary(Leader.primary());
-  if (TargetConnections *Links = find(Instance)) {
+  if (Links) {
     if (Reply.Refused && Reply.Refused->Code == ErrorCode::Overloaded)
       Links->noteBusy();
     else if (Succeeded)
@@ -76,7 +85,9 @@
 
 void GroupDispatcher::noteSilence(const std::string &Instance) {
   TimePoint Now = BootClock::now();
-  Watch.noteFailure(Instance, Now);
+  // Behind a carrier it may have been the carrier that was silent.
+  if (isDirect(Instance))
+    Watch.noteFailure(Instance, Now);
   if (InstanceView *View = viewOf(Instance))
     View->NotBefore = Now + internal::SilentPause;
   if (TargetConnections *Links = find(Instance))
@@ -89,9 +100,15 @@
   if (Watch.failingSince())
     ProofWanted = true;
   std::optional<LeaderProof> Newest = Leader.newest();
-  bool Old = !Newest || Now - Newest->Asked > 2 * Opts.ProofAge;
+  bool Direct = isDirect(Leader.primary());
+  Duration AskAt = Direct ? 2 * Opts.ProofAge : Opts.ProofAge;
+  bool Old = !Newest || Now - Newest->Asked > AskAt;
   if (ProofWanted && Old && Opts.AskPeers)
     Opts.AskPeers(Opts.Group, "");
+  bool PeersSuffice = !Direct && Newest && !Unproved &&
+                      Now - Newest->Asked < Opts.CarriedProofAge;
+  if (PeersSuffice)
+    return;
   if (!(ProofWanted || Unproved) || ProofUnderway || Leader.primary().empty())
     return;
   ProofWanted = false;
@@ -102,7 +119,7 @@
     return;
   }
   if (!Links->hasFree())
-    Links->openIfAllowed(Share, relayFor(Leader.primary(), Now), Now);
+    Links->openIfAllowed(helperFor(Leader.primary(), Now), Now);
   // The target checks its lead when a transaction begins.
   Links->request(
       "proof",
@@ -139,7 +156,8 @@
   LastSearch = Now;
   std::vector<std::string> Names;
   for (const auto &[Name, T] : Targets)
-    Names.push_back(Name);
+    if (Judges)
+      Names.push_back(Name);
   for (const std::string &Each : Names)
     askStatus(Each,
               [this](const std::string &Instance, const TargetStatus *Status) {
@@ -181,28 +199,33 @@
       std::move(Hook));
 }
 
-void GroupDispatcher::control(const std::string &Instance,
+void GroupDispatcher::request(const std::string &Instance,
                               const std::string &Key,
                               TargetConnections::OwnRequest Request,
-                              StatusHook Hook) {
+                              TargetConnections::OwnReplyHook Hook) {
   TimePoint Now = BootClock::now();
   TargetConnections *Links = find(Instance);
   if (!Links)
-    return Hook(Instance, nullptr);
+    return Hook(nullptr);
   if (!Links->hasFree())
-    Links->openIfAllowed(Share, relayFor(Instance, Now), Now);
-  Links->request(
-      Key, std::move(Request),
-      [this, Still = Alive, Instance,
-       Hook = std::move(Hook)](const TargetReply *Reply) {
-        if (!*Still)
-          return;
-        std::optional<TargetStatus> Status;
-        if (Reply && Reply->Rows.size() == 1)
-          Status = Opts.Codec->decodeStatus(Reply->Rows.front());
-        Hook(Instance, Status ? &*Status : nullptr);
-      },
-      Now);
+    Links->openIfAllowed(helperFor(Instance, Now), Now);
+  Links->request(Key, std::move(Request), std::move(Hook), Now);
+}
+
+void GroupDispatcher::control(const std::string &Instance,
+                              const std::string &Key,
+                              TargetConnections::OwnRequest Request,
+                              StatusHook Hook) {
+  this->request(Instance, Key, std::move(Request),
+                [this, Still = Alive, Instance,
+                 Hook = std::move(Hook)](const TargetReply *Reply) {
+                  if (!*Still)
+                    return;
+                  std::optional<TargetStatus> Status;
+                  if (Reply && Reply->Rows.size() == 1)
+                    Status = Opts.Codec->decodeStatus(Reply->Rows.front());
+                  Hook(Instance, Status ? &*Status : nullptr);
+                });
 }
 
 } // namespace cicadawind
--- a/src/Proxy/LinkRequest.h
+++ b/src/Proxy/LinkRequest.h
@@ -14,6 +14,8 @@
 /// \class LinkRequest
 /// \brief What a statement or transaction needs a connection for.
 struct LinkRequest {
+  /// The only target that will do; empty leaves the choice.
+  std::string Target;
   bool NeedsPrimary = true;
   /// A read may miss writes acknowledged before this time.
   TimePoint Horizon;
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -63,13 +63,6 @@
   return Out;
 }
 
-std::string PeerExchange::relayOf(const std::string &Vm) const {
-  for (const VmEntry &Entry : Members.usable())
-    if (Entry.Vm == Vm)
-      return Entry.PoolerPeer;
-  return {};
-}
-
 void PeerExchange::start() {
   boost::asio::ip::udp::endpoint Own(
       boost::asio::ip::make_address(Opts.Address), Opts.Port);
@@ -269,7 +262,7 @@
 }
 
 void PeerExchange::updateCount(TimePoint Now) {
-  Service.setVms(livePeers(Now).size() + 1);
+  Service.setPeers(livePeers(Now));
 }
 
 void PeerExchange::sweep(TimePoint Now) {
@@ -315,6 +308,14 @@
     return;
   AskedAt[Key] = Now;
   std::vector<VmEntry> Peers = livePeers(Now);
+  std::set<std::string> Knowing = Instance.empty()
+                                      ? Service.carriersToPrimary(Group)
+                                      : Service.judgesOf(Group);
+  if (!Knowing.empty())
+    Peers.erase(std::remove_if(
+                    Peers.begin(), Peers.end(),
+                    [&](const VmEntry &E) { return Knowing.count(E.Vm) == 0; }),
+                Peers.end());
   if (Instance.empty()) {
     // Near peers answer sooner and cost no traffic between regions.
     std::stable_partition(Peers.begin(), Peers.end(), [&](const VmEntry &E) {
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -98,10 +98,6 @@
   /// Whether the own store can be read; if not, targets come from peers.
   void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
 
-  /// "ip:port" at which \p Vm carries connections to targets; empty when it is
-  /// not known.
-  std::string relayOf(const std::string &Vm) const;
-
   VmEntry self() const;
   /// Peers heard lately, without this VM and without those that leave.
   std::vector<VmEntry> livePeers(TimePoint Now) const;
--- a/src/Proxy/PromotionDriver.cpp
+++ b/src/Proxy/PromotionDriver.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 namespace cicadawind {
 namespace internal {
@@ -65,10 +66,13 @@
                                      TimePoint Now) const {
   std::hash<std::string> Hash;
   std::uint64_t Own = mix(Hash(Group), Hash(Opts.Vm));
+  std::set<std::string> Judges = Service.judgesOf(Group);
   std::size_t Rank = 0;
-  for (const VmEntry &Peer : Peers.livePeers(Now))
-    if (mix(Hash(Group), Hash(Peer.Vm)) < Own)
+  for (const VmEntry &Peer : Peers.livePeers(Now)) {
+    bool Counts = Judges.empty() || Judges.count(Peer.Vm) != 0;
+    if (Counts && mix(Hash(Group), Hash(Peer.Vm)) < Own)
       ++Rank;
+  }
   return std::min(Rank, Opts.LastRank);
 }
 
@@ -82,13 +86,22 @@
     Peers.askAbout(Group.group(), Group.watch().primary(), Now);
     logDoubt(Group, Now);
   }
-  if (Group.watch().isLost(Peers.livePeers(Now).size(), Now))
+  if (Group.watch().isLost(judgingPeers(Group.group(), Now), Now))
     return Reason::Lost;
   if (Primary.empty() && Group.hasNoPrimary(Now))
     return Reason::Lost;
   return std::nullopt;
 }
 
+std::size_t PromotionDriver::judgingPeers(const std::string &Group,
+                                          TimePoint Now) const {
+  std::set<std::string> Judges = Service.judgesOf(Group);
+  std::size_t Count = 0;
+  for (const VmEntry &Peer : Peers.livePeers(Now))
+    Count += Judges.empty() || Judges.count(Peer.Vm) != 0 ? 1 : 0;
+  return Count;
+}
+
 void PromotionDriver::logDoubt(GroupDispatcher &Group, TimePoint Now) {
   Progress &Step = Groups[Group.group()];
   if (Now < Step.NextDoubtLine)
@@ -109,7 +122,8 @@
 
 void PromotionDriver::check(GroupDispatcher &Group, TimePoint Now) {
   Progress &Step = Groups[Group.group()];
-  if (Step.Underway || Now < Step.NotBefore || Service.isDraining())
+  if (Step.Underway || Now < Step.NotBefore || Service.isDraining() ||
+      !Group.judges())
     return;
   std::optional<Reason> Why = reasonToAct(Group, Now);
   if (!Why) {
--- a/src/Proxy/Proxy.h
+++ b/src/Proxy/Proxy.h
@@ -5,6 +5,10 @@
 #define CICADAWIND_PROXY_PROXY_H
 
 #include "Proxy/CallerSession.h"
+#include "Proxy/CarriedLine.h"
+#include "Proxy/CarriedSession.h"
+#include "Proxy/CarrierPlan.h"
+#include "Proxy/CarrierService.h"
 #include "Proxy/GroupDispatcher.h"
 #include "Proxy/PeerExchange.h"
 #include "Proxy/PrimaryWatch.h"
@@ -15,7 +19,6 @@
 #include "Proxy/TargetConnections.h"
 #include "Proxy/TargetDirectory.h"
 #include "Proxy/TargetLink.h"
-#include "Proxy/TargetRelay.h"
 #include "Proxy/VmRegistration.h"
 
 #endif
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -26,11 +26,20 @@
 
 } // namespace internal
 
+static CarrierPlan::Options planOptions(const ProxyService::Options &Opts) {
+  CarrierPlan::Options Out;
+  Out.Vm = Opts.Vm;
+  Out.FailureDomain = Opts.FailureDomain;
+  Out.Region = Opts.Region;
+  Out.Regions = Opts.Regions;
+  return Out;
+}
+
 ProxyService::ProxyService(boost::asio::io_context &Loop, Options NewOpts,
                            Metrics &Meter)
     : Loop(Loop), Opts(std::move(NewOpts)), Meter(Meter),
       Config(std::make_shared<ProxyConfig>()),
-      Host(std::make_shared<CallerSession::Host>()) {
+      Host(std::make_shared<CallerSession::Host>()), Plan(planOptions(Opts)) {
   Host->Codec = Opts.Codec;
   Host->Config = [this]() -> const ProxyConfig & { return *Config; };
   Host->Group = [this](const std::string &Name) { return findGroup(Name); };
@@ -47,13 +56,15 @@
   return It == Groups.end() ? nullptr : It->second.get();
 }
 
-std::string ProxyService::addressOf(const std::string &Group,
-                                    const std::string &Instance) {
+GroupDispatcher *ProxyService::carry(const std::string &Group,
+                                     const std::string &Instance) {
   GroupDispatcher *Found = findGroup(Group);
-  const TargetEntry *Entry = Found ? Found->findEntry(Instance) : nullptr;
-  if (!Entry || Found->isUnreachable(Instance))
-    return {};
-  return Entry->Address;
+  if (!Found || !Found->findEntry(Instance) || Found->isUnreachable(Instance))
+    return nullptr;
+  Plan.adopt(Instance, BootClock::now());
+  if (!Found->isDirect(Instance))
+    updateWays();
+  return Found;
 }
 
 bool ProxyService::applyConfig(std::shared_ptr<const ProxyConfig> Newer) {
@@ -100,23 +111,66 @@
   updateGroups();
 }
 
-void ProxyService::setVms(std::size_t Count) {
-  if (Count == Vms || Count == 0)
+void ProxyService::setPeers(const std::vector<VmEntry> &Alive) {
+  std::size_t Before = Plan.vms();
+  if (!Plan.setPeers(Alive))
     return;
-  internal::Logger.info(
-      "VMs that share connections",
-      {{"count", std::to_string(Count)}, {"before", std::to_string(Vms)}});
-  Vms = Count;
-  updateShares();
+  Peers = Alive;
+  if (Plan.vms() != Before)
+    internal::Logger.info("VMs that share connections",
+                          {{"count", std::to_string(Plan.vms())},
+                           {"before", std::to_string(Before)}});
+  updateWays();
+}
+
+std::optional<VmEntry> ProxyService::findPeer(const std::string &Vm) const {
+  for (const VmEntry &Each : Peers)
+    if (Each.Vm == Vm)
+      return Each;
+  return std::nullopt;
+}
+
+static unsigned maxConnections(const ProxyConfig &Config,
+                               const std::string &Group) {
+  auto Limits = Config.Groups.find(Group);
+  return Limits == Config.Groups.end() ? 0 : Limits->second.MaxConnections;
+}
+
+std::set<std::string> ProxyService::judgesOf(const std::string &Group) const {
+  std::set<std::string> Out;
+  auto Found = Groups.find(Group);
+  if (Found == Groups.end())
+    return Out;
+  for (const TargetEntry &Entry : Found->second->entries())
+    Out.merge(Plan.carriersOf(Entry, maxConnections(*Config, Group)));
+  return Out;
+}
+
+std::set<std::string>
+ProxyService::carriersToPrimary(const std::string &Group) const {
+  auto Found = Groups.find(Group);
+  if (Found == Groups.end())
+    return {};
+  const TargetEntry *Primary =
+      Found->second->findEntry(Found->second->leader().primary());
+  if (!Primary)
+    return {};
+  return Plan.carriersOf(*Primary, maxConnections(*Config, Group));
 }
 
-void ProxyService::updateShares() {
+void ProxyService::updateWays() {
   for (auto &[Name, Group] : Groups) {
-    auto Limits = Config->Groups.find(Name);
-    if (Limits == Config->Groups.end())
+    unsigned Connections = maxConnections(*Config, Name);
+    if (Connections == 0)
       continue;
-    std::size_t Share = Limits->second.MaxConnections / Vms;
-    Group->setShare(static_cast<unsigned>(std::max<std::size_t>(1, Share)));
+    std::map<std::string, TargetWay> Ways;
+    bool Judges = false;
+    for (const TargetEntry &Entry : Group->entries()) {
+      TargetWay Way = Plan.wayTo(Entry, Connections);
+      Judges |= Way.Direct;
+      Ways[Entry.Instance] = std::move(Way);
+    }
+    Group->setWays(Ways, Judges);
   }
 }
 
@@ -131,12 +185,18 @@
     GroupOpts.Region = Opts.Region;
     GroupOpts.Regions = Opts.Regions;
     GroupOpts.Random = Opts.Random;
+    GroupOpts.CarrierOf = [this](const std::string &Vm) {
+      return findPeer(Vm);
+    };
+    GroupOpts.CarrierFailed = [this](const std::string &Vm) {
+      Plan.suspect(Vm, BootClock::now());
+    };
     Groups[Name] = std::make_unique<GroupDispatcher>(Loop, GroupOpts);
   }
-  updateShares();
   TimePoint Now = BootClock::now();
   for (auto &[Name, Group] : Groups)
     Group->setTargets(Directory.ofGroup(Name), Now);
+  updateWays();
 }
 
 void ProxyService::accept(boost::asio::ip::tcp::socket Socket) {
@@ -196,6 +256,8 @@
 void ProxyService::sweep(TimePoint Now) {
   if (Directory.expire(Now))
     updateGroups();
+  if (Plan.sweep(Now))
+    updateWays();
   std::vector<std::shared_ptr<CallerSession>> Current(Sessions.begin(),
                                                       Sessions.end());
   for (const std::shared_ptr<CallerSession> &Session : Current)
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -4,6 +4,7 @@
 #include "Core/Random.h"
 #include "Observability/LogBudget.h"
 #include "Proxy/CallerSession.h"
+#include "Proxy/CarrierPlan.h"
 #include "Proxy/GroupDispatcher.h"
 #include "Proxy/ProxyConfig.h"
 #include "Proxy/ProxyState.h"
@@ -13,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +33,7 @@
 public:
   struct Options {
     const StatementCodec *Codec = nullptr;
+    std::string Vm;
     std::string FailureDomain;
     std::string Region;
     std::map<std::string, std::string> Regions;
@@ -50,8 +53,18 @@
   /// Takes in the registry's targets as of \p Revision of the store.
   void applyTargets(const std::vector<TargetEntry> &Listed,
                     std::uint64_t Revision);
-  /// Sets how many VMs share the targets' connections.
-  void setVms(std::size_t Count);
+  /// Sets the other VMs that share the targets' connections.
+  void setPeers(const std::vector<VmEntry> &Alive);
+  /// The VM of that name, if it is one of them.
+  std::optional<VmEntry> findPeer(const std::string &Vm) const;
+  /// VMs whose evidence on \p Group's primary counts, as they connect to its
+  /// targets themselves; empty when all do.
+  std::set<std::string> judgesOf(const std::string &Group) const;
+  /// VMs that connect to \p Group's primary; empty when all do.
+  std::set<std::string> carriersToPrimary(const std::string &Group) const;
+  /// Connects to \p Instance itself, as a peer asks for it; null when it is
+  /// not known or this VM does not reach it.
+  GroupDispatcher *carry(const std::string &Group, const std::string &Instance);
 
   /// Serves a caller on \p Socket.
   void accept(boost::asio::ip::tcp::socket Socket);
@@ -70,8 +83,6 @@
   const ProxyConfig &config() const { return *Config; }
   std::shared_ptr<const ProxyConfig> sharedConfig() const { return Config; }
   GroupDispatcher *findGroup(const std::string &Group);
-  /// "ip:port" of a target that this VM reaches itself; empty otherwise.
-  std::string addressOf(const std::string &Group, const std::string &Instance);
   const std::map<std::string, std::unique_ptr<GroupDispatcher>> &
   groups() const {
     return Groups;
@@ -87,17 +98,13 @@
           Hook) {
     Opts.Group.AskPeers = std::move(Hook);
   }
-  /// Sets where peers carry connections to targets, see GroupDispatcher.
-  void setRelayOf(std::function<std::string(const std::string &Peer)> Hook) {
-    Opts.Group.RelayOf = std::move(Hook);
-  }
   std::size_t sessions() const { return Sessions.size(); }
 
 private:
   void report(const RequestReport &Report);
   void reportLinesLeftOut(TimePoint Now);
   void updateGroups();
-  void updateShares();
+  void updateWays();
   void openWaiting();
   void closeDropped(const ProxyConfig &Before);
   void sweepDrain(TimePoint Now);
@@ -110,7 +117,8 @@
   TargetDirectory Directory{TargetDirectory::Options{}};
   std::map<std::string, std::unique_ptr<GroupDispatcher>> Groups;
   std::set<std::shared_ptr<CallerSession>> Sessions;
-  std::size_t Vms = 1;
+  CarrierPlan Plan;
+  std::vector<VmEntry> Peers;
   std::uint64_t TargetsRevision = 0;
   std::function<void()> ConfigHook;
   LogBudget Lines;
--- a/src/Proxy/TargetConnections.cpp
+++ b/src/Proxy/TargetConnections.cpp
@@ -4,7 +4,6 @@
 #include "Proxy/TargetConnections.h"
 
 #include "Observability/Log.h"
-#include "Proxy/TargetRelay.h"
 
 #include <algorithm>
 #include <cassert>
@@ -60,29 +59,63 @@
   Tell->Free();
 }
 
-bool TargetConnections::openIfAllowed(unsigned Share, const std::string &Relay,
-                                      TimePoint Now) {
-  unsigned Limit = Now < CapUntil ? std::min(Share, Cap) : Share;
+void TargetConnections::setWay(const TargetWay &Newer) {
+  if (Newer == Way)
+    return;
+  bool Turns = Newer.Direct != Way.Direct;
+  Way = Newer;
+  CarrierTurn = 0;
+  if (Turns)
+    internal::Logger.info("way to target",
+                          {{"group", Opts.Group},
+                           {"target", Entry.Instance},
+                           {"direct", Way.Direct ? "yes" : "no"},
+                           {"share", std::to_string(Way.Share)}});
+  Tell->Free();
+}
+
+bool TargetConnections::isOfWay(const TargetLink &Link) const {
+  if (!Link.isCarried())
+    return Way.Direct;
+  // A helper of a direct way is not listed there.
+  if (Way.Direct)
+    return UnreachableSince.has_value();
+  return std::any_of(
+      Way.Through.begin(), Way.Through.end(),
+      [&](const VmEntry &Vm) { return Vm.Vm == Link.carrier(); });
+}
+
+bool TargetConnections::mayOpen(TimePoint Now) const {
+  unsigned Limit = Now < CapUntil ? std::min(Way.Share, Cap) : Way.Share;
+  if (All.size() >= Limit || Now < NextOpen || !Running.allows(All.size()))
+    return false;
   // Each opening takes a slot of the target for longer than a statement does.
-  bool Allowed = All.size() < Limit && Running.allows(All.size()) &&
-                 Now >= NextOpen && Opening == 0;
-  if (!Allowed)
+  return Way.Direct ? Opening == 0 : Opening < Opts.CarriedOpenings;
+}
+
+bool TargetConnections::openIfAllowed(const std::optional<VmEntry> &Helper,
+                                      TimePoint Now) {
+  if (!mayOpen(Now))
     return false;
+  if (!Way.Direct && !Way.Through.empty()) {
+    open(&Way.Through[CarrierTurn % Way.Through.size()]);
+    return true;
+  }
   bool Direct = !UnreachableSince || Now - LastDirect > Opts.DirectPause;
-  open(Direct ? std::string() : Relay);
+  open(Direct || !Helper ? nullptr : &*Helper);
   return true;
 }
 
-void TargetConnections::open(const std::string &Relay) {
+void TargetConnections::open(const VmEntry *Carrier) {
   TargetLink::Options LinkOpts;
   LinkOpts.Codec = Opts.Codec;
   LinkOpts.Group = Opts.Group;
   LinkOpts.Instance = Entry.Instance;
   LinkOpts.Address = Entry.Address;
   LinkOpts.Stream = Opts.Stream;
-  if (!Relay.empty()) {
-    LinkOpts.Address = Relay;
-    LinkOpts.RelayRequest = TargetRelay::requestFor(Opts.Group, Entry.Instance);
+  if (Carrier) {
+    LinkOpts.Address = Carrier->PoolerPeer;
+    LinkOpts.Carrier = Carrier->Vm;
   }
   auto Link = std::make_shared<TargetLink>(Loop, LinkOpts);
   ++Opening;
@@ -103,11 +136,16 @@
     forgetClosed();
     return onNotOpened(*Link, *Failure, BootClock::now());
   }
-  if (!Link->isRelayed())
-    UnreachableSince.reset();
-  else if (FailuresInRow > 0)
-    internal::Logger.info("target reached through a peer",
-                          {{"group", Opts.Group}, {"target", Entry.Instance}});
+  if (Link->isCarried()) {
+    if (FailuresInRow > 0)
+      internal::Logger.info("target reached through a peer",
+                            {{"group", Opts.Group},
+                             {"target", Entry.Instance},
+                             {"peer", Link->carrier()}});
+    FailuresInRow = 0;
+    return giveBack(Link);
+  }
+  UnreachableSince.reset();
   FailuresInRow = 0;
   Tell->Contact(Entry.Instance);
   Link->onLost([Weak = weak_from_this()] {
@@ -125,7 +163,7 @@
                           {{"group", Opts.Group},
                            {"target", Entry.Instance},
                            {"address", Link.address()},
-                           {"through_peer", Link.isRelayed() ? "yes" : "no"},
+                           {"through_peer", Link.carrier()},
                            {"code", std::string(toString(Failure.Code))},
                            {"why", Failure.Message}});
   FailuresInRow = std::min(FailuresInRow + 1, internal::MaxOpenPauses);
@@ -135,8 +173,9 @@
     CapUntil = Now + internal::CapTime;
     return;
   }
-  if (!Link.isRelayed())
-    noteUnreachable(Now);
+  if (Link.isCarried())
+    return Tell->CarrierFailed(Link.carrier());
+  noteUnreachable(Now);
   Tell->Failure(Entry.Instance, Now);
 }
 
@@ -146,7 +185,10 @@
 }
 
 void TargetConnections::noteSilent(TimePoint Now) {
-  noteUnreachable(Now);
+  if (Way.Direct)
+    noteUnreachable(Now);
+  else
+    ++CarrierTurn;
   // What waits idle on the same path is probably as silent.
   close();
 }
@@ -180,7 +222,9 @@
     if (!Self)
       return;
     if (Reply) {
-      Self->Tell->Contact(Self->Entry.Instance);
+      // A carrier may have refused by itself.
+      if (!Link->isCarried() || Reply->Receipt)
+        Self->Tell->Contact(Self->Entry.Instance);
       Self->giveBack(Link);
     }
     for (const OwnReplyHook &Hook : Hooks)
@@ -209,7 +253,7 @@
       Since = Link->waitingSince();
     if (!Since)
       continue;
-    if (Now - *Since > Opts.SilenceLimit)
+    if (Now - *Since > Opts.SilenceLimit && !Link->isCarried())
       Tell->Failure(Entry.Instance, *Since);
     if (!Link->isOpen() && Now - *Since > Opts.OpenLimit)
       Overdue.push_back(Link);
@@ -236,7 +280,10 @@
   for (const std::shared_ptr<TargetLink> &Link : Silent) {
     internal::Logger.info("target is silent",
                           {{"group", Opts.Group}, {"target", Entry.Instance}});
-    Tell->Silent(Entry.Instance);
+    if (Link->isCarried())
+      Tell->CarrierFailed(Link->carrier());
+    else
+      Tell->Silent(Entry.Instance);
     Link->abandon();
   }
 }
@@ -255,11 +302,15 @@
 }
 
 void TargetConnections::closeUnused(TimePoint Now) {
+  auto Obsolete = [&](const FreeLink &Each) { return !isOfWay(*Each.Link); };
+  for (const FreeLink &Each : Free)
+    if (Obsolete(Each))
+      Each.Link->close();
+  Duration Limit = Way.Direct ? Opts.IdleLimit : Opts.CarriedIdleLimit;
+  forgetClosed();
   // The first in the list was used least recently.
-  while (All.size() > 1 && !Free.empty() &&
-         Now - Free.front().Since > Opts.IdleLimit) {
+  while (All.size() > 1 && !Free.empty() && Now - Free.front().Since > Limit) {
     Free.front().Link->close();
-    Free.erase(Free.begin());
     forgetClosed();
   }
 }
--- a/src/Proxy/TargetConnections.h
+++ b/src/Proxy/TargetConnections.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_PROXY_TARGETCONNECTIONS_H
 
 #include "Admission/ConcurrencyLimit.h"
+#include "Proxy/CarrierPlan.h"
 #include "Proxy/TargetEntry.h"
 #include "Proxy/TargetLink.h"
 
@@ -19,9 +20,11 @@
 /// \brief This VM's connections to one target: opened, lent, given back, and
 /// ended when they fall silent.
 ///
-/// Connections are opened one at a time and at most as many as the VM's share.
-/// Own requests (status, step down) take the next connection that is given
-/// back, before any session. Runs on the loop's thread; O(share) a sweep.
+/// Connections are opened one at a time and at most as many as the VM's share,
+/// to the target or to a VM that carries to it, as the way says. Own requests
+/// (status, step down) take the next connection that is given back, before any
+/// session. What a carrier does or fails to do is no evidence on the target.
+/// Runs on the loop's thread; O(share) a sweep.
 class TargetConnections
     : public std::enable_shared_from_this<TargetConnections> {
 public:
@@ -38,6 +41,10 @@
     /// Connections beyond the first that were not used for this long are
     /// closed: those of VMs that lost power block the target for seconds.
     Duration IdleLimit = std::chrono::milliseconds(500);
+    /// The same for connections to carriers, which block nothing.
+    Duration CarriedIdleLimit = std::chrono::milliseconds(5000);
+    /// Connections to carriers that are opened at once.
+    unsigned CarriedOpenings = 4;
     /// Time between attempts to reach a target directly that peers reach.
     Duration DirectPause = std::chrono::milliseconds(1000);
   };
@@ -49,6 +56,8 @@
     std::function<void(const std::string &Instance, TimePoint Since)> Failure;
     /// An own request was not answered in time.
     std::function<void(const std::string &Instance)> Silent;
+    /// A carrier could not be reached or does not carry.
+    std::function<void(const std::string &Vm)> CarrierFailed;
     /// A connection is free to be taken.
     std::function<void()> Free;
   };
@@ -63,16 +72,20 @@
 
   const TargetEntry &entry() const { return Entry; }
   void setEntry(const TargetEntry &Newer) { Entry = Newer; }
+  /// Sets how the target is reached; free connections of another way close.
+  void setWay(const TargetWay &Newer);
+  const TargetWay &way() const { return Way; }
 
   /// A free link, if more than \p Keep are free and the target takes more.
   std::shared_ptr<TargetLink> take(std::size_t Keep);
   bool hasFree() const { return !Free.empty(); }
+  bool hasAny() const { return !All.empty(); }
   /// Returns a link; it is closed unless all its requests were answered.
   void giveBack(const std::shared_ptr<TargetLink> &Link);
-  /// Opens a connection if one of at most \p Share may be opened now, through
-  /// the VM at \p Relay unless that is empty or a direct attempt is due. False
-  /// when none may.
-  bool openIfAllowed(unsigned Share, const std::string &Relay, TimePoint Now);
+  /// Opens a connection if the way allows another one now. Where it is direct
+  /// but fails, \p Helper carries instead, unless it is empty or a direct
+  /// attempt is due. False when none may be opened.
+  bool openIfAllowed(const std::optional<VmEntry> &Helper, TimePoint Now);
 
   /// Sends \p Request over the next connection that becomes free. Requests
   /// with the same \p Key that wait together are sent once.
@@ -104,7 +117,9 @@
   };
 
   std::size_t lent() const;
-  void open(const std::string &Relay);
+  void open(const VmEntry *Carrier);
+  bool mayOpen(TimePoint Now) const;
+  bool isOfWay(const TargetLink &Link) const;
   void onOpened(const std::shared_ptr<TargetLink> &Link,
                 const std::optional<Error> &Failure);
   void onNotOpened(const TargetLink &Link, const Error &Failure, TimePoint Now);
@@ -121,6 +136,9 @@
   boost::asio::io_context &Loop;
   Options Opts;
   TargetEntry Entry;
+  TargetWay Way;
+  /// Counts the carriers that fell silent: the next one is used.
+  std::size_t CarrierTurn = 0;
   std::shared_ptr<const Events> Tell;
   struct FreeLink {
     std::shared_ptr<TargetLink> Link;
--- a/src/Proxy/TargetLink.cpp
+++ b/src/Proxy/TargetLink.cpp
@@ -26,6 +26,8 @@
     : Opts(std::move(NewOpts)),
       Stream(LineStream::unconnected(Loop, Opts.Stream)) {
   assert(Opts.Codec && "a link needs a codec");
+  constexpr Millis OwnRequestsMayWait{300};
+  setTerms(0, OwnRequestsMayWait);
 }
 
 void TargetLink::open(std::function<void(std::optional<Error>)> Done) {
@@ -36,7 +38,9 @@
   Stream->connect(Opts.Address, [Self = shared_from_this()](bool Connected) {
     if (!Connected)
       return Self->lose();
-    std::string Bytes = Self->Opts.RelayRequest;
+    std::string Bytes;
+    if (Self->isCarried())
+      Bytes = CarriedLine::openingFor(Self->Opts.Group, Self->Opts.Instance);
     Self->Opts.Codec->encodeOpen(Bytes, Self->Opts.Group, Self->Opts.Instance);
     Self->Stream->start();
     Self->Stream->send(Bytes);
@@ -102,7 +106,7 @@
   std::string Bytes;
   Opts.Codec->encodeStatement(Bytes, Id, Text, After);
   expect(std::move(Hook));
-  Stream->send(Bytes);
+  sendLine(Bytes);
 }
 
 void TargetLink::begin(bool ReadOnly, std::optional<LogPosition> After,
@@ -110,27 +114,33 @@
   std::string Bytes;
   Opts.Codec->encodeBegin(Bytes, ReadOnly, After);
   expect(std::move(Hook));
-  Stream->send(Bytes);
+  sendLine(Bytes);
 }
 
 void TargetLink::rollback(ReplyHook Hook) {
   std::string Bytes;
   Opts.Codec->encodeRollback(Bytes);
   expect(std::move(Hook));
-  Stream->send(Bytes);
+  sendLine(Bytes);
 }
 
 void TargetLink::askStatus(ReplyHook Hook) {
   std::string Bytes;
   Opts.Codec->encodeStatusRequest(Bytes);
   expect(std::move(Hook));
-  Stream->send(Bytes);
+  sendLine(Bytes);
 }
 
 void TargetLink::demote(Term Below, ReplyHook Hook) {
   std::string Bytes;
   Opts.Codec->encodeDemote(Bytes, Below);
   expect(std::move(Hook));
+  sendLine(Bytes);
+}
+
+void TargetLink::sendLine(const std::string &Bytes) {
+  if (isCarried())
+    Stream->send(Prefix);
   Stream->send(Bytes);
 }
 
@@ -140,7 +150,7 @@
     if (Reply && Reply->Refused)
       lose();
   });
-  Stream->send(Bytes);
+  sendLine(Bytes);
 }
 
 void TargetLink::applyValues(const SessionValues &Wanted) {
--- a/src/Proxy/TargetLink.h
+++ b/src/Proxy/TargetLink.h
@@ -3,6 +3,7 @@
 
 #include "Core/Error.h"
 #include "Net/LineStream.h"
+#include "Proxy/CarriedLine.h"
 #include "Statements/StatementCodec.h"
 
 #include <deque>
@@ -46,10 +47,10 @@
     const StatementCodec *Codec = nullptr;
     std::string Group;
     std::string Instance;
-    /// "ip:port" of the target, or of a VM that reaches it.
+    /// "ip:port" of the target, or of a VM that carries to it.
     std::string Address;
-    /// Sent first, where a VM carries the connection.
-    std::string RelayRequest;
+    /// Name of that VM; empty where the link is the target's own.
+    std::string Carrier;
     LineStream::Options Stream;
   };
   /// Gets null when the connection failed before the answer was complete.
@@ -64,6 +65,12 @@
   /// Called once when an open link fails.
   void onLost(std::function<void()> Hook) { LostHook = std::move(Hook); }
 
+  /// What a carrier needs to know of the requests that follow: their priority,
+  /// and how long they may wait there for a connection.
+  void setTerms(unsigned Priority, Millis MayWait) {
+    Prefix = CarriedLine::prefixFor(Priority, MayWait);
+  }
+
   /// Sends a caller's statement under the caller's id.
   void runStatement(std::string_view Id, std::string_view Text,
                     std::optional<LogPosition> After, ReplyHook Hook);
@@ -80,7 +87,8 @@
   /// the same on every link of this process.
   std::string prepare(bool Writes, const std::string &Shape);
 
-  bool isRelayed() const { return !Opts.RelayRequest.empty(); }
+  bool isCarried() const { return !Opts.Carrier.empty(); }
+  const std::string &carrier() const { return Opts.Carrier; }
   const std::string &address() const { return Opts.Address; }
   const std::string &instance() const { return Opts.Instance; }
   bool isOpen() const { return Opened && Stream->isOpen(); }
@@ -104,6 +112,7 @@
   void takeReady(ReadyMessage Ready);
   void expect(ReplyHook Hook);
   void sendOwn(const std::string &Bytes);
+  void sendLine(const std::string &Bytes);
   void lose();
 
   Options Opts;
@@ -111,6 +120,8 @@
   std::function<void(std::optional<Error>)> OpenDone;
   std::function<void()> LostHook;
   std::deque<PendingReply> Pending;
+  /// Put before each line to a carrier.
+  std::string Prefix;
   SessionValues Values;
   std::set<std::string> Prepared;
   SessionPhase Phase = SessionPhase::Idle;
--- a/src/Statements/StatementCodec.h
+++ b/src/Statements/StatementCodec.h
@@ -4,6 +4,7 @@
 #include "Core/Error.h"
 #include "Statements/CallerMessage.h"
 #include "Statements/TargetMessage.h"
+#include "Statements/TargetRequest.h"
 #include "Statements/TargetStatus.h"
 
 #include <optional>
@@ -28,8 +29,12 @@
                                std::string_view Receipt) const = 0;
   virtual void encodeError(std::string &Out, ErrorCode Code,
                            std::string_view Text) const = 0;
-  virtual void encodeReady(std::string &Out, SessionPhase Phase) const = 0;
+  /// \p Position is for other VMs only, which read it as a target's.
+  virtual void encodeReady(std::string &Out, SessionPhase Phase,
+                           std::optional<LogPosition> Position) const = 0;
 
+  /// Reads a line that was encoded for a target.
+  virtual TargetRequest decodeTargetRequest(std::string_view Line) const = 0;
   virtual TargetMessage decodeTarget(std::string_view Line) const = 0;
   /// Opens a connection to the target \p Instance of \p Group.
   virtual void encodeOpen(std::string &Out, std::string_view Group,
--- a/src/Statements/Statements.h
+++ b/src/Statements/Statements.h
@@ -7,6 +7,7 @@
 #include "Statements/Statement.h"
 #include "Statements/StatementCodec.h"
 #include "Statements/TargetMessage.h"
+#include "Statements/TargetRequest.h"
 #include "Statements/TargetStatus.h"
 
 #endif
--- /dev/null
+++ b/src/Statements/TargetRequest.h
@@ -0,0 +1,41 @@
+#ifndef CICADAWIND_STATEMENTS_TARGETREQUEST_H
+#define CICADAWIND_STATEMENTS_TARGETREQUEST_H
+
+#include "Core/LogPosition.h"
+#include "Statements/Statement.h"
+
+#include <optional>
+
+namespace cicadawind {
+
+/// \class TargetRequest
+/// \brief A request as a target gets it: what StatementCodec's encoders for
+/// targets write.
+struct TargetRequest {
+  enum class Purpose {
+    /// Opens the connection.
+    Open,
+    /// Runs \c Request, which may be a transaction's begin or end.
+    Run,
+    /// Forgets session values and prepared statements.
+    Reset,
+    AskStatus,
+    Demote,
+    /// Not a request.
+    Unreadable,
+  };
+
+  Purpose For = Purpose::Unreadable;
+  /// Set for Run.
+  Statement Request;
+  /// Whether it is a proxy's own, without a caller's id.
+  bool IsOwn = false;
+  /// Position that the target's log must hold.
+  std::optional<LogPosition> After;
+  /// Set for Demote: primaries of a lower term step down.
+  Term Below = 0;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/test/Proxy/CarrierPlanTest.cpp
@@ -0,0 +1,194 @@
+#define BOOST_TEST_MODULE CarrierPlan
+#include <boost/test/unit_test.hpp>
+
+#include "Proxy/CarrierPlan.h"
+
+#include <algorithm>
+
+using namespace cicadawind;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1000s};
+constexpr unsigned MaxConnections = 30;
+
+std::string domainOf(std::size_t Vm) { return "d" + std::to_string(Vm % 6); }
+std::string regionOf(const std::string &Domain) {
+  return Domain < "d3" ? "r1" : "r2";
+}
+std::string nameOf(std::size_t Vm) { return "vm-" + std::to_string(Vm); }
+
+/// A fleet of VMs in six failure domains, each with its own view.
+struct Fleet {
+  explicit Fleet(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      VmEntry Entry;
+      Entry.Vm = nameOf(I);
+      Entry.FailureDomain = domainOf(I);
+      Entry.Region = regionOf(Entry.FailureDomain);
+      All.push_back(Entry);
+    }
+    for (std::size_t I = 0; I < Count; ++I) {
+      CarrierPlan::Options Opts;
+      Opts.Vm = nameOf(I);
+      Opts.FailureDomain = domainOf(I);
+      Opts.Region = regionOf(domainOf(I));
+      for (std::size_t D = 0; D < 6; ++D)
+        Opts.Regions[domainOf(D)] = regionOf(domainOf(D));
+      Plans.emplace_back(Opts);
+      std::vector<VmEntry> Others = All;
+      Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(I));
+      Plans.back().setPeers(Others);
+    }
+  }
+  /// \p Gone VMs are no longer heard by the others.
+  void lose(const std::set<std::string> &Gone) {
+    for (std::size_t I = 0; I < Plans.size(); ++I) {
+      std::vector<VmEntry> Others;
+      for (const VmEntry &Each : All)
+        if (Each.Vm != nameOf(I) && !Gone.count(Each.Vm))
+          Others.push_back(Each);
+      Plans[I].setPeers(Others);
+    }
+  }
+
+  std::vector<VmEntry> All;
+  std::vector<CarrierPlan> Plans;
+};
+
+TargetEntry targetIn(const std::string &Name, const std::string &Domain) {
+  return TargetEntry{.Instance = Name, .Group = "g", .FailureDomain = Domain};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(smallFleetsConnectThemselves) {
+  Fleet Small(7);
+  for (const CarrierPlan &Plan : Small.Plans) {
+    TargetWay Way = Plan.wayTo(targetIn("a", "d1"), 16);
+    BOOST_TEST(Way.Direct);
+    BOOST_TEST(Way.Share == 2);
+    BOOST_TEST(Plan.carriersOf(targetIn("a", "d1"), 16).empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(allVmsChooseTheSameCarriersInTheTargetsDomain) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  std::set<std::string> Chosen =
+      Big.Plans[0].carriersOf(Target, MaxConnections);
+  BOOST_TEST(Chosen.size() == 3);
+  std::size_t Direct = 0;
+  for (std::size_t I = 0; I < Big.Plans.size(); ++I) {
+    BOOST_TEST(Big.Plans[I].carriersOf(Target, MaxConnections) == Chosen);
+    TargetWay Way = Big.Plans[I].wayTo(Target, MaxConnections);
+    BOOST_TEST(Way.Direct == (Chosen.count(nameOf(I)) != 0));
+    Direct += Way.Direct ? 1 : 0;
+  }
+  BOOST_TEST(Direct == 3);
+  for (const std::string &Name : Chosen)
+    BOOST_TEST(domainOf(std::stoul(Name.substr(3))) == "d4");
+}
+
+BOOST_AUTO_TEST_CASE(aTargetsConnectionsAreNeverPromisedTwice) {
+  for (std::size_t Count : {2, 3, 9, 24, 72, 300}) {
+    Fleet F(Count);
+    unsigned Sum = 0;
+    for (const CarrierPlan &Plan : F.Plans) {
+      TargetWay Way = Plan.wayTo(targetIn("a", "d1"), MaxConnections);
+      Sum += Way.Direct ? Way.Share : 0;
+    }
+    BOOST_TEST_CONTEXT(Count << " VMs") { BOOST_TEST(Sum <= MaxConnections); }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(targetsAreSpreadOverTheVms) {
+  Fleet Big(72);
+  std::map<std::string, int> Load;
+  for (int I = 0; I < 240; ++I)
+    for (const std::string &Vm : Big.Plans[0].carriersOf(
+             targetIn("t" + std::to_string(I), domainOf(I % 6)),
+             MaxConnections))
+      ++Load[Vm];
+  int Most = 0;
+  for (const auto &[Vm, Count] : Load)
+    Most = std::max(Most, Count);
+  // Ten on average.
+  BOOST_TEST(Load.size() == 72U);
+  BOOST_TEST(Most <= 25);
+}
+
+BOOST_AUTO_TEST_CASE(carriersShareTheOthersWork) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  std::map<std::string, int> First;
+  for (const CarrierPlan &Plan : Big.Plans) {
+    TargetWay Way = Plan.wayTo(Target, MaxConnections);
+    if (!Way.Direct)
+      ++First[Way.Through.front().Vm];
+  }
+  BOOST_TEST(First.size() == 3);
+  for (const auto &[Vm, Count] : First)
+    BOOST_TEST(Count >= 10);
+}
+
+BOOST_AUTO_TEST_CASE(lostCarriersAreReplacedAndOthersStay) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  std::set<std::string> Before =
+      Big.Plans[0].carriersOf(Target, MaxConnections);
+  std::string Lost = *Before.begin();
+  Big.lose({Lost});
+  std::set<std::string> After = Big.Plans[0].carriersOf(Target, MaxConnections);
+  BOOST_TEST(After.size() == 3);
+  BOOST_TEST(After.count(Lost) == 0);
+  for (const std::string &Name : Before)
+    if (Name != Lost)
+      BOOST_TEST(After.count(Name) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(withoutADomainTheRegionCarriesThenAnyone) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  std::set<std::string> Gone;
+  for (const VmEntry &Vm : Big.All)
+    if (Vm.FailureDomain == "d4")
+      Gone.insert(Vm.Vm);
+  Big.lose(Gone);
+  for (const std::string &Name :
+       Big.Plans[0].carriersOf(Target, MaxConnections))
+    BOOST_TEST(regionOf(domainOf(std::stoul(Name.substr(3)))) == "r2");
+  for (const VmEntry &Vm : Big.All)
+    if (Vm.Region == "r2")
+      Gone.insert(Vm.Vm);
+  Big.lose(Gone);
+  BOOST_TEST(Big.Plans[0].carriersOf(Target, MaxConnections).size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatCannotBeReachedIsLeftOutForAWhile) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  CarrierPlan &Plan = Big.Plans[0];
+  Plan.sweep(Start);
+  std::string Bad = Plan.wayTo(Target, MaxConnections).Through.front().Vm;
+  Plan.suspect(Bad, Start);
+  BOOST_TEST(Plan.sweep(Start));
+  BOOST_TEST(Plan.carriersOf(Target, MaxConnections).count(Bad) == 0);
+  BOOST_TEST(!Plan.sweep(Start + 2s));
+  BOOST_TEST(Plan.sweep(Start + 3s));
+  BOOST_TEST(Plan.carriersOf(Target, MaxConnections).count(Bad) == 1);
+}
+
+// Another VM's view may be newer, or older.
+BOOST_AUTO_TEST_CASE(aVmThatIsAskedToCarryConnectsItself) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  CarrierPlan &Plan = Big.Plans[0];
+  BOOST_TEST(!Plan.wayTo(Target, MaxConnections).Direct);
+  Plan.adopt("a", Start);
+  BOOST_TEST(Plan.wayTo(Target, MaxConnections).Direct);
+  BOOST_TEST(!Plan.wayTo(targetIn("b", "d4"), MaxConnections).Direct);
+  Plan.sweep(Start + 11s);
+  BOOST_TEST(!Plan.wayTo(Target, MaxConnections).Direct);
+}
--- /dev/null
+++ b/test/Proxy/CarrierTest.cpp
@@ -0,0 +1,249 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE Carrier
+#include <boost/test/unit_test.hpp>
+
+#include "Proxy/CarrierService.h"
+#include "Proxy/ProxyWorld.h"
+
+#include <memory>
+#include <vector>
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+
+namespace {
+
+/// A world whose VM carries for others, and another VM's links to it.
+struct CarryingWorld : ProxyWorld {
+  CarryingWorld() : Carriers(Loop, options(*this)) { Carriers.start(); }
+
+  static CarrierService::Options options(ProxyWorld &World) {
+    CarrierService::Options Out;
+    Out.Address = "127.0.0.1";
+    Out.Host.Codec = &World.Codec;
+    Out.Host.Carry = [&World](const std::string &OfGroup,
+                              const std::string &Id) {
+      return World.Service->carry(OfGroup, Id);
+    };
+    return Out;
+  }
+
+  std::shared_ptr<TargetLink> openLink(const std::string &OfGroup = "g",
+                                       const std::string &Id = "a") {
+    TargetLink::Options Opts;
+    Opts.Codec = &Codec;
+    Opts.Group = OfGroup;
+    Opts.Instance = Id;
+    Opts.Address = "127.0.0.1:" + std::to_string(Carriers.port());
+    Opts.Carrier = "vm-1";
+    auto Link = std::make_shared<TargetLink>(Loop, Opts);
+    std::optional<bool> Opened;
+    Link->open([&](std::optional<Error> E) { Opened = !E; });
+    runUntil([&] { return Opened.has_value(); });
+    return Opened.value_or(false) ? Link : nullptr;
+  }
+
+  CarrierService Carriers;
+};
+
+/// The answer to one request, once it is there.
+struct Awaited {
+  TargetLink::ReplyHook hook() {
+    return [this](const TargetReply *Answer) {
+      Ended = true;
+      if (Answer)
+        Reply = *Answer;
+    };
+  }
+  bool Ended = false;
+  std::optional<TargetReply> Reply;
+};
+
+TargetReply run(ProxyWorld &World, TargetLink &Link, const std::string &Id,
+                const std::string &Text,
+                std::optional<LogPosition> After = std::nullopt) {
+  Awaited Answer;
+  Link.runStatement(Id, Text, After, Answer.hook());
+  BOOST_REQUIRE(World.runUntil([&] { return Answer.Ended; }));
+  BOOST_REQUIRE(Answer.Reply.has_value());
+  return *Answer.Reply;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aTargetIsReachedThroughAPeer) {
+  CarryingWorld World;
+  auto Link = World.openLink();
+  BOOST_REQUIRE(Link);
+  TargetReply Reply = run(World, *Link, "c1", "WRITE i1 x y");
+  BOOST_TEST(*Reply.Receipt == "r-c1");
+  BOOST_TEST(Reply.Ready.Position.has_value());
+  BOOST_TEST(World.Group.read("a", "i1") == "x y");
+  BOOST_TEST(run(World, *Link, "c2", "READ i1").Rows.front() == "x y");
+}
+
+BOOST_AUTO_TEST_CASE(transactionsAndPositionsAreTheTargets) {
+  CarryingWorld World;
+  auto Link = World.openLink();
+  BOOST_REQUIRE(Link);
+  Awaited Begun;
+  Awaited Read;
+  Awaited Ended;
+  Link->begin(false, std::nullopt, Begun.hook());
+  World.runUntil([&] { return Begun.Ended; });
+  BOOST_TEST(Link->inTransaction());
+  // The second is sent before the first is answered.
+  Link->runStatement("c1", "READ i1", std::nullopt, Read.hook());
+  Link->rollback(Ended.hook());
+  World.runUntil([&] { return Ended.Ended; });
+  BOOST_REQUIRE(Read.Reply.has_value());
+  BOOST_TEST(Read.Reply->Receipt.has_value());
+  BOOST_TEST(!Link->inTransaction());
+  auto Replica = World.openLink("g", "b");
+  BOOST_REQUIRE(Replica);
+  LogPosition Future{.WrittenIn = 1, .Index = 999};
+  TargetReply Behind = run(World, *Replica, "c2", "READ i1", Future);
+  BOOST_REQUIRE(Behind.Refused.has_value());
+  BOOST_TEST((Behind.Refused->Code == ErrorCode::ReplicaBehind));
+}
+
+BOOST_AUTO_TEST_CASE(sessionsOfManyLinksShareFewConnections) {
+  CarryingWorld World;
+  std::vector<std::shared_ptr<TargetLink>> Links;
+  for (int I = 0; I < 20; ++I) {
+    Links.push_back(World.openLink());
+    BOOST_REQUIRE(Links.back());
+  }
+  for (int Round = 0; Round < 3; ++Round)
+    for (std::size_t I = 0; I < Links.size(); ++I) {
+      std::string Value = "v" + std::to_string(I);
+      Links[I]->applyValues({{"lang", Value}});
+      std::string Id = "c" + std::to_string(Round) + "-" + Value;
+      run(World, *Links[I], Id, "READ i1");
+      BOOST_REQUIRE(World.recordsOf(Id).size() == 1);
+      BOOST_TEST(World.recordsOf(Id)[0].Values == "lang=" + Value + ";");
+    }
+  BOOST_TEST(World.instance("a").connections() <= 8);
+}
+
+BOOST_AUTO_TEST_CASE(preparedNamesOfTwoVmsDoNotCollide) {
+  CarryingWorld World;
+  auto First = World.openLink();
+  BOOST_REQUIRE(First);
+  std::string Name = First->prepare(true, "shape one");
+  run(World, *First, "c1", World.Codec.executeText(Name, "i1 v"));
+  BOOST_TEST(World.Group.read("a", "i1") == "v");
+  auto Second = World.openLink();
+  BOOST_REQUIRE(Second);
+  // Another VM may mean another shape by the same name.
+  TargetReply Unknown =
+      run(World, *Second, "c2", World.Codec.executeText(Name, "i1 w"));
+  BOOST_TEST(Unknown.Refused.has_value());
+  BOOST_TEST(World.Group.read("a", "i1") == "v");
+}
+
+// A transaction must not stay open at the target when the VM that began it is
+// gone.
+BOOST_AUTO_TEST_CASE(anOpenTransactionEndsWithItsPeer) {
+  CarryingWorld World;
+  auto Link = World.openLink();
+  BOOST_REQUIRE(Link);
+  Awaited Begun;
+  Link->begin(false, std::nullopt, Begun.hook());
+  World.runUntil([&] { return Begun.Ended; });
+  run(World, *Link, "c1", "WRITE i1 x");
+  std::size_t Before = World.instance("a").connections();
+  Link->close();
+  BOOST_TEST(World.runUntil(
+      [&] { return World.instance("a").connections() < Before; }));
+  BOOST_TEST(World.runUntil([&] { return World.Carriers.sessions() == 0; }));
+  BOOST_TEST(World.Group.read("a", "i1") == "");
+}
+
+BOOST_AUTO_TEST_CASE(thePeerLearnsThatAnAnswerWillNotCome) {
+  CarryingWorld World;
+  auto Link = World.openLink();
+  BOOST_REQUIRE(Link);
+  run(World, *Link, "c0", "READ i1");
+  World.instance("a").Faults.LoseAnswers = 1;
+  Awaited Lost;
+  Link->runStatement("c1", "WRITE i1 x", std::nullopt, Lost.hook());
+  BOOST_TEST(World.runUntil([&] { return Lost.Ended; }));
+  BOOST_TEST(!Lost.Reply.has_value());
+  BOOST_TEST(World.recordsOf("c1").size() == 1);
+}
+
+// Its code is one that targets do not use for requests, so that the peer does
+// not take it for news of the target.
+BOOST_AUTO_TEST_CASE(aRequestThatFindsNoConnectionIsRefusedInTimeAndUnsent) {
+  CarryingWorld World;
+  World.instance("a").Faults.Work = std::chrono::milliseconds(300);
+  std::vector<std::shared_ptr<TargetLink>> Links;
+  std::vector<std::unique_ptr<Awaited>> Answers;
+  constexpr int Many = 24;
+  for (int I = 0; I < Many; ++I) {
+    Links.push_back(World.openLink());
+    Answers.push_back(std::make_unique<Awaited>());
+  }
+  TimePoint Start = BootClock::now();
+  for (std::size_t I = 0; I < Links.size(); ++I) {
+    Links[I]->setTerms(0, Millis(100));
+    Links[I]->runStatement("c" + std::to_string(I), "WRITE i1 x", std::nullopt,
+                           Answers[I]->hook());
+  }
+  auto RefusedAt = [&](std::size_t I) {
+    return Answers[I]->Reply && Answers[I]->Reply->Refused &&
+           Answers[I]->Reply->Refused->Code == ErrorCode::TooManyConnections;
+  };
+  BOOST_TEST(World.runUntil([&] { return RefusedAt(Many - 1); }));
+  BOOST_TEST((BootClock::now() - Start < std::chrono::milliseconds(280)));
+  BOOST_TEST(World.recordsOf("c" + std::to_string(Many - 1)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(theStatusComesFromTheTarget) {
+  CarryingWorld World;
+  auto Link = World.openLink("g", "b");
+  BOOST_REQUIRE(Link);
+  Awaited Answer;
+  Link->askStatus(Answer.hook());
+  BOOST_TEST(World.runUntil([&] { return Answer.Ended; }));
+  BOOST_REQUIRE(Answer.Reply.has_value());
+  BOOST_REQUIRE(Answer.Reply->Rows.size() == 1);
+  std::optional<TargetStatus> Status =
+      World.Codec.decodeStatus(Answer.Reply->Rows.front());
+  BOOST_REQUIRE(Status.has_value());
+  BOOST_TEST(!Status->IsPrimary);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNotATargetIsRefused) {
+  CarryingWorld World;
+  BOOST_TEST(!World.openLink("other", "a"));
+  BOOST_TEST(!World.openLink("g", "z"));
+  BOOST_TEST(!World.openLink("g", ""));
+  BOOST_TEST(World.runUntil([&] { return World.Carriers.sessions() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(malformedLinesEndTheSessionAndRunNothing) {
+  for (const char *Line :
+       {"QUERY x1 WRITE i1 x", "0 QUERY x1 WRITE i1 x",
+        "a b QUERY x1 WRITE i1 x", "0 -5 QUERY x1 WRITE i1 x", "0 5 HELLO",
+        "0 5 QUERY x1 SHOUT i1", "0 5 QUERY x1 AFTER q READ i1", "0 5 ", ""})
+    BOOST_TEST_CONTEXT(Line) {
+      CarryingWorld World;
+      auto Stream = LineStream::unconnected(World.Loop, {});
+      bool Ended = false;
+      Stream->onLine([](std::string_view) {});
+      Stream->onEnd([&](LineStream::End) { Ended = true; });
+      Stream->connect("127.0.0.1:" + std::to_string(World.Carriers.port()),
+                      [&](bool) {
+                        Stream->start();
+                        Stream->send("CARRY g a\r\nSTARTUP g x a\r\n");
+                        Stream->send(std::string(Line) + "\r\n");
+                      });
+      BOOST_TEST(World.runUntil([&] { return Ended; }));
+      BOOST_TEST(World.callersRecords().empty());
+      Stream->close();
+    }
+}
