--- a/src/Cli/RequestExplanation.cpp
+++ b/src/Cli/RequestExplanation.cpp
@@ -35,6 +35,17 @@
   });
 }
 
+/// Whether the primary \p Target was in doubt or being replaced.
+static bool doubts(const std::vector<Json> &Lines, const std::string &Target) {
+  return std::any_of(Lines.begin(), Lines.end(), [&](const Json &Line) {
+    std::string Message = textOf(Line, "message");
+    return (Message == "primary in doubt" &&
+            textOf(Line, "target") == Target) ||
+           (Message == "promotion begins" &&
+            textOf(Line, "old_primary") == Target);
+  });
+}
+
 struct Finding {
   std::string Cause;
   std::string Advice;
@@ -67,8 +78,7 @@
 static Finding judge(const Json &Request, const std::vector<Json> &Evidence) {
   std::string Code = textOf(Request, "code");
   std::string Tries = textOf(Request, "tries");
-  bool Promoting = hasMessage(Evidence, "promotion begins") ||
-                   hasMessage(Evidence, "primary in doubt");
+  bool Promoting = doubts(Evidence, textOf(Request, "target"));
   if (textOf(Request, "outcome") == "ok")
     return {Tries.empty() ? "it was served at once"
                           : "it was served after failed attempts: " + Tries,
@@ -90,9 +100,8 @@
   if (Code == "not_confirmed")
     return {Promoting ? "its write or commit had left for a primary that was "
                         "lost or in doubt"
-                      : "the connection ended after its write or commit had "
-                        "left, or its time limit passed: " +
-                            Tries,
+                      : textOf(Request, "why") +
+                            " after its write or commit had left: " + Tries,
             "the write may be kept: 'successor chosen' tells the position that "
             "survived; the caller has to look before it repeats"};
   if (Code == "transaction_ended")
--- a/test/Cli/RequestExplanationTest.cpp
+++ b/test/Cli/RequestExplanationTest.cpp
@@ -24,6 +24,11 @@
 const std::string Waited =
     R"("code":"overloaded","tries":"","why":"no connection became free in time")";
 
+const std::string LostAt =
+    R"("code":"not_confirmed","why":"the connection was lost","target":)";
+const std::string InDoubt =
+    R"("component":"promotion","message":"primary in doubt","group":"g","target":)";
+
 std::string causeOf(const std::vector<std::string> &Lines) {
   RequestExplanation Logs;
   for (const std::string &Each : Lines)
@@ -64,15 +69,13 @@
            "05.000",
            R"("code":"replica_behind","tries":"b:replica_behind","at_least":"1.7")")},
        "had not reached position 1.7"},
-      {{request("05.000",
-                R"("code":"not_confirmed","tries":"a:not_confirmed")"),
-        line(
-            "04.900", "vm-1",
-            R"("component":"promotion","message":"primary in doubt","group":"g")")},
+      {{request("05.000", LostAt + R"("a")"),
+        line("04.900", "vm-1", InDoubt + R"("a")")},
        "lost or in doubt"},
-      {{request("05.000",
-                R"("code":"not_confirmed","tries":"a:not_confirmed")")},
-       "had left, or its time limit passed"},
+      // Another primary was in doubt, earlier.
+      {{request("05.000", LostAt + R"("b")"),
+        line("04.900", "vm-1", InDoubt + R"("a")")},
+       "connection was lost after its write or commit had left"},
       {{request("05.000",
                 R"("code":"transaction_ended","why":"ended while idle")")},
        "ended while idle"},
