--- a/test/Platform/ObjectsClientTest.cpp
+++ b/test/Platform/ObjectsClientTest.cpp
@@ -101,6 +101,25 @@
   BOOST_TEST(valueOf(Lost.read()).exists());
 }
 
+// Each call is priced, and a fleet's instances register within seconds.
+BOOST_AUTO_TEST_CASE(changesThatComeCloseTogetherCostFewCalls) {
+  ClientAndStore T;
+  T.follow();
+  constexpr int Many = 20;
+  T.runUntil([&] { return T.Changes > 0; });
+  TimePoint Next = BootClock::now();
+  int Put = 0;
+  BOOST_TEST(T.runUntil([&] {
+    if (Put < Many && BootClock::now() >= Next) {
+      T.Store.put("k", "n" + std::to_string(++Put), Put);
+      Next = BootClock::now() + 20ms;
+    }
+    return T.Seen.size() == Many;
+  }));
+  // 400 ms of changes, and 300 ms between two watches.
+  BOOST_TEST(T.Changes <= 5);
+}
+
 BOOST_AUTO_TEST_CASE(aKindIsFollowedThroughPagesChangesAndRemovals) {
   ClientAndStore T;
   T.Store.Faults.PageSize = 2;
