--- a/src/Platform/KindWatcher.h
+++ b/src/Platform/KindWatcher.h
@@ -1,6 +1,7 @@
 #ifndef CICADAWIND_PLATFORM_KINDWATCHER_H
 #define CICADAWIND_PLATFORM_KINDWATCHER_H
 
+#include "Core/Clock.h"
 #include "Core/Result.h"
 #include "Platform/StoredObject.h"
 
@@ -31,7 +32,8 @@
   virtual boost::asio::awaitable<Result<ObjectsByName>>
   listAll(std::string Kind) = 0;
 
-  virtual void follow(std::string Kind, ChangeHook OnChange,
+  /// Changes that follow one another within \p Pause may cost one call.
+  virtual void follow(std::string Kind, Duration Pause, ChangeHook OnChange,
                       ReachHook OnReach) = 0;
 };
 
--- a/test/Platform/ObjectsClientTest.cpp
+++ b/test/Platform/ObjectsClientTest.cpp
@@ -38,7 +38,7 @@
   /// Follows a kind and counts what it is told.
   void follow() {
     Client.follow(
-        "k",
+        "k", 300ms,
         [this](const ObjectsByName &Objects, std::uint64_t) {
           Seen = Objects;
           ++Changes;
