Ask one carrier for a proof of lead, at half the least staleness

Ruled out: own probes, which cost the target slots; longer than 0.75 s, which leaves no time for a second question within 1.5 s. Change: one of the primary's carriers in turn, from an age of 750 ms on.

--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -50,8 +50,10 @@
     std::function<std::optional<VmEntry>(const std::string &Vm)> CarrierOf;
     /// A carrier could not be reached.
     std::function<void(const std::string &Vm)> CarrierFailed;
-    /// Age up to which a proof of lead is not renewed by this VM itself while
-    /// it reaches the primary through others, which have newer ones.
+    /// While this VM reaches the primary through others: age of the newest
+    /// proof at which one of them is asked for a newer, and at which this VM
+    /// asks the target. Half and four fifths of the least staleness in use.
+    Duration CarriedAskAge = std::chrono::milliseconds(750);
     Duration CarriedProofAge = std::chrono::milliseconds(1200);
     /// Asks peers about the group's primary; empty for no peers.
     std::function<void(const std::string &Group, const std::string &Instance)>
--- a/src/Proxy/GroupEvidence.cpp
+++ b/src/Proxy/GroupEvidence.cpp
@@ -101,7 +101,7 @@
     ProofWanted = true;
   std::optional<LeaderProof> Newest = Leader.newest();
   bool Direct = isDirect(Leader.primary());
-  Duration AskAt = Direct ? 2 * Opts.ProofAge : Opts.ProofAge;
+  Duration AskAt = Direct ? 2 * Opts.ProofAge : Opts.CarriedAskAge;
   bool Old = !Newest || Now - Newest->Asked > AskAt;
   if (ProofWanted && Old && Opts.AskPeers)
     Opts.AskPeers(Opts.Group, "");
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -323,6 +323,9 @@
     });
     Peers.resize(std::min(Peers.size(), Opts.ProofFanout));
   }
+  // All of them have proofs of their own, so one will do, in turn.
+  if (Instance.empty() && !Knowing.empty() && !Peers.empty())
+    Peers = {Peers[LastQuestion % Peers.size()]};
   GroupQuestion Question;
   Question.From = Opts.Vm;
   Question.Number = ++LastQuestion;
