Greet mostly within the region, and open to several carriers at once

Ruled out: fewer hellos in all, which delay news of VMs; a patience of 60 ms for an opening, by which time four openings were under way to the same carrier (CarrierTest, aCarrierThatSaysNothingHoldsNoStatement failed with it). Change: beyond nine VMs one hello of eight leaves the region; openings under way go to different carriers; a carrier is left out for 3 s, doubled up to 48 s.

--- a/src/Proxy/CarrierPlan.cpp
+++ b/src/Proxy/CarrierPlan.cpp
@@ -36,9 +36,33 @@
   return true;
 }
 
+bool CarrierPlan::isSuspect(const std::string &Vm) const {
+  auto It = Suspects.find(Vm);
+  return It != Suspects.end() && !It->second.Over;
+}
+
 void CarrierPlan::suspect(const std::string &Vm, TimePoint Now) {
-  Changed |= !SuspectUntil.count(Vm);
-  SuspectUntil[Vm] = Now + Opts.SuspectFor;
+  if (isSuspect(Vm))
+    return;
+  auto [It, IsNew] = Suspects.try_emplace(Vm);
+  Suspicion &Known = It->second;
+  Known.Length =
+      IsNew ? Opts.SuspectFor : std::min(2 * Known.Length, Opts.SuspectAtMost);
+  Known.Until = Now + Known.Length;
+  Known.Over = false;
+  Changed = true;
+}
+
+bool CarrierPlan::sweepSuspects(TimePoint Now) {
+  bool AnyOver = false;
+  for (auto It = Suspects.begin(); It != Suspects.end();) {
+    Suspicion &Known = It->second;
+    AnyOver |= !Known.Over && Now >= Known.Until;
+    Known.Over = Now >= Known.Until;
+    bool Forgotten = Now >= Known.Until + Known.Length;
+    It = Forgotten ? Suspects.erase(It) : std::next(It);
+  }
+  return AnyOver;
 }
 
 void CarrierPlan::adopt(const std::string &Instance, TimePoint Now) {
@@ -47,7 +71,7 @@
 }
 
 bool CarrierPlan::sweep(TimePoint Now) {
-  bool Over = internal::dropOver(SuspectUntil, Now);
+  bool Over = sweepSuspects(Now);
   Over |= internal::dropOver(AdoptedUntil, Now);
   return std::exchange(Changed, false) || Over;
 }
@@ -69,7 +93,7 @@
   std::vector<Ranked> Order;
   Order.reserve(vms());
   auto Add = [&](const VmEntry &Vm) {
-    if (!SuspectUntil.count(Vm.Vm))
+    if (!isSuspect(Vm.Vm))
       Order.emplace_back(distance(Vm, Target),
                          internal::weightOf(Target.Instance, Vm.Vm), Vm);
   };
--- a/src/Proxy/CarrierPlan.h
+++ b/src/Proxy/CarrierPlan.h
@@ -51,8 +51,10 @@
     double Spare = 0.2;
     /// Connections to carriers, each for one statement at a time.
     unsigned CarriedShare = 8;
-    /// How long a VM that could not be reached is left out.
+    /// How long a VM that could not be reached is left out, the first time; it
+    /// doubles up to the second figure when that happens again soon after.
     Duration SuspectFor = std::chrono::seconds(3);
+    Duration SuspectAtMost = std::chrono::seconds(48);
     /// How long a VM carries after it was last asked to.
     Duration AdoptFor = std::chrono::seconds(10);
   };
@@ -83,9 +85,19 @@
   std::vector<VmEntry> choose(const TargetEntry &Target) const;
   int distance(const VmEntry &Vm, const TargetEntry &Target) const;
 
+  struct Suspicion {
+    TimePoint Until;
+    Duration Length;
+    bool Over = false;
+  };
+
+  bool isSuspect(const std::string &Vm) const;
+  bool sweepSuspects(TimePoint Now);
+
   Options Opts;
   std::vector<VmEntry> Peers;
-  std::map<std::string, TimePoint> SuspectUntil;
+  /// Kept for as long again after it is over, see SuspectFor.
+  std::map<std::string, Suspicion> Suspects;
   std::map<std::string, TimePoint> AdoptedUntil;
   bool Changed = false;
 };
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -249,11 +249,11 @@
 std::vector<VmEntry> PeerExchange::livePeers(TimePoint Now) const {
   std::vector<VmEntry> Out;
   std::vector<VmEntry> Usable = Members.usable();
-  // With many VMs each hears the others less often.
-  Duration Silence = Opts.ForgetAfter *
-                     std::max<std::size_t>(1, Usable.size() / Opts.HelloFanout);
+  Duration NearSilence = silenceOf(Usable, true);
+  Duration FarSilence = silenceOf(Usable, false);
   for (const VmEntry &Entry : Usable) {
     auto Heard = HeardAt.find(Entry.Vm);
+    Duration Silence = Entry.Region == Opts.Region ? NearSilence : FarSilence;
     bool Live = Heard != HeardAt.end() && Now - Heard->second < Silence;
     if (Live && Entry.Vm != Opts.Vm)
       Out.push_back(Entry);
@@ -265,6 +265,36 @@
   Service.setPeers(livePeers(Now));
 }
 
+void PeerExchange::greetSome(std::vector<VmEntry> Peers) {
+  for (std::size_t I = 0; I < Peers.size(); ++I)
+    std::swap(Peers[I], Peers[I + Opts.Random() % (Peers.size() - I)]);
+  if (Peers.size() > Opts.HelloFanout) {
+    auto Far = std::stable_partition(
+        Peers.begin(), Peers.end(),
+        [&](const VmEntry &E) { return E.Region == Opts.Region; });
+    std::size_t Near = static_cast<std::size_t>(Far - Peers.begin());
+    std::size_t FarOnes = std::min(Opts.FarHellos, Peers.size() - Near);
+    std::size_t NearOnes = std::min(Near, Opts.HelloFanout - FarOnes);
+    Peers.erase(Far + static_cast<std::ptrdiff_t>(FarOnes), Peers.end());
+    Peers.erase(Peers.begin() + static_cast<std::ptrdiff_t>(NearOnes), Far);
+  }
+  for (const VmEntry &Each : Peers)
+    sendHello(Each.RouterPeer);
+}
+
+Duration PeerExchange::silenceOf(const std::vector<VmEntry> &Usable,
+                                 bool Near) const {
+  if (Usable.size() <= Opts.HelloFanout + 1)
+    return Opts.ForgetAfter;
+  auto Count = static_cast<std::size_t>(
+      std::count_if(Usable.begin(), Usable.end(), [&](const VmEntry &E) {
+        return (E.Region == Opts.Region) == Near;
+      }));
+  std::size_t Hellos =
+      Near ? Opts.HelloFanout - Opts.FarHellos : Opts.FarHellos;
+  return Opts.ForgetAfter * std::max<std::size_t>(1, Count / Hellos);
+}
+
 void PeerExchange::sweep(TimePoint Now) {
   for (auto It = Questions.begin(); It != Questions.end();) {
     bool Late = Now - It->second.SentAt > internal::QuestionLimit;
@@ -274,13 +304,10 @@
     return;
   NextHello = Now + Opts.HelloPeriod;
   std::vector<VmEntry> Peers = Members.usable();
-  std::size_t Count = std::min(Peers.size(), Opts.HelloFanout);
-  for (std::size_t I = 0; I < Count; ++I) {
-    std::size_t Pick = I + Opts.Random() % (Peers.size() - I);
-    std::swap(Peers[I], Peers[Pick]);
-    if (Peers[I].Vm != Opts.Vm)
-      sendHello(Peers[I].RouterPeer);
-  }
+  Peers.erase(std::remove_if(Peers.begin(), Peers.end(),
+                             [&](const VmEntry &E) { return E.Vm == Opts.Vm; }),
+              Peers.end());
+  greetSome(Peers);
   if (Peers.empty())
     for (const std::string &Address : Opts.SeedAddresses)
       if (Address != Opts.Address)
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -46,7 +46,11 @@
     std::vector<std::string> SeedAddresses;
     Duration HelloPeriod = std::chrono::milliseconds(1000);
     std::size_t HelloFanout = 8;
-    /// Silence after which a VM no longer counts.
+    /// Of these, those to other regions, where not all VMs can be greeted:
+    /// traffic between regions is dear.
+    std::size_t FarHellos = 1;
+    /// Silence after which a VM no longer counts, where each VM greets all
+    /// others in a period; with many VMs each hears the others less often.
     Duration ForgetAfter = std::chrono::seconds(8);
     /// Least pause between questions about one group.
     Duration QuestionPause = std::chrono::milliseconds(80);
@@ -119,6 +123,10 @@
   void takeAnswer(const GroupAnswer &Answer, TimePoint Now);
   void sendTo(const std::string &Address, const PeerMessage &Message);
   void sendHello(const std::string &Address);
+  /// Greets as many of \p Peers as a period allows.
+  void greetSome(std::vector<VmEntry> Peers);
+  /// Silence after which a VM, of this region or not, no longer counts.
+  Duration silenceOf(const std::vector<VmEntry> &Usable, bool Near) const;
   void fetchState(const std::string &Vm, const std::string &Address);
   boost::asio::awaitable<void> fetchNow(std::string Vm, std::string Address);
   HttpResponse answerState() const;
--- a/src/Proxy/TargetConnections.cpp
+++ b/src/Proxy/TargetConnections.cpp
@@ -98,7 +98,8 @@
   if (!mayOpen(Now))
     return false;
   if (!Way.Direct && !Way.Through.empty()) {
-    open(&Way.Through[CarrierTurn % Way.Through.size()]);
+    // What opens at the same time goes to different ones: one may not answer.
+    open(&Way.Through[(CarrierTurn + Opening) % Way.Through.size()]);
     return true;
   }
   bool Direct = !UnreachableSince || Now - LastDirect > Opts.DirectPause;
--- a/test/Proxy/CarrierPlanTest.cpp
+++ b/test/Proxy/CarrierPlanTest.cpp
@@ -180,6 +180,29 @@
   BOOST_TEST(Plan.carriersOf(Target, MaxConnections).count(Bad) == 1);
 }
 
+// Each attempt to reach a dead VM keeps statements waiting.
+BOOST_AUTO_TEST_CASE(aVmThatStaysUnreachableIsTriedLessAndLess) {
+  Fleet Big(72);
+  TargetEntry Target = targetIn("a", "d4");
+  CarrierPlan &Plan = Big.Plans[0];
+  std::string Bad = Plan.wayTo(Target, MaxConnections).Through.front().Vm;
+  TimePoint Now = Start;
+  int Tries = 0;
+  for (; Now < Start + 60s; Now += 100ms) {
+    Plan.sweep(Now);
+    if (Plan.carriersOf(Target, MaxConnections).count(Bad) == 0)
+      continue;
+    ++Tries;
+    Plan.suspect(Bad, Now);
+  }
+  BOOST_TEST(Tries <= 5);
+  // Long after, it begins anew.
+  Plan.sweep(Now + 200s);
+  Plan.suspect(Bad, Now + 200s);
+  Plan.sweep(Now + 203s);
+  BOOST_TEST(Plan.carriersOf(Target, MaxConnections).count(Bad) == 1);
+}
+
 // Another VM's view may be newer, or older.
 BOOST_AUTO_TEST_CASE(aVmThatIsAskedToCarryConnectsItself) {
   Fleet Big(72);
--- a/test/Proxy/CarrierTest.cpp
+++ b/test/Proxy/CarrierTest.cpp
@@ -7,6 +7,8 @@
 #include "Proxy/CarrierService.h"
 #include "Proxy/ProxyWorld.h"
 
+#include <boost/asio.hpp>
+
 #include <memory>
 #include <vector>
 
@@ -247,3 +249,112 @@
       Stream->close();
     }
 }
+
+namespace {
+
+/// Another VM of a fleet that is too large for the targets' connections.
+struct FarVm {
+  /// The carrier that it would use first for "a" may be mute.
+  explicit FarVm(CarryingWorld &World, bool FirstIsMute = false)
+      : World(World), Silent(World.Loop, loopbackPort()),
+        Service(World.Loop, options(World), Meter) {
+    Service.applyConfig(World.Config);
+    Service.setPeers(peers(FirstIsMute ? firstCarrier("a") : ""));
+    Service.applyTargets(World.listedTargets(), 1);
+    World.onSweep([this](TimePoint Now) { Service.sweep(Now); });
+  }
+  ~FarVm() { World.onSweep(nullptr); }
+
+  static boost::asio::ip::tcp::endpoint loopbackPort() {
+    return {boost::asio::ip::address_v4::loopback(), 0};
+  }
+  static ProxyService::Options options(ProxyWorld &World) {
+    ProxyService::Options Out;
+    Out.Codec = &World.Codec;
+    Out.Vm = "far";
+    Out.FailureDomain = "d2";
+    Out.Region = "r1";
+    Out.Regions = {{"d1", "r1"}, {"d2", "r1"}};
+    Out.Random = [] { return 3; };
+    return Out;
+  }
+  /// Nine VMs beside the targets; the one called \p Mute accepts connections
+  /// and says nothing.
+  std::vector<VmEntry> peers(const std::string &Mute) const {
+    std::vector<VmEntry> Out;
+    for (int I = 0; I < 9; ++I) {
+      VmEntry Entry;
+      Entry.Vm = "near-" + std::to_string(I);
+      Entry.FailureDomain = "d1";
+      Entry.Region = "r1";
+      int Port = Entry.Vm == Mute ? Silent.local_endpoint().port()
+                                  : World.Carriers.port();
+      Entry.PoolerPeer = "127.0.0.1:" + std::to_string(Port);
+      Out.push_back(Entry);
+    }
+    return Out;
+  }
+  /// The carrier that this VM uses first for \p Instance.
+  std::string firstCarrier(const std::string &Instance) const {
+    CarrierPlan::Options Opts;
+    Opts.Vm = "far";
+    Opts.FailureDomain = "d2";
+    Opts.Region = "r1";
+    CarrierPlan Plan(Opts);
+    Plan.setPeers(peers(""));
+    for (const TargetEntry &Entry : World.listedTargets())
+      if (Entry.Instance == Instance)
+        return Plan.wayTo(Entry, 8).Through.front().Vm;
+    return {};
+  }
+
+  CarryingWorld &World;
+  Metrics Meter;
+  boost::asio::ip::tcp::acceptor Silent;
+  ProxyService Service;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(callersOfAVmWithoutConnectionsAreServed) {
+  CarryingWorld World;
+  FarVm Far(World);
+  BOOST_TEST(!Far.Service.findGroup("g")->isDirect("a"));
+  ProxyCaller Writer(World, Far.Service, "latest");
+  BOOST_TEST(Writer.ask("WRITE i1 one").starts_with("COMPLETE"));
+  BOOST_TEST(Writer.ask("READ i1").starts_with("ROW one"));
+  Writer.ask("BEGIN");
+  Writer.ask("WRITE i1 two");
+  BOOST_TEST(Writer.ask("COMMIT").starts_with("COMPLETE"));
+  ProxyCaller Reader(World, Far.Service, "own");
+  BOOST_TEST(Reader.ask("WRITE i1 three").starts_with("COMPLETE"));
+  BOOST_TEST(Reader.ask("READ i1").starts_with("ROW three"));
+  Reader.ask("PREPARE s1 READ shape");
+  BOOST_TEST(Reader.ask("EXECUTE s1 i1").starts_with("ROW three"));
+  ProxyCaller Old(World, Far.Service, "bounded");
+  BOOST_TEST(Old.ask("READ i1").starts_with("ROW"));
+}
+
+BOOST_AUTO_TEST_CASE(aCarrierThatSaysNothingHoldsNoStatement) {
+  CarryingWorld World;
+  FarVm Far(World, true);
+  ProxyCaller Caller(World, Far.Service, "latest");
+  TimePoint Start = BootClock::now();
+  std::string Answer = Caller.ask("WRITE i1 x");
+  BOOST_TEST(Answer.starts_with("COMPLETE"), Answer);
+  BOOST_TEST((BootClock::now() - Start < std::chrono::milliseconds(300)));
+}
+
+// What carriers do says nothing about a primary.
+BOOST_AUTO_TEST_CASE(aVmThatReachesAPrimaryThroughOthersDoesNotDoubtIt) {
+  CarryingWorld World;
+  FarVm Far(World);
+  ProxyCaller Caller(World, Far.Service, "latest");
+  Caller.ask("WRITE i1 x");
+  World.instance("a").Faults.Silent = true;
+  Caller.send("QUERY z1 WRITE i1 y");
+  World.runFor(std::chrono::milliseconds(600));
+  GroupDispatcher &Group = *Far.Service.findGroup("g");
+  BOOST_TEST(!Group.judges());
+  BOOST_TEST(!Group.watch().failingSince().has_value());
+}
--- a/test/Proxy/PeerExchangeTest.cpp
+++ b/test/Proxy/PeerExchangeTest.cpp
@@ -165,3 +165,29 @@
   BOOST_TEST(Status["groups"][0]["proved"] == true);
   BOOST_TEST(Status["groups"][0]["targets"].size() == 3);
 }
+
+// Traffic between regions is dear; near VMs are greeted more often.
+BOOST_AUTO_TEST_CASE(aLargeFleetIsGreetedMostlyWithinTheRegion) {
+  TalkingWorld World;
+  auto FarPort = static_cast<std::uint16_t>(World.Ports.next());
+  PeerVm Far(World, FarPort, World.OwnPort);
+  for (int I = 0; I < 60; ++I) {
+    bool IsNear = I < 30;
+    std::uint16_t Port = IsNear ? World.PeerPort : FarPort;
+    PeerHello Hello;
+    Hello.Self = {.Vm = "fleet-" + std::to_string(I),
+                  .FailureDomain = "d1",
+                  .Region = IsNear ? "r1" : "r2",
+                  .RouterPeer = "127.0.0.1:" + std::to_string(Port),
+                  .Incarnation = 1};
+    World.Peer.send(Hello);
+  }
+  BOOST_TEST(World.runUntil(
+      [&] { return World.Peers.livePeers(BootClock::now()).size() == 60; }));
+  World.runFor(std::chrono::milliseconds(1200));
+  std::size_t NearBefore = World.Peer.received<PeerHello>().size();
+  std::size_t FarBefore = Far.received<PeerHello>().size();
+  World.runFor(std::chrono::milliseconds(1000));
+  BOOST_TEST(World.Peer.received<PeerHello>().size() - NearBefore == 7);
+  BOOST_TEST(Far.received<PeerHello>().size() - FarBefore == 1);
+}
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -56,10 +56,10 @@
 
 ProxyWorld::~ProxyWorld() { Service.reset(); }
 
-void ProxyWorld::listTargets() {
+std::vector<TargetEntry> ProxyWorld::listedTargets() const {
   std::vector<TargetEntry> Entries;
   for (const auto &[Id, Each] : Instances) {
-    if (Group.at(Id).Down)
+    if (Group.instances().at(Id).Down)
       continue;
     bool Leaves =
         std::find(Leaving.begin(), Leaving.end(), Id) != Leaving.end();
@@ -71,7 +71,11 @@
                                   .Leaving = Leaves,
                                   .ClaimsPrimary = Group.primary() == Id});
   }
-  Service->applyTargets(Entries, Service->targetsRevision() + 1);
+  return Entries;
+}
+
+void ProxyWorld::listTargets() {
+  Service->applyTargets(listedTargets(), Service->targetsRevision() + 1);
 }
 
 bool ProxyWorld::runUntil(const std::function<bool()> &Reached) {
@@ -115,12 +119,13 @@
   return Out;
 }
 
-ProxyCaller::ProxyCaller(ProxyWorld &World, const std::string &Database)
+ProxyCaller::ProxyCaller(ProxyWorld &World, ProxyService &Service,
+                         const std::string &Database)
     : World(World), Socket(World.Loop) {
   Tcp::acceptor Acceptor(
       World.Loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   Socket.connect(Acceptor.local_endpoint());
-  World.Service->accept(Acceptor.accept());
+  Service.accept(Acceptor.accept());
   Socket.non_blocking(true);
   send("STARTUP " + Database + " someone");
   receive();
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -40,6 +40,7 @@
 
   /// Tells the proxy what the registry lists.
   void listTargets();
+  std::vector<TargetEntry> listedTargets() const;
 
   /// All requests that any instance saw with the caller's \p Id.
   std::vector<emulator::RunRecord> recordsOf(const std::string &Id) const;
@@ -69,7 +70,11 @@
 /// \brief A caller of a ProxyWorld.
 class ProxyCaller {
 public:
-  ProxyCaller(ProxyWorld &World, const std::string &Database);
+  ProxyCaller(ProxyWorld &World, const std::string &Database)
+      : ProxyCaller(World, *World.Service, Database) {}
+  /// A caller of another VM's proxy in the same world.
+  ProxyCaller(ProxyWorld &World, ProxyService &Service,
+              const std::string &Database);
 
   void send(const std::string &Line) { sendRaw(Line + "\r\n"); }
   void sendRaw(const std::string &Bytes);
