Let a leaving carrier finish what it carries, and drop unused parameters

Cause: a VM that leaves stopped once its own callers had gone, with other VMs' transactions on its links; lint names three parameters that nothing reads. Ruled out: refusing to carry from SIGTERM on, which would end transactions sooner. Change: the process waits for carried requests, at most to the end of its grace. Conclusion: as for own sessions.

--- a/src/Cli/ProxyCommands.cpp
+++ b/src/Cli/ProxyCommands.cpp
@@ -26,6 +26,7 @@
   Json Out = Json::array();
   std::set<std::string> Seen;
   std::vector<std::pair<std::string, std::string>> ToAsk;
+  ToAsk.reserve(Addresses.size());
   for (const std::string &Address : Addresses)
     ToAsk.emplace_back("", Address);
   for (std::size_t I = 0; I < ToAsk.size(); ++I) {
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -207,7 +207,9 @@
   Service.sweep(Now);
   Peers.sweep(Now);
   Promotions.sweep(Now);
-  if (Service.isDrained())
+  // What this VM carries for others ends in order, too.
+  bool CarriesNothing = Carriers.busySessions() == 0;
+  if (Service.isDrained() && (CarriesNothing || Service.isDrainOver(Now)))
     Loop.stop();
 }
 
--- a/src/Http/PartialMessages.h
+++ b/src/Http/PartialMessages.h
@@ -21,6 +21,7 @@
 /// endOverdue.
 class PartialMessages : public boost::asio::execution_context::service {
 public:
+  // The name is Asio's. NOLINTNEXTLINE(readability-identifier-naming)
   static boost::asio::execution_context::id id;
 
   explicit PartialMessages(boost::asio::execution_context &Loop)
--- a/src/Proxy/GroupDispatcher.cpp
+++ b/src/Proxy/GroupDispatcher.cpp
@@ -93,8 +93,7 @@
               Views.end());
 }
 
-void GroupDispatcher::setTargets(const std::vector<TargetEntry> &Entries,
-                                 TimePoint Now) {
+void GroupDispatcher::setTargets(const std::vector<TargetEntry> &Entries) {
   std::map<std::string, const TargetEntry *> Wanted;
   for (const TargetEntry &Entry : Entries)
     Wanted[Entry.Instance] = &Entry;
@@ -114,19 +113,19 @@
     Leader.forget(Name);
   }
   for (const TargetEntry &Entry : Entries)
-    setTarget(Entry, Now);
+    setTarget(Entry);
   Watch.setPrimary(Leader.primary());
   schedulePump();
 }
 
-void GroupDispatcher::setTarget(const TargetEntry &Entry, TimePoint Now) {
+void GroupDispatcher::setTarget(const TargetEntry &Entry) {
   TargetConnections *Known = find(Entry.Instance);
   if (Known && Known->entry() == Entry)
     return;
   if (Known)
     Known->setEntry(Entry);
   else
-    addTarget(Entry, Now);
+    addTarget(Entry);
   viewOf(Entry.Instance)->Leaving = Entry.Leaving;
   Leader.noteClaim(Entry.Instance, Entry.ClaimsPrimary);
   internal::Logger.info(
@@ -138,7 +137,7 @@
                        {"claims_primary", Entry.ClaimsPrimary ? "yes" : "no"}});
 }
 
-void GroupDispatcher::addTarget(const TargetEntry &Entry, TimePoint Now) {
+void GroupDispatcher::addTarget(const TargetEntry &Entry) {
   InstanceView View;
   View.Name = Entry.Instance;
   View.FailureDomain = Entry.FailureDomain;
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -70,7 +70,7 @@
   GroupDispatcher &operator=(const GroupDispatcher &) = delete;
 
   /// Takes in the group's targets.
-  void setTargets(const std::vector<TargetEntry> &Entries, TimePoint Now);
+  void setTargets(const std::vector<TargetEntry> &Entries);
   /// Sets how this VM reaches each target, and whether it has to find out
   /// about a missing primary itself.
   void setWays(const std::map<std::string, TargetWay> &ByInstance,
@@ -136,8 +136,8 @@
 
   TargetConnections *find(const std::string &Instance) const;
   InstanceView *viewOf(const std::string &Instance);
-  void setTarget(const TargetEntry &Entry, TimePoint Now);
-  void addTarget(const TargetEntry &Entry, TimePoint Now);
+  void setTarget(const TargetEntry &Entry);
+  void addTarget(const TargetEntry &Entry);
   void dropTarget(const std::string &Instance);
   bool tryPlace(LinkRequest &Request, TimePoint Now);
   std::vector<std::string> candidatesFor(const LinkRequest &Request,
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -193,9 +193,8 @@
     };
     Groups[Name] = std::make_unique<GroupDispatcher>(Loop, GroupOpts);
   }
-  TimePoint Now = BootClock::now();
   for (auto &[Name, Group] : Groups)
-    Group->setTargets(Directory.ofGroup(Name), Now);
+    Group->setTargets(Directory.ofGroup(Name));
   updateWays();
 }
 
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -76,6 +76,10 @@
   bool isDraining() const { return DrainSince.has_value(); }
   /// Whether nothing is left to wait for.
   bool isDrained() const;
+  /// Whether the time to leave in order is over.
+  bool isDrainOver(TimePoint Now) const {
+    return DrainSince && Now >= DrainEnd;
+  }
   /// Whether callers can be served: a configuration is in force and its groups
   /// have targets.
   bool isReady() const;
