--- a/src/Cli/RequestExplanation.cpp
+++ b/src/Cli/RequestExplanation.cpp
@@ -1,7 +1,9 @@
 #include "Cli/RequestExplanation.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <ctime>
+#include <optional>
 #include <set>
 
 namespace cicadawind {
@@ -9,14 +11,15 @@
 
 using Json = nlohmann::json;
 
-/// Milliseconds since 1970 of "2026-01-31T12:00:00.123Z"; -1 when it is none.
-static std::int64_t millisOf(const std::string &Time) {
+/// Time of "2026-01-31T12:00:00.123Z"; empty when it is none.
+static std::optional<std::chrono::system_clock::time_point>
+parseTime(const std::string &Time) {
   std::tm Parts{};
   const char *Rest = strptime(Time.c_str(), "%Y-%m-%dT%H:%M:%S", &Parts);
   if (!Rest || *Rest != '.')
-    return -1;
-  return static_cast<std::int64_t>(timegm(&Parts)) * 1000 +
-         std::strtoll(Rest + 1, nullptr, 10);
+    return std::nullopt;
+  return std::chrono::system_clock::from_time_t(timegm(&Parts)) +
+         Millis(std::strtoll(Rest + 1, nullptr, 10));
 }
 
 static std::string textOf(const Json &Fields, const char *Key) {
@@ -134,9 +137,9 @@
                             Line.end(), nullptr, false);
   if (!Fields.is_object())
     return;
-  std::int64_t At = internal::millisOf(internal::textOf(Fields, "time"));
-  if (At >= 0)
-    Lines.push_back({.AtMs = At, .Fields = std::move(Fields)});
+  auto At = internal::parseTime(internal::textOf(Fields, "time"));
+  if (At)
+    Lines.push_back({.At = *At, .Fields = std::move(Fields)});
 }
 
 const RequestExplanation::LogLine *
@@ -146,15 +149,15 @@
   for (const LogLine &Line : Lines)
     if (internal::isRequestLine(Line.Fields) &&
         internal::textOf(Line.Fields, "id") == Id &&
-        (!Found || Line.AtMs >= Found->AtMs))
+        (!Found || Line.At >= Found->At))
       Found = &Line;
   return Found;
 }
 
 bool RequestExplanation::concerns(const LogLine &Line,
                                   const LogLine &Request) const {
-  bool InTime = Line.AtMs >= Request.AtMs - Opts.BeforeMs &&
-                Line.AtMs <= Request.AtMs + Opts.AfterMs;
+  bool InTime =
+      Line.At >= Request.At - Opts.Before && Line.At <= Request.At + Opts.After;
   if (!InTime || internal::isRequestLine(Line.Fields))
     return false;
   static const std::set<std::string> OfVm{"configuration in force",
@@ -181,7 +184,7 @@
     if (concerns(Line, Request))
       Near.push_back(&Line);
   auto DistanceOf = [&](const LogLine *Line) {
-    return std::abs(Line->AtMs - Request.AtMs);
+    return std::chrono::abs(Line->At - Request.At);
   };
   std::stable_sort(Near.begin(), Near.end(),
                    [&](const LogLine *A, const LogLine *B) {
@@ -190,7 +193,7 @@
   Near.resize(std::min(Near.size(), Opts.MaxEvidence));
   std::stable_sort(
       Near.begin(), Near.end(),
-      [](const LogLine *A, const LogLine *B) { return A->AtMs < B->AtMs; });
+      [](const LogLine *A, const LogLine *B) { return A->At < B->At; });
   std::vector<nlohmann::json> Out;
   Out.reserve(Near.size());
   for (const LogLine *Line : Near)
--- a/src/Cli/RequestExplanation.h
+++ b/src/Cli/RequestExplanation.h
@@ -1,8 +1,11 @@
 #ifndef CICADAWIND_CLI_REQUESTEXPLANATION_H
 #define CICADAWIND_CLI_REQUESTEXPLANATION_H
 
+#include "Core/Clock.h"
+
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -18,8 +21,8 @@
 public:
   struct Options {
     /// Part of the log around the request that is looked at, by its own clock.
-    std::int64_t BeforeMs = 5000;
-    std::int64_t AfterMs = 2000;
+    Duration Before = std::chrono::seconds(5);
+    Duration After = std::chrono::seconds(2);
     /// Lines that are given as evidence, those nearest to the request.
     std::size_t MaxEvidence = 24;
   };
@@ -44,7 +47,7 @@
 
 private:
   struct LogLine {
-    std::int64_t AtMs = 0;
+    std::chrono::system_clock::time_point At;
     nlohmann::json Fields;
   };
 
--- a/test/Proxy/CarrierTest.cpp
+++ b/test/Proxy/CarrierTest.cpp
@@ -353,7 +353,8 @@
   Caller.ask("WRITE i1 x");
   World.instance("a").Faults.Silent = true;
   Caller.send("QUERY z1 WRITE i1 y");
-  World.runFor(std::chrono::milliseconds(600));
+  // Beyond the statement's time limit of 800 ms.
+  World.runFor(std::chrono::milliseconds(1000));
   GroupDispatcher &Group = *Far.Service.findGroup("g");
   BOOST_TEST(!Group.judges());
   BOOST_TEST(!Group.watch().failingSince().has_value());
