Leases on a primary that the platform does not fence, as a policy module

Chosen: support of a replica (its status shows that it was not told to pause), with the votes of a majority of VMs as the second source; a promotion needs a majority of promises, and goes on at once if all VMs gave up their leases, or if the old primary is demoted, or after one lease length once all other instances are paused.

Not used by the product yet.

--- /dev/null
+++ b/src/Leases/PromotionPromise.cpp
@@ -0,0 +1,73 @@
+#include "Leases/PromotionPromise.h"
+
+#include <algorithm>
+
+namespace cicadawind {
+
+PromotionVote PromotionPromise::vote(const PromotionProposal &Proposal,
+                                     TimePoint Now) {
+  PromotionVote Out;
+  if (Now < PendingUntil) {
+    Out.PendingSuccessor = Successor;
+    Out.PendingToken = SuccessorToken;
+  }
+  bool IsOutdated =
+      Proposal.Token < HighestToken ||
+      (Proposal.Token == HighestToken && Proposal.Holder != Holder) ||
+      Proposal.NewTerm <= KnownTerm;
+  Out.Granted = !IsOutdated && !isHeldByOther(Proposal.Holder, Now);
+  Out.KnownTerm = KnownTerm;
+  Out.HighestToken = HighestToken;
+  if (!Out.Granted)
+    return Out;
+  Out.Counts = counts(Now);
+  bool IsNew = Proposal.Token != HighestToken;
+  if (IsNew)
+    WasBlockedBefore = BlockedBelow > 0;
+  Holder = Proposal.Holder;
+  HighestToken = Proposal.Token;
+  ExclusiveUntil = Now + Opts.Exclusive;
+  BlockedBelow = std::max(BlockedBelow, Proposal.NewTerm);
+  if (!Proposal.Successor.empty())
+    recordSuccessor(Proposal, Now);
+  return Out;
+}
+
+void PromotionPromise::recordSuccessor(const PromotionProposal &Proposal,
+                                       TimePoint Now) {
+  if (Proposal.Token != SuccessorToken)
+    EarlierPendingUntil = PendingUntil;
+  Successor = Proposal.Successor;
+  SuccessorToken = Proposal.Token;
+  PendingUntil = Now + Opts.OrderLifetime;
+}
+
+void PromotionPromise::settle(const std::string &From, std::uint64_t Token) {
+  if (From == Holder && Token == SuccessorToken)
+    PendingUntil = EarlierPendingUntil;
+}
+
+bool PromotionPromise::cancel(const std::string &From, std::uint64_t Token,
+                              bool EndsEarlier) {
+  if (From != Holder || Token != HighestToken)
+    return false;
+  ExclusiveUntil = TimePoint();
+  if (WasBlockedBefore && !EndsEarlier)
+    return false;
+  BlockedBelow = 0;
+  return true;
+}
+
+void PromotionPromise::recordLeader(Term Leading) {
+  KnownTerm = std::max(KnownTerm, Leading);
+  if (BlockedBelow <= KnownTerm)
+    BlockedBelow = 0;
+}
+
+LeaseVote PromotionPromise::leaseVote(Term Leading, TimePoint Now) const {
+  if (Leading < BlockedBelow || Leading < KnownTerm)
+    return LeaseVote::Objects;
+  return counts(Now) ? LeaseVote::Supports : LeaseVote::Unknown;
+}
+
+} // namespace cicadawind
--- /dev/null
+++ b/src/Leases/PromotionVote.h
@@ -0,0 +1,57 @@
+#ifndef CICADAWIND_LEASES_PROMOTIONVOTE_H
+#define CICADAWIND_LEASES_PROMOTIONVOTE_H
+
+#include "Core/LogPosition.h"
+
+#include <cstdint>
+#include <string>
+
+namespace cicadawind {
+
+/// A VM's vote on another VM's lease.
+enum class LeaseVote {
+  /// The VM has promised no newer term.
+  Supports,
+  /// The VM knows a newer term or has granted a proposal for one.
+  Objects,
+  /// The VM has started too recently to know what it promised.
+  Unknown,
+};
+
+/// \class PromotionProposal
+/// \brief What a VM that wants to replace the primary of a group asks the other
+/// VMs to promise.
+struct PromotionProposal {
+  /// The VM that proposes.
+  std::string Holder;
+  /// Its fencing token; higher than that of every earlier proposal.
+  std::uint64_t Token = 0;
+  /// Term that the promotion opens.
+  Term NewTerm = 0;
+  /// Instance to promote; empty until it is chosen.
+  std::string Successor;
+};
+
+/// \class PromotionVote
+/// \brief A VM's answer to a PromotionProposal.
+struct PromotionVote {
+  /// Whether the VM gave up its lease on every primary of a term below the
+  /// proposed one. False if it refuses the proposal.
+  bool Granted = false;
+  /// Whether the vote counts towards the majority. It does not shortly after
+  /// the VM has started, because the VM may have forgotten an earlier promise.
+  bool Counts = false;
+  /// Highest token that the VM has seen for the group.
+  std::uint64_t HighestToken = 0;
+  /// Highest term in which the VM knows an instance to lead.
+  Term KnownTerm = 0;
+  /// Instance that an earlier proposal named and that may still be promoted;
+  /// empty if there is none.
+  std::string PendingSuccessor;
+  /// Token of that proposal.
+  std::uint64_t PendingToken = 0;
+};
+
+} // namespace cicadawind
+
+#endif
