Keep to a successor only while its order may still be carried out

Ruled out: the 15 s that a late order may take (the order was answered after 7 ms and settled).

Change: a settled proposal stays settled; the end of a completed promotion says it, too, so one lost datagram does not matter. The lifetime of an order covers 12 s and a promotion. Replaced primaries that cannot be reached are demoted at growing intervals. The emulated group keeps a role, a term and a pause for each instance.

--- a/src/Leases/PrimaryLease.h
+++ b/src/Leases/PrimaryLease.h
@@ -55,7 +55,7 @@
     /// needed, unless a majority of the VMs has supported a lease. A replica
     /// that was restarted has forgotten that it was paused. Covers an order
     /// that the platform carries out late.
-    Duration StartupPeriod = std::chrono::milliseconds(10000);
+    Duration StartupPeriod = std::chrono::milliseconds(15000);
   };
   /// What the votes of the VMs say of a lease.
   enum class VoteOutcome {
--- a/src/Leases/PromotionPromise.cpp
+++ b/src/Leases/PromotionPromise.cpp
@@ -37,6 +37,8 @@
 
 void PromotionPromise::recordSuccessor(const PromotionProposal &Proposal,
                                        TimePoint Now) {
+  if (Proposal.Token == SettledToken)
+    return;
   if (Proposal.Token != SuccessorToken)
     EarlierPendingUntil = PendingUntil;
   Successor = Proposal.Successor;
@@ -46,8 +48,10 @@
 }
 
 void PromotionPromise::settle(const std::string &From, std::uint64_t Token) {
-  if (From == Holder && Token == SuccessorToken)
-    PendingUntil = EarlierPendingUntil;
+  if (From != Holder || Token != SuccessorToken || Token == SettledToken)
+    return;
+  SettledToken = Token;
+  PendingUntil = EarlierPendingUntil;
 }
 
 bool PromotionPromise::cancel(const std::string &From, std::uint64_t Token,
--- a/src/Leases/PromotionPromise.h
+++ b/src/Leases/PromotionPromise.h
@@ -23,7 +23,7 @@
     Duration Exclusive = std::chrono::milliseconds(2000);
     /// Time for which a named successor is the only one that may be promoted.
     /// Covers an order that the platform carries out late.
-    Duration OrderLifetime = std::chrono::milliseconds(10000);
+    Duration OrderLifetime = std::chrono::milliseconds(15000);
     /// Time after the VM's start during which its votes do not count.
     Duration Quarantine = std::chrono::milliseconds(2000);
   };
@@ -80,6 +80,8 @@
   /// Highest term that a proposal with a successor was to open.
   Term NamedTerm = 0;
   TimePoint PendingUntil;
+  /// Highest token of a proposal whose orders were all answered.
+  std::uint64_t SettledToken = 0;
   /// Time until which orders of earlier proposals for the same successor may be
   /// carried out.
   TimePoint EarlierPendingUntil;
--- a/src/Promotion/LeaseExchange.cpp
+++ b/src/Promotion/LeaseExchange.cpp
@@ -193,14 +193,8 @@
     Hook(Opts.Vm, voteOn(Group, Proposal, Now), Now);
 }
 
-void LeaseExchange::end(const std::string &Group, std::uint64_t Token,
-                        ProposalEnd::Outcome Outcome, Term Leading,
-                        TimePoint Now) {
-  ProposalEnd Message{.From = Opts.Vm,
-                      .Group = Group,
-                      .Token = Token,
-                      .End = Outcome,
-                      .Leading = Leading};
+void LeaseExchange::end(ProposalEnd Message, TimePoint Now) {
+  Message.From = Opts.Vm;
   Peers.send(Peers.voters(Now), Message);
   applyEnd(Message, Now);
 }
@@ -212,11 +206,11 @@
     return;
   using Outcome = ProposalEnd::Outcome;
   bool Renews = false;
-  if (Message.End == Outcome::Settled)
+  if (Message.End == Outcome::Settled || Message.IsSettled)
     Promise->settle(Message.From, Message.Token);
-  else if (Message.End == Outcome::Completed)
+  if (Message.End == Outcome::Completed)
     Renews = Promise->complete(Message.From, Message.Token, Message.Leading);
-  else
+  else if (Message.End != Outcome::Settled)
     Renews = Promise->cancel(Message.From, Message.Token,
                              Message.End == Outcome::CancelledAll);
   if (!Renews)
--- a/src/Promotion/LeaseExchange.h
+++ b/src/Promotion/LeaseExchange.h
@@ -52,9 +52,9 @@
   /// receives each vote.
   void propose(const std::string &Group, const PromotionProposal &Proposal,
                const std::set<std::string> &To, VoteHook Hook, TimePoint Now);
-  /// Tells all VMs, including this one, how this VM's proposal ended.
-  void end(const std::string &Group, std::uint64_t Token,
-           ProposalEnd::Outcome Outcome, Term Leading, TimePoint Now);
+  /// Tells all VMs, including this one, how this VM's proposal ended. Sets
+  /// \p Message's sender.
+  void end(ProposalEnd Message, TimePoint Now);
   /// Sets the hook that is called when this VM has granted the proposal of
   /// another VM.
   void onGranted(
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -287,7 +287,9 @@
     bool IsAnswered = Outcome == PromotionOutcome::Accepted ||
                       Outcome == PromotionOutcome::Refused;
     if (IsAnswered && !Current->HasUnanswered)
-      Leases.end(Current->Group, Token, ProposalEnd::Outcome::Settled, 0,
+      Leases.end({.Group = Current->Group,
+                  .Token = Token,
+                  .End = ProposalEnd::Outcome::Settled},
                  BootClock::now());
     if (Outcome == PromotionOutcome::Accepted)
       co_return co_await awaitPrimary(Current);
@@ -325,8 +327,12 @@
     bool Leads = Lease->primary() == Successor && Lease->term() &&
                  *Lease->term() >= Current->Ballot.proposal().NewTerm;
     if (Leads) {
-      Leases.end(Current->Group, Current->Ballot.proposal().Token,
-                 ProposalEnd::Outcome::Completed, *Lease->term(), Now);
+      Leases.end({.Group = Current->Group,
+                  .Token = Current->Ballot.proposal().Token,
+                  .End = ProposalEnd::Outcome::Completed,
+                  .Leading = *Lease->term(),
+                  .IsSettled = !Current->HasUnanswered},
+                 Now);
       co_return true;
     }
     // Renews the promises, so that no other VM starts a promotion meanwhile.
@@ -352,10 +358,11 @@
   bool EndsEarlier = Current.Ballot.hasMajority(Now) &&
                      Current.Ballot.pendingSuccessor().empty() &&
                      !Current.Ballot.isOutdated() && !Current.DemotedAt;
-  Leases.end(Current.Group, Current.Ballot.proposal().Token,
-             EndsEarlier ? ProposalEnd::Outcome::CancelledAll
-                         : ProposalEnd::Outcome::Cancelled,
-             0, Now);
+  Leases.end({.Group = Current.Group,
+              .Token = Current.Ballot.proposal().Token,
+              .End = EndsEarlier ? ProposalEnd::Outcome::CancelledAll
+                                 : ProposalEnd::Outcome::Cancelled},
+             Now);
   GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
   if (!EndsEarlier || !Dispatcher)
     return;
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -267,6 +267,8 @@
   std::unique_ptr<PrimaryGuard> Guard;
   std::vector<PendingConfirmation> Confirmations;
   TimePoint NextDemotion;
+  /// Interval until the next demotion of a replaced primary.
+  Duration DemotionBackoff = Duration::zero();
   /// The VM that shares its evidence for leases; empty if there is none.
   std::string LeasePeer;
   ReadRouter Router;
--- a/src/Proxy/GroupLease.cpp
+++ b/src/Proxy/GroupLease.cpp
@@ -16,8 +16,10 @@
 
 static const Log Logger("lease");
 /// Interval at which a primary that was replaced is demoted until it reports
-/// that it is a replica.
+/// that it is a replica. It doubles up to MaxDemotionInterval, because a
+/// primary that is cut off cannot be reached.
 constexpr Duration DemotionInterval = std::chrono::milliseconds(300);
+constexpr Duration MaxDemotionInterval = std::chrono::milliseconds(2400);
 
 } // namespace internal
 
@@ -90,14 +92,20 @@
 void GroupDispatcher::demoteReplaced(TimePoint Now) {
   if (!IsVoter || Now < NextDemotion || !Guard->lease())
     return;
-  NextDemotion = Now + internal::DemotionInterval;
   for (const auto &[Name, Links] : Targets) {
     bool IsDoubtful = Links->entry().ClaimsPrimary && Name != Tracker.primary();
     if (IsDoubtful && !Tracker.primary().empty())
       askStatus(Name, [](const std::string &, const TargetStatus *) {});
   }
   std::optional<Term> Leading = Guard->lease()->term();
-  for (const std::string &Name : Guard->replacedPrimaries()) {
+  std::vector<std::string> Replaced = Guard->replacedPrimaries();
+  DemotionBackoff =
+      Replaced.empty()
+          ? internal::DemotionInterval
+          : std::min(std::max(2 * DemotionBackoff, internal::DemotionInterval),
+                     internal::MaxDemotionInterval);
+  NextDemotion = Now + DemotionBackoff;
+  for (const std::string &Name : Replaced) {
     internal::Logger.info("replaced primary is demoted",
                           {{"group", Opts.Group},
                            {"target", Name},
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Proxy/PeerMessage.cpp
@@ -100,7 +100,8 @@
               {"group", Message.Group},
               {"token", Message.Token},
               {"end", static_cast<int>(Message.End)},
-              {"term", Message.Leading}};
+              {"term", Message.Leading},
+              {"settled", Message.IsSettled}};
 }
 
 static LeaseQuery leaseQueryFrom(const Json &In) {
@@ -166,6 +167,7 @@
   Out.Token = In.at("token").get<std::uint64_t>();
   Out.End = enumFrom<ProposalEnd::Outcome>(In.at("end"), OutcomeCount);
   Out.Leading = In.at("term").get<Term>();
+  Out.IsSettled = In.at("settled").get<bool>();
   return Out;
 }
 
--- a/src/Proxy/PeerMessage.h
+++ b/src/Proxy/PeerMessage.h
@@ -124,6 +124,8 @@
   Outcome End = Outcome::Cancelled;
   /// Term that the successor leads; only set for Completed.
   Term Leading = 0;
+  /// Whether every order was answered; only set for Completed.
+  bool IsSettled = false;
 };
 
 using PeerMessage = std::variant<PeerHello, PrimaryQuery, PrimaryReport,
--- a/test/Emulator/EmulatedGroup.cpp
+++ b/test/Emulator/EmulatedGroup.cpp
@@ -6,37 +6,46 @@
 
 namespace cicadawind::emulator {
 
-EmulatedGroup::EmulatedGroup(std::string Name, std::vector<std::string> Members)
-    : Name(std::move(Name)) {
+/// Time after which a primary that was replaced without fencing steps down.
+constexpr Duration SelfDemotionTime = std::chrono::milliseconds(1000);
+
+EmulatedGroup::EmulatedGroup(std::string Name, std::vector<std::string> Members,
+                             Fencing Kind)
+    : Name(std::move(Name)), Kind(Kind) {
   assert(!Members.empty());
   Primary = Members.front();
   Source = Primary;
   for (const std::string &Id : Members)
-    Instances[Id];
+    Instances[Id].IsPrimary = Id == Primary;
 }
 
 LogPosition EmulatedGroup::commit(const std::string &Id,
                                   const std::string &Item,
                                   const std::string &Data,
                                   const std::string &RequestId, TimePoint Now) {
-  assert(Id == Primary);
-  Instance &PrimaryInstance = Instances.at(Id);
-  LogIndex Next = PrimaryInstance.Log.empty()
-                      ? 1
-                      : PrimaryInstance.Log.back().Position.Index + 1;
-  LogEntry Entry{.Position = {.WrittenIn = Current, .Index = Next},
+  Instance &Leader = Instances.at(Id);
+  assert(Leader.IsPrimary);
+  LogIndex Next = Leader.Log.empty() ? 1 : Leader.Log.back().Position.Index + 1;
+  LogEntry Entry{.Position = {.WrittenIn = Leader.CurrentTerm, .Index = Next},
                  .Item = Item,
                  .Data = Data,
                  .RequestId = RequestId};
-  PrimaryInstance.Log.push_back(Entry);
-  PrimaryInstance.AppliesAt.push_back(Now);
-  PrimaryInstance.Applied = PrimaryInstance.Log.size();
+  Leader.Log.push_back(Entry);
+  Leader.AppliesAt.push_back(Now);
+  Leader.Applied = Leader.Log.size();
+  if (Id != Source)
+    return Entry.Position;
   for (auto &[Other, Replica] : Instances)
-    if (Other != Id && !Replica.ReplicationPaused && !Replica.Down)
+    if (Other != Id && receives(Replica))
       copyTo(Replica, Now);
   return Entry.Position;
 }
 
+bool EmulatedGroup::receives(const Instance &Each) const {
+  return !Each.IsPrimary && !Each.ReplicationPaused && !Each.Down &&
+         Each.PausedUpTo <= Instances.at(Source).CurrentTerm;
+}
+
 void EmulatedGroup::copyTo(Instance &To, TimePoint Now) {
   const Instance &SourceInstance = Instances.at(Source);
   for (std::size_t I = To.Log.size(); I < SourceInstance.Log.size(); ++I) {
@@ -45,38 +54,75 @@
   }
 }
 
+void EmulatedGroup::follow(Instance &Each, TimePoint Now) {
+  const Instance &Leader = Instances.at(Source);
+  Each.IsPrimary = false;
+  Each.CurrentTerm = Current;
+  Each.PausedUpTo = 0;
+  Each.ReplacedAt.reset();
+  std::size_t Common = 0;
+  while (Common < Each.Log.size() && Common < Leader.Log.size() &&
+         Each.Log[Common].Position == Leader.Log[Common].Position)
+    ++Common;
+  RolledBack = std::max(RolledBack, Each.Log.size() - Common);
+  Each.Log.resize(Common);
+  Each.AppliesAt.resize(Common);
+  Each.Applied = std::min(Each.Applied, Common);
+  copyTo(Each, Now);
+}
+
 void EmulatedGroup::promote(const std::string &Id, TimePoint Now) {
   if (Id == Primary)
     return;
   Primary = Id;
   Source = Id;
   ++Current;
-  Instance &PrimaryInstance = Instances.at(Id);
-  PrimaryInstance.Applied = PrimaryInstance.Log.size();
+  Instance &Leader = Instances.at(Id);
+  Leader.IsPrimary = true;
+  Leader.CurrentTerm = Current;
+  Leader.PausedUpTo = 0;
+  Leader.ReplacedAt.reset();
+  Leader.Applied = Leader.Log.size();
   for (auto &[Other, Each] : Instances) {
     if (Other == Id)
       continue;
-    std::size_t Common = 0;
-    while (Common < Each.Log.size() && Common < PrimaryInstance.Log.size() &&
-           Each.Log[Common].Position == PrimaryInstance.Log[Common].Position)
-      ++Common;
-    RolledBack = std::max(RolledBack, Each.Log.size() - Common);
-    Each.Log.resize(Common);
-    Each.AppliesAt.resize(Common);
-    Each.Applied = std::min(Each.Applied, Common);
-    copyTo(Each, Now);
+    bool GoesOn = Kind == Fencing::None && Each.IsPrimary;
+    if (GoesOn)
+      Each.ReplacedAt = Each.ReplacedAt.value_or(Now);
+    else
+      follow(Each, Now);
   }
 }
 
 void EmulatedGroup::demote(const std::string &Id, Term Below) {
-  if (Id == Primary && Current < Below)
+  Instance &Each = Instances.at(Id);
+  if (!Each.IsPrimary || Each.CurrentTerm >= Below)
+    return;
+  Each.IsPrimary = false;
+  if (Id == Primary)
     Primary.clear();
+  else
+    follow(Each, BootClock::now());
+}
+
+void EmulatedGroup::pause(const std::string &Id, Term NewTerm) {
+  Instance &Each = Instances.at(Id);
+  if (!Each.IsPrimary && NewTerm > Each.CurrentTerm)
+    Each.PausedUpTo = std::max(Each.PausedUpTo, NewTerm);
+}
+
+void EmulatedGroup::resume(const std::string &Id) {
+  Instances.at(Id).PausedUpTo = 0;
 }
 
 void EmulatedGroup::advance(TimePoint Now) {
   bool Copies = !Instances.at(Source).Down;
   for (auto &[Id, Each] : Instances) {
-    if (Copies && Id != Source && !Each.ReplicationPaused && !Each.Down)
+    bool StepsDown =
+        Copies && Each.ReplacedAt && Now - *Each.ReplacedAt >= SelfDemotionTime;
+    if (StepsDown)
+      follow(Each, Now);
+    if (Copies && Id != Source && receives(Each))
       copyTo(Each, Now);
     while (Each.Applied < Each.Log.size() &&
            Each.AppliesAt[Each.Applied] <= Now)
--- a/test/Emulator/EmulatedGroup.h
+++ b/test/Emulator/EmulatedGroup.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,9 +31,22 @@
 /// instance has received the log of the group: every other instance, even one
 /// that is paused or has crashed, rolls back the entries that are not in that
 /// log and receives those that it misses.
+///
+/// Without fencing, a primary that is replaced goes on with a log of its own
+/// until it is demoted, or until SelfDemotionTime after the promotion. Then it
+/// rolls back, too.
 class EmulatedGroup {
 public:
+  enum class Fencing { Enforced, None };
+
   struct Instance {
+    bool IsPrimary = false;
+    /// Term that the instance leads or follows.
+    Term CurrentTerm = 1;
+    /// The replica receives no log of a primary of a lower term.
+    Term PausedUpTo = 0;
+    /// When the instance, a primary without fencing, was replaced.
+    std::optional<TimePoint> ReplacedAt;
     std::vector<LogEntry> Log;
     /// Number of entries that reads see.
     std::size_t Applied = 0;
@@ -46,15 +60,18 @@
     bool Down = false;
   };
 
-  EmulatedGroup(std::string Name, std::vector<std::string> Members);
+  EmulatedGroup(std::string Name, std::vector<std::string> Members,
+                Fencing Kind = Fencing::Enforced);
 
   const std::string &name() const { return Name; }
   Instance &at(const std::string &Id) { return Instances.at(Id); }
   const std::map<std::string, Instance> &instances() const { return Instances; }
+  /// Returns the instance that leads the newest term; empty if it has stepped
+  /// down.
   const std::string &primary() const { return Primary; }
   Term term() const { return Current; }
 
-  /// Appends a write to the log. \p Id must be the primary.
+  /// Appends a write to the log. \p Id must be a primary.
   LogPosition commit(const std::string &Id, const std::string &Item,
                      const std::string &Data, const std::string &RequestId,
                      TimePoint Now);
@@ -63,6 +80,10 @@
   void promote(const std::string &Id, TimePoint Now);
   /// Makes \p Id a replica if it is the primary of a term below \p Below.
   void demote(const std::string &Id, Term Below);
+  /// Makes the replica \p Id stop receiving the log of a primary of a term
+  /// below \p NewTerm.
+  void pause(const std::string &Id, Term NewTerm);
+  void resume(const std::string &Id);
 
   /// Copies missing entries to the replicas, unless the instance that they copy
   /// has crashed, and applies the entries that are due at \p Now.
@@ -83,10 +104,14 @@
   std::size_t rolledBack() const { return RolledBack; }
 
 private:
+  bool receives(const Instance &Each) const;
   void copyTo(Instance &To, TimePoint Now);
+  /// Makes \p Each a replica of the newest primary.
+  void follow(Instance &Each, TimePoint Now);
 
   std::string Name;
   std::map<std::string, Instance> Instances;
+  Fencing Kind;
   std::string Primary;
   /// Instance whose log the replicas copy: the latest primary, even after it
   /// has stepped down.
--- a/test/Emulator/EmulatedInstance.cpp
+++ b/test/Emulator/EmulatedInstance.cpp
@@ -113,7 +113,10 @@
     Stream->send("READY I " + toString(Owner.Group.applied(Owner.Id)) + "\r\n");
   }
 
-  bool isPrimary() const { return Owner.Group.primary() == Owner.Id; }
+  const EmulatedGroup::Instance &self() const {
+    return Owner.Group.at(Owner.Id);
+  }
+  bool isPrimary() const { return self().IsPrimary; }
 
   std::string valuesText() const {
     std::string Text;
@@ -183,14 +186,17 @@
     return done("-");
   }
 
-  /// PAUSE and RESUME change nothing; they return the status only.
   std::string runControl(const std::string &Verb, const std::string &Text) {
     if (Verb == "DEMOTE")
       Owner.Group.demote(Owner.Id, std::stoull(Text));
+    if (Verb == "PAUSE")
+      Owner.Group.pause(Owner.Id, std::stoull(Text));
+    if (Verb == "RESUME")
+      Owner.Group.resume(Owner.Id);
     std::ostringstream Row;
     Row << "ROW " << (isPrimary() ? "primary" : "replica") << " "
-        << Owner.Group.term() << " " << toString(Owner.Group.received(Owner.Id))
-        << " 0 0 0 " << Owner.connections() << "\r\n";
+        << self().CurrentTerm << " " << toString(Owner.Group.received(Owner.Id))
+        << " " << self().PausedUpTo << " 0 0 " << Owner.connections() << "\r\n";
     return Row.str() + done("-");
   }
 
--- a/test/Leases/LeaseWorld.cpp
+++ b/test/Leases/LeaseWorld.cpp
@@ -227,7 +227,7 @@
   };
   double Fate = chance();
   if (Fate < 0.15)
-    return after(between(1000, 6000), Run); // Late and without an answer.
+    return after(between(1000, 12000), Run); // Late and without an answer.
   bool IsRunning = Instances[Id].Up;
   if (IsRunning)
     Run();
