Lose a primary after 450 ms without fencing, and share the evidence of all replicas

Ruled out: a shorter attempt (its steps take 55 to 130 ms).

Change: without fencing LostAfter is 450 ms and the veto window 350 ms; there a needless promotion is safe. Votes on leases count 15 s after a VM's start, when an order that it has forgotten is over. Until then a lease needs all replicas, whose evidence VMs share, and votes are asked every 3 s.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -29,6 +29,11 @@
 /// the file may change without a SIGHUP.
 constexpr Duration SettingsCheckInterval = std::chrono::seconds(2);
 
+/// Without fencing a promotion takes longer, and one that is not needed is
+/// harmless, so the primary counts as lost earlier.
+constexpr Duration LeasedLostAfter = std::chrono::milliseconds(450);
+constexpr Duration LeasedVetoWindow = std::chrono::milliseconds(350);
+
 static RandomSource seededRandom() {
   std::random_device Device;
   std::uint64_t Seed = (static_cast<std::uint64_t>(Device()) << 32) ^ Device();
@@ -61,13 +66,16 @@
   Out.Region = Settings.Region;
   Out.Regions = Settings.Regions;
   Out.Random = seededRandom();
-  if (!Settings.PlatformFences)
+  if (!Settings.PlatformFences) {
+    Out.Group.FailureDetector.LostAfter = LeasedLostAfter;
+    Out.Group.FailureDetector.VetoWindow = LeasedVetoWindow;
     Out.Group.MakeGuard = [Length = Settings.LeaseLength,
                            StartedAt = BootClock::now()] {
       LeasedPrimaryGuard::Options Opts;
       Opts.Lease.Length = Length;
       return std::make_unique<LeasedPrimaryGuard>(Opts, StartedAt);
     };
+  }
   if (Settings.MaxDescriptors > 2 * ReservedDescriptors)
     Out.MaxSessions = Settings.MaxDescriptors - ReservedDescriptors;
   else
--- a/src/Leases/PrimaryLease.cpp
+++ b/src/Leases/PrimaryLease.cpp
@@ -59,19 +59,20 @@
   Asked->PausedUpTo = Status.ReceivePausedUpToTerm;
 }
 
-void PrimaryLease::recordPeerEvidence(Term PeerTerm, TimePoint RequestedAt) {
-  bool IsOlder = PeerEvidenceAt && PeerEvidenceTerm == PeerTerm &&
-                 RequestedAt <= *PeerEvidenceAt;
+void PrimaryLease::recordPeerEvidence(Term PeerTerm, TimePoint RequestedAt,
+                                      bool IsOfAllReplicas) {
+  bool IsOlder = FromPeer && FromPeer->ForTerm == PeerTerm &&
+                 RequestedAt <= FromPeer->RequestedAt;
   if (IsOlder)
     return;
-  PeerEvidenceTerm = PeerTerm;
-  PeerEvidenceAt = RequestedAt;
+  FromPeer = {.RequestedAt = RequestedAt,
+              .ForTerm = PeerTerm,
+              .IsOfAllReplicas = IsOfAllReplicas};
 }
 
 std::optional<TimePoint>
 PrimaryLease::shareableEvidenceAt(TimePoint Now) const {
-  bool MayShare = isValidAt(Now) && BestOutcome == VoteOutcome::Supported;
-  return MayShare ? evidenceAt() : std::nullopt;
+  return isValidAt(Now) ? evidenceAt() : std::nullopt;
 }
 
 void PrimaryLease::recordVotes(Term VotedTerm, VoteOutcome Outcome,
@@ -127,12 +128,14 @@
     return std::nullopt;
   bool OneSuffices = *BestOutcome == VoteOutcome::Supported ||
                      (Latest && *Latest >= StartupEnd);
-  bool PeerCounts = PeerEvidenceAt && PeerEvidenceTerm == *LeaseTerm;
-  if (OneSuffices && PeerCounts && (!Latest || *PeerEvidenceAt > *Latest))
-    return PeerEvidenceAt;
-  if (OneSuffices)
-    return Latest;
-  return AllSupport ? Earliest : std::nullopt;
+  std::optional<TimePoint> Own = OneSuffices ? Latest : std::nullopt;
+  if (!OneSuffices && AllSupport)
+    Own = Earliest;
+  bool PeerCounts = FromPeer && FromPeer->ForTerm == *LeaseTerm &&
+                    (OneSuffices || FromPeer->IsOfAllReplicas);
+  if (PeerCounts && (!Own || FromPeer->RequestedAt > *Own))
+    return FromPeer->RequestedAt;
+  return Own;
 }
 
 std::optional<TimePoint> PrimaryLease::evidenceAt() const {
@@ -177,9 +180,9 @@
   if (Primary.empty() || Now < NextRequest)
     return Out;
   bool IsFresh = isFresh(Now);
-  bool OneSuffices = IsFresh && BestOutcome == VoteOutcome::Supported;
-  if (OneSuffices && HasPeer)
+  if (IsFresh && HasPeer)
     return Out;
+  bool OneSuffices = IsFresh && !needsAllReplicas();
   NextRequest = Now + (IsFresh ? Opts.RenewInterval : Opts.RetryInterval);
   if (!IsFresh)
     Out.push_back(Primary);
@@ -201,10 +204,11 @@
 bool PrimaryLease::votesDue(TimePoint Now) {
   if (!LeaseTerm || Now < NextVotes)
     return false;
-  bool IsNeeded = BestOutcome != VoteOutcome::Supported || !isFresh(Now);
-  if (IsNeeded)
-    NextVotes = Now + Opts.VoteInterval;
-  return IsNeeded;
+  bool IsFresh = isFresh(Now);
+  if (IsFresh && !needsAllReplicas())
+    return false;
+  NextVotes = Now + (IsFresh ? Opts.StartupVoteInterval : Opts.VoteInterval);
+  return true;
 }
 
 } // namespace cicadawind
--- a/src/Leases/PrimaryLease.h
+++ b/src/Leases/PrimaryLease.h
@@ -48,6 +48,9 @@
     /// Interval at which the VMs are asked for their votes while the replicas
     /// do not renew the lease.
     Duration VoteInterval = std::chrono::milliseconds(200);
+    /// The same while the replicas renew the lease, but the VM has started too
+    /// recently to rely on one of them.
+    Duration StartupVoteInterval = std::chrono::milliseconds(3000);
     /// Time after which a replica that was listed later than others counts as
     /// evidence. By then the VMs that may promote know that replica, too.
     Duration JoinDelay = std::chrono::milliseconds(1500);
@@ -82,11 +85,17 @@
   void recordStatus(const std::string &Instance, const TargetStatus &Status,
                     TimePoint RequestedAt);
   /// Records that another VM has evidence for \p PeerTerm, requested at
-  /// \p RequestedAt. It counts like a replica's status.
-  void recordPeerEvidence(Term PeerTerm, TimePoint RequestedAt);
+  /// \p RequestedAt. It counts like a replica's status, or like those of all
+  /// replicas if \p IsOfAllReplicas.
+  void recordPeerEvidence(Term PeerTerm, TimePoint RequestedAt,
+                          bool IsOfAllReplicas);
   /// Returns the request time of evidence that other VMs may use; empty if
   /// there is none.
   std::optional<TimePoint> shareableEvidenceAt(TimePoint Now) const;
+  /// Returns whether that evidence comes from all replicas.
+  bool needsAllReplicas() const {
+    return BestOutcome != VoteOutcome::Supported;
+  }
 
   /// Records the \p Outcome of the votes on a lease for \p VotedTerm that were
   /// requested at \p RequestedAt.
@@ -164,9 +173,13 @@
   /// Nearest first.
   std::vector<Replica> Replicas;
   bool HasReplicaList = false;
-  /// Request time of the latest evidence of another VM, and its term.
-  std::optional<TimePoint> PeerEvidenceAt;
-  Term PeerEvidenceTerm = 0;
+  /// The latest evidence of another VM.
+  struct PeerEvidence {
+    TimePoint RequestedAt;
+    Term ForTerm = 0;
+    bool IsOfAllReplicas = false;
+  };
+  std::optional<PeerEvidence> FromPeer;
   /// Request time of the last votes that supported a lease, and the term of
   /// that lease.
   std::optional<TimePoint> SupportedAt;
--- a/src/Leases/PromotionPromise.cpp
+++ b/src/Leases/PromotionPromise.cpp
@@ -22,7 +22,7 @@
   Out.HighestToken = HighestToken;
   if (!Out.Granted)
     return Out;
-  Out.Counts = counts(Now);
+  Out.Counts = countsForProposals(Now);
   bool IsNew = Proposal.Token != HighestToken;
   if (IsNew)
     WasBlockedBefore = BlockedBelow > 0;
@@ -84,7 +84,7 @@
 LeaseVote PromotionPromise::leaseVote(Term Leading, TimePoint Now) const {
   if (Leading < BlockedBelow || Leading < KnownTerm)
     return LeaseVote::Objects;
-  return counts(Now) ? LeaseVote::Supports : LeaseVote::Unknown;
+  return countsForLeases(Now) ? LeaseVote::Supports : LeaseVote::Unknown;
 }
 
 } // namespace cicadawind
--- a/src/Leases/PromotionPromise.h
+++ b/src/Leases/PromotionPromise.h
@@ -24,7 +24,8 @@
     /// Time for which a named successor is the only one that may be promoted.
     /// Covers an order that the platform carries out late.
     Duration OrderLifetime = std::chrono::milliseconds(15000);
-    /// Time after the VM's start during which its votes do not count.
+    /// Time after the VM's start during which its votes on proposals do not
+    /// count. Not less than Exclusive.
     Duration Quarantine = std::chrono::milliseconds(2000);
   };
 
@@ -58,9 +59,13 @@
 
 private:
   void recordSuccessor(const PromotionProposal &Proposal, TimePoint Now);
-  bool counts(TimePoint Now) const {
+  bool countsForProposals(TimePoint Now) const {
     return Now - StartedAt >= Opts.Quarantine;
   }
+  /// An order that this VM has forgotten may be carried out until then.
+  bool countsForLeases(TimePoint Now) const {
+    return Now - StartedAt >= Opts.OrderLifetime;
+  }
 
   Options Opts;
   TimePoint StartedAt;
--- a/src/Promotion/LeaseExchange.cpp
+++ b/src/Promotion/LeaseExchange.cpp
@@ -72,6 +72,7 @@
   // long.
   if (std::optional<TimePoint> At = Lease->shareableEvidenceAt(Now))
     Out.EvidenceAge = toMillis(Now - *At) + Millis(1);
+  Out.IsOfAllReplicas = Lease->needsAllReplicas();
   return Out;
 }
 
@@ -113,7 +114,8 @@
   PrimaryLease *Lease = leaseOf(Query->second.Group);
   if (Lease)
     Lease->recordPeerEvidence(Query->second.Leading,
-                              Query->second.RequestedAt - *Answer.EvidenceAge);
+                              Query->second.RequestedAt - *Answer.EvidenceAge,
+                              Answer.IsOfAllReplicas);
 }
 
 void LeaseExchange::recordLeaseVote(PendingVotes &Votes, const std::string &Vm,
--- a/src/Promotion/LeaseExchange.h
+++ b/src/Promotion/LeaseExchange.h
@@ -32,7 +32,7 @@
     Duration AnswerTimeout = std::chrono::milliseconds(1000);
     /// A VM refuses to replace a primary with which it has had contact within
     /// this time.
-    Duration VetoWindow = std::chrono::milliseconds(500);
+    Duration VetoWindow = std::chrono::milliseconds(350);
   };
   /// Receives the vote of \p Vm on a proposal that was sent at \p RequestedAt.
   using VoteHook = std::function<void(
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Proxy/PeerMessage.cpp
@@ -63,8 +63,10 @@
            {"from", Message.From},
            {"n", Message.Number},
            {"vote", static_cast<int>(Message.Vote)}};
-  if (Message.EvidenceAge)
+  if (Message.EvidenceAge) {
     Out["age"] = Message.EvidenceAge->count();
+    Out["all"] = Message.IsOfAllReplicas;
+  }
   return Out;
 }
 
@@ -127,8 +129,10 @@
   Out.From = In.at("from").get<std::string>();
   Out.Number = In.at("n").get<std::uint64_t>();
   Out.Vote = enumFrom<LeaseVote>(In.at("vote"), VoteCount);
-  if (In.contains("age"))
+  if (In.contains("age")) {
     Out.EvidenceAge = Millis(In.at("age").get<std::int64_t>());
+    Out.IsOfAllReplicas = In.at("all").get<bool>();
+  }
   return Out;
 }
 
--- a/src/Proxy/PeerMessage.h
+++ b/src/Proxy/PeerMessage.h
@@ -89,6 +89,8 @@
   /// Time since the sender requested its own evidence for that lease, rounded
   /// up; empty if it has none.
   std::optional<Millis> EvidenceAge;
+  /// Whether that evidence comes from all replicas.
+  bool IsOfAllReplicas = false;
 };
 
 /// Asks the receiver to promise what a proposal needs.
--- a/test/Leases/LeaseWorld.cpp
+++ b/test/Leases/LeaseWorld.cpp
@@ -363,10 +363,11 @@
     if (Now < Peer.FrozenUntil || Peer.Lease.term() != Leading || !At)
       return;
     Duration Age = Now - *At;
+    bool IsOfAll = Peer.Lease.needsAllReplicas();
     deliver(vmNode(Other), vmNode(Index), [=, this] {
       Vm &Self = *Vms[Index];
       if (Self.Incarnation == Incarnation && Now >= Self.FrozenUntil)
-        Self.Lease.recordPeerEvidence(Leading, RequestedAt - Age);
+        Self.Lease.recordPeerEvidence(Leading, RequestedAt - Age, IsOfAll);
     });
   });
 }
