--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -145,14 +145,13 @@
       });
   Service.setLeaseHooks(
       [this](const std::string &Group, Term Leading) {
-        Promotions.leases().requestVotes(Group, Leading, BootClock::now());
+        Promotions.leases().requestVotes(Group, Leading);
       },
       [this](const std::string &Group) {
         return Promotions.leasePeer(Group, BootClock::now());
       },
       [this](const std::string &Vm, const std::string &Group, Term Leading) {
-        Promotions.leases().requestEvidence(Vm, Group, Leading,
-                                            BootClock::now());
+        Promotions.leases().requestEvidence(Vm, Group, Leading);
       });
 }
 
--- a/src/Leases/PromotionBallot.cpp
+++ b/src/Leases/PromotionBallot.cpp
@@ -38,10 +38,7 @@
     PendingToken = Vote.PendingToken;
     PendingSuccessor = Vote.PendingSuccessor;
   }
-  if (Vote.ReachesPrimary)
-    Vetoes.insert(Vm);
-  else
-    Vetoes.erase(Vm);
+  Vetoed |= Vote.ReachesPrimary;
   if (!Vote.Granted)
     return;
   VmState &State = Votes[Vm];
@@ -67,10 +64,6 @@
   Demoted = !Status.IsPrimary;
 }
 
-bool PromotionBallot::isVetoed() const {
-  return 2 * Vetoes.size() >= Opts.Vms.size();
-}
-
 bool PromotionBallot::hasMajority(TimePoint Now) const {
   std::size_t Count = 0;
   for (const auto &[Vm, State] : Votes)
--- a/src/Leases/PromotionBallot.h
+++ b/src/Leases/PromotionBallot.h
@@ -74,9 +74,8 @@
     bool IsOpened = NamedTerm >= Opts.Proposal.NewTerm;
     return Outdated || (IsOpened && PendingSuccessor.empty());
   }
-  /// Returns whether so many VMs reach the primary that no majority can hold
-  /// the proposal.
-  bool isVetoed() const;
+  /// Returns whether a VM reaches the primary, so that it is not lost.
+  bool isVetoed() const { return Vetoed; }
   /// Returns the highest token that a VM reported.
   std::uint64_t highestToken() const { return HighestToken; }
   /// Returns the highest term that a VM or an instance reported. A later
@@ -114,8 +113,7 @@
 
   Options Opts;
   std::map<std::string, VmState> Votes;
-  /// VMs that refused the proposal because they reach the primary.
-  std::set<std::string> Vetoes;
+  bool Vetoed = false;
   /// When each instance was first known to be paused.
   std::map<std::string, TimePoint> PausedAt;
   /// When the proposal was last changed.
--- a/src/Promotion/LeaseExchange.cpp
+++ b/src/Promotion/LeaseExchange.cpp
@@ -48,13 +48,6 @@
   }
 }
 
-LeaseVote LeaseExchange::leaseVoteFor(const std::string &Group, Term Leading,
-                                      TimePoint Now) {
-  GroupDispatcher *Found = Service.findGroup(Group);
-  PromotionPromise *Promise = Found ? Found->guard().promise() : nullptr;
-  return Promise ? Promise->leaseVote(Leading, Now) : LeaseVote::Unknown;
-}
-
 PrimaryLease *LeaseExchange::leaseOf(const std::string &Group) {
   GroupDispatcher *Found = Service.findGroup(Group);
   return Found ? Found->guard().lease() : nullptr;
@@ -64,9 +57,20 @@
   LeaseAnswer Out;
   Out.From = Opts.Vm;
   Out.Number = Query.Number;
-  Out.Vote = leaseVoteFor(Query.Group, Query.Leading, Now);
-  const PrimaryLease *Lease = leaseOf(Query.Group);
-  if (!Lease || Lease->term() != Query.Leading)
+  for (const LeaseQuery::Item &Each : Query.Items)
+    Out.Items.push_back(answerTo(Each, Now));
+  return Out;
+}
+
+LeaseAnswer::Item LeaseExchange::answerTo(const LeaseQuery::Item &Asked,
+                                          TimePoint Now) {
+  LeaseAnswer::Item Out;
+  GroupDispatcher *Found = Service.findGroup(Asked.Group);
+  const PrimaryLease *Lease = Found ? Found->guard().lease() : nullptr;
+  if (!Lease)
+    return Out;
+  Out.Vote = Found->guard().promise()->leaseVote(Asked.Leading, Now);
+  if (Lease->term() != Asked.Leading)
     return Out;
   // Rounded up: with an understated age, the peer might keep its lease for too
   // long.
@@ -76,66 +80,76 @@
   return Out;
 }
 
+void LeaseExchange::requestVotes(const std::string &Group, Term Leading) {
+  VoteRequests.push_back({.Group = Group, .Leading = Leading});
+}
+
 void LeaseExchange::requestEvidence(const std::string &Vm,
-                                    const std::string &Group, Term Leading,
-                                    TimePoint Now) {
-  std::uint64_t Number = ++LastNumber;
-  EvidenceQueries[Number] = {
-      .Group = Group, .Leading = Leading, .RequestedAt = Now};
-  Peers.send({Vm}, LeaseQuery{.From = Opts.Vm,
-                              .Number = Number,
-                              .Group = Group,
-                              .Leading = Leading});
+                                    const std::string &Group, Term Leading) {
+  EvidenceRequests[Vm].push_back({.Group = Group, .Leading = Leading});
 }
 
-void LeaseExchange::requestVotes(const std::string &Group, Term Leading,
-                                 TimePoint Now) {
-  std::set<std::string> Voters = Peers.voters(Now);
+std::uint64_t LeaseExchange::sendQuery(std::vector<LeaseQuery::Item> Items,
+                                       const std::set<std::string> &To,
+                                       std::size_t Voters, TimePoint Now) {
   std::uint64_t Number = ++LastNumber;
-  PendingVotes &Votes = LeaseQueries[Number];
-  Votes.Group = Group;
-  Votes.Leading = Leading;
-  Votes.RequestedAt = Now;
-  Votes.Voters = Voters.size();
-  LeaseQuery Query{
-      .From = Opts.Vm, .Number = Number, .Group = Group, .Leading = Leading};
-  Peers.send(Voters, Query);
-  recordLeaseVote(Votes, Opts.Vm, leaseVoteFor(Group, Leading, Now));
+  Peers.send(To, LeaseQuery{.From = Opts.Vm, .Number = Number, .Items = Items});
+  PendingQuery &Query = Queries[Number];
+  Query.Tallies.resize(Items.size());
+  Query.Items = std::move(Items);
+  Query.RequestedAt = Now;
+  Query.Voters = Voters;
+  return Number;
 }
 
 void LeaseExchange::handleLeaseAnswer(const LeaseAnswer &Answer) {
-  auto Votes = LeaseQueries.find(Answer.Number);
-  if (Votes != LeaseQueries.end())
-    return recordLeaseVote(Votes->second, Answer.From, Answer.Vote);
-  auto Query = EvidenceQueries.find(Answer.Number);
-  if (Query == EvidenceQueries.end() || !Answer.EvidenceAge)
+  auto It = Queries.find(Answer.Number);
+  if (It == Queries.end() || Answer.Items.size() != It->second.Items.size())
     return;
-  // The age is counted back from the query, which is earlier than the answer.
-  PrimaryLease *Lease = leaseOf(Query->second.Group);
-  if (Lease)
-    Lease->recordPeerEvidence(Query->second.Leading,
-                              Query->second.RequestedAt - *Answer.EvidenceAge,
-                              Answer.IsOfAllReplicas);
+  PendingQuery &Query = It->second;
+  if (!Query.Answered.insert(Answer.From).second)
+    return;
+  if (Query.Voters > 0)
+    recordVotes(Query, Answer);
+  else
+    recordEvidence(Query, Answer);
 }
 
-void LeaseExchange::recordLeaseVote(PendingVotes &Votes, const std::string &Vm,
-                                    LeaseVote Vote) {
-  if (!Votes.Answered.insert(Vm).second)
-    return;
-  Votes.Supports += Vote == LeaseVote::Supports ? 1 : 0;
-  Votes.Objected |= Vote == LeaseVote::Objects;
-  PrimaryLease *Lease = leaseOf(Votes.Group);
-  if (!Lease)
-    return;
-  bool IsSupported = 2 * Votes.Supports > Votes.Voters;
+void LeaseExchange::recordVotes(PendingQuery &Query,
+                                const LeaseAnswer &Answer) {
+  for (std::size_t I = 0; I < Query.Items.size(); ++I) {
+    LeaseVote Vote = Answer.Items[I].Vote;
+    Query.Tallies[I].Supports += Vote == LeaseVote::Supports ? 1 : 0;
+    Query.Tallies[I].Objected |= Vote == LeaseVote::Objects;
+    recordVote(Query, I);
+  }
+}
+
+void LeaseExchange::recordVote(const PendingQuery &Query, std::size_t Index) {
+  PrimaryLease *Lease = leaseOf(Query.Items[Index].Group);
+  const PendingQuery::Tally &Votes = Query.Tallies[Index];
+  bool IsSupported = 2 * Votes.Supports > Query.Voters;
   bool IsUnopposed =
-      2 * Votes.Answered.size() > Votes.Voters && !Votes.Objected;
-  if (!IsSupported && !IsUnopposed)
+      2 * Query.Answered.size() > Query.Voters && !Votes.Objected;
+  if (!Lease || (!IsSupported && !IsUnopposed))
     return;
   using Outcome = PrimaryLease::VoteOutcome;
-  Lease->recordVotes(Votes.Leading,
+  Lease->recordVotes(Query.Items[Index].Leading,
                      IsSupported ? Outcome::Supported : Outcome::NoObjection,
-                     Votes.RequestedAt);
+                     Query.RequestedAt);
+}
+
+void LeaseExchange::recordEvidence(const PendingQuery &Query,
+                                   const LeaseAnswer &Answer) {
+  for (std::size_t I = 0; I < Query.Items.size(); ++I) {
+    const LeaseAnswer::Item &Item = Answer.Items[I];
+    PrimaryLease *Lease = leaseOf(Query.Items[I].Group);
+    // The age is counted back from the query, which is earlier than the answer.
+    if (Lease && Item.EvidenceAge)
+      Lease->recordPeerEvidence(Query.Items[I].Leading,
+                                Query.RequestedAt - *Item.EvidenceAge,
+                                Item.IsOfAllReplicas);
+  }
 }
 
 bool LeaseExchange::reachesPrimary(GroupDispatcher &Group,
@@ -225,15 +239,19 @@
 }
 
 void LeaseExchange::sweep(TimePoint Now) {
-  std::erase_if(LeaseQueries, [&](const auto &Each) {
-    return Now - Each.second.RequestedAt > Opts.AnswerTimeout;
-  });
-  std::erase_if(EvidenceQueries, [&](const auto &Each) {
-    return Now - Each.second.RequestedAt > Opts.AnswerTimeout;
-  });
-  std::erase_if(Proposals, [&](const auto &Each) {
+  for (auto &[Vm, Items] : std::exchange(EvidenceRequests, {}))
+    sendQuery(Items, {Vm}, 0, Now);
+  if (!VoteRequests.empty()) {
+    std::set<std::string> Voters = Peers.voters(Now);
+    LeaseQuery Own{.Items = std::exchange(VoteRequests, {})};
+    Own.Number = sendQuery(Own.Items, Voters, Voters.size(), Now);
+    handleLeaseAnswer(answerTo(Own, Now));
+  }
+  auto IsOver = [&](const auto &Each) {
     return Now - Each.second.RequestedAt > Opts.AnswerTimeout;
-  });
+  };
+  std::erase_if(Queries, IsOver);
+  std::erase_if(Proposals, IsOver);
 }
 
 } // namespace cicadawind
--- a/src/Promotion/LeaseExchange.h
+++ b/src/Promotion/LeaseExchange.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cicadawind {
 
@@ -42,12 +43,13 @@
 
   /// Asks all VMs for their votes on this VM's lease on the primary of
   /// \p Group, which leads term \p Leading. The outcome goes to the group's
-  /// lease.
-  void requestVotes(const std::string &Group, Term Leading, TimePoint Now);
-  /// Asks \p Vm for its evidence for a lease on the primary of \p Group. The
-  /// evidence goes to the group's lease.
+  /// lease. The next sweep() sends the request, together with those for other
+  /// groups.
+  void requestVotes(const std::string &Group, Term Leading);
+  /// Likewise, asks \p Vm for its evidence for a lease on the primary of
+  /// \p Group. The evidence goes to the group's lease.
   void requestEvidence(const std::string &Vm, const std::string &Group,
-                       Term Leading, TimePoint Now);
+                       Term Leading);
   /// Sends \p Proposal to the VMs \p To, which may include this one. \p Hook
   /// receives each vote.
   void propose(const std::string &Group, const PromotionProposal &Proposal,
@@ -62,24 +64,24 @@
           Hook) {
     GrantedHook = std::move(Hook);
   }
-  /// Drops queries and proposals whose answers are ignored; called every few
-  /// milliseconds.
+  /// Sends the requests that wait, and drops queries and proposals whose
+  /// answers are ignored; called every few milliseconds.
   void sweep(TimePoint Now);
 
 private:
-  struct PendingVotes {
-    std::string Group;
-    Term Leading = 0;
+  /// A query for votes or, if Voters is 0, for the evidence of one VM.
+  struct PendingQuery {
+    struct Tally {
+      std::size_t Supports = 0;
+      bool Objected = false;
+    };
+
+    std::vector<LeaseQuery::Item> Items;
     TimePoint RequestedAt;
     std::size_t Voters = 0;
     std::set<std::string> Answered;
-    std::size_t Supports = 0;
-    bool Objected = false;
-  };
-  struct PendingEvidence {
-    std::string Group;
-    Term Leading = 0;
-    TimePoint RequestedAt;
+    /// By item.
+    std::vector<Tally> Tallies;
   };
   struct PendingProposal {
     VoteHook Hook;
@@ -88,10 +90,16 @@
 
   void handle(const PeerMessage &Message,
               const std::function<void(const PeerMessage &)> &Reply);
+  /// Sends a query with \p Items to \p To. \p Voters is the number of VMs whose
+  /// majority decides, or 0 if the query is for evidence only.
+  std::uint64_t sendQuery(std::vector<LeaseQuery::Item> Items,
+                          const std::set<std::string> &To, std::size_t Voters,
+                          TimePoint Now);
   void handleLeaseAnswer(const LeaseAnswer &Answer);
-  /// Counts the vote and reports the outcome once it is decided.
-  void recordLeaseVote(PendingVotes &Votes, const std::string &Vm,
-                       LeaseVote Vote);
+  /// Counts the votes and passes on the outcomes that are decided.
+  void recordVotes(PendingQuery &Query, const LeaseAnswer &Answer);
+  void recordVote(const PendingQuery &Query, std::size_t Index);
+  void recordEvidence(const PendingQuery &Query, const LeaseAnswer &Answer);
   /// Returns whether this VM has a valid lease on the primary of \p Group and
   /// has had contact with it within VetoWindow.
   bool reachesPrimary(GroupDispatcher &Group, TimePoint Now) const;
@@ -99,16 +107,18 @@
   PromotionVote voteOn(const std::string &Group,
                        const PromotionProposal &Proposal, TimePoint Now);
   void applyEnd(const ProposalEnd &Message, TimePoint Now);
-  LeaseVote leaseVoteFor(const std::string &Group, Term Leading, TimePoint Now);
   LeaseAnswer answerTo(const LeaseQuery &Query, TimePoint Now);
+  LeaseAnswer::Item answerTo(const LeaseQuery::Item &Asked, TimePoint Now);
   PrimaryLease *leaseOf(const std::string &Group);
 
   Options Opts;
   PeerExchange &Peers;
   ProxyService &Service;
   std::uint64_t LastNumber = 0;
-  std::map<std::uint64_t, PendingVotes> LeaseQueries;
-  std::map<std::uint64_t, PendingEvidence> EvidenceQueries;
+  /// Requests that wait for the next sweep; those for evidence by VM.
+  std::vector<LeaseQuery::Item> VoteRequests;
+  std::map<std::string, std::vector<LeaseQuery::Item>> EvidenceRequests;
+  std::map<std::uint64_t, PendingQuery> Queries;
   std::map<std::uint64_t, PendingProposal> Proposals;
   std::function<void(const std::string &Group, const PromotionProposal &)>
       GrantedHook;
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -180,7 +180,7 @@
     return;
   }
   if (Status.IsPrimary) {
-    Current.IsPrimaryFine = Current.Reason == PromotionReason::Blocked;
+    Current.IsPrimaryFine = Current.Reason != PromotionReason::Leaving;
     return;
   }
   Current.FinalPosition = Status.Received;
@@ -201,17 +201,17 @@
     if (Self && Status)
       recordStatus(*Self, Instance, *Status);
   };
-  // Whether the primary is reached decides how a blocked promotion ends, so it
-  // is not demoted before that is known.
-  bool OnlyAsks = Current->Reason == PromotionReason::Blocked &&
-                  Now - *Current->AskedAt < Opts.DemotionGrace;
+  // A primary that answers is not lost. It is demoted if it is leaving, or if
+  // another target may still be promoted by an earlier order.
+  bool Demotes =
+      Current->Reason == PromotionReason::Leaving ||
+      (Current->IsPrimaryFine && !Current->Ballot.pendingSuccessor().empty());
   // Replicas of a demoted primary still receive the rest of its log.
-  bool Pauses = !Current->DemotedAt && !OnlyAsks &&
-                Current->Reason != PromotionReason::Leaving &&
-                Now - *Current->AskedAt >= Opts.DemotionGrace;
+  bool Pauses = !Demotes && !Current->DemotedAt &&
+                Now - *Current->AskedAt >= Opts.ReplyGrace;
   for (const TargetEntry &Entry : Dispatcher->entries()) {
     bool IsOld = Entry.Instance == Current->OldPrimary;
-    if (IsOld && !Current->DemotedAt && !OnlyAsks)
+    if (IsOld && !Current->DemotedAt && Demotes)
       Dispatcher->demote(Entry.Instance, NewTerm, Hook);
     else if (!IsOld && Pauses)
       Dispatcher->pause(Entry.Instance, NewTerm, Hook);
--- a/src/Promotion/LeasedPromotion.h
+++ b/src/Promotion/LeasedPromotion.h
@@ -21,13 +21,13 @@
 /// \brief Replaces a primary on a platform that does not fence promotions.
 ///
 /// A majority of the VMs must hold the proposal, and no VM may still use the
-/// old primary when the order is sent; PromotionBallot decides that. The old
-/// primary is demoted if it can be reached, and the successor then receives the
-/// rest of its log. Otherwise the replicas are paused, so that they support no
-/// lease. An order without an answer may be carried out later, so it is
-/// repeated for the same successor only. An attempt that ends without an order
-/// resumes the replicas and lets the VMs renew their leases. Runs on the loop's
-/// thread.
+/// old primary when the order is sent; PromotionBallot decides that. A primary
+/// that leaves is demoted, and the successor then receives the rest of its log.
+/// If a primary that counted as lost answers, or a VM reaches it, the attempt
+/// ends. Otherwise the replicas are paused, so that they support no lease. An
+/// order without an answer may be carried out later, so it is repeated for the
+/// same successor only. An attempt that ends without an order resumes the
+/// replicas and lets the VMs renew their leases. Runs on the loop's thread.
 class LeasedPromotion : public PromotionProcedure {
 public:
   struct Options {
@@ -40,7 +40,7 @@
     /// again.
     Duration RepeatInterval = std::chrono::milliseconds(100);
     /// Time that the old primary has to answer before the replicas are paused.
-    Duration DemotionGrace = std::chrono::milliseconds(60);
+    Duration ReplyGrace = std::chrono::milliseconds(60);
     /// Timeout of one order to the platform.
     Duration OrderTimeout = std::chrono::milliseconds(400);
     /// Maximum number of orders in one attempt, each with a token of its own.
@@ -66,8 +66,8 @@
   /// Asks VMs and targets as far as that is due, and decides what comes next.
   Step advance(const std::shared_ptr<Attempt> &Current, TimePoint Now);
   void propose(const std::shared_ptr<Attempt> &Current, TimePoint Now);
-  /// Demotes the old primary and asks the other targets for their statuses, or
-  /// pauses them.
+  /// Asks all targets for their statuses, demotes a primary that leaves, and
+  /// pauses the others if the primary does not answer.
   void askTargets(const std::shared_ptr<Attempt> &Current, TimePoint Now);
   void recordStatus(Attempt &Current, const std::string &Instance,
                     const TargetStatus &Status);
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Proxy/GroupDispatcher.h
@@ -242,6 +242,8 @@
   void refreshLease(TimePoint Now);
   void requestLeaseEvidence(TimePoint Now);
   void demoteReplaced(TimePoint Now);
+  /// Logs that the lease on the primary begins or ends.
+  void logLeaseChange(TimePoint Now);
   /// Calls the hooks of confirmations that are decided at \p Now.
   void settleConfirmations(TimePoint Now);
   /// Records a status of \p Instance, the reply to a request sent at
@@ -269,6 +271,8 @@
   TimePoint NextDemotion;
   /// Interval until the next demotion of a replaced primary.
   Duration DemotionBackoff = Duration::zero();
+  /// Whether the lease was valid at the last sweep.
+  bool HadLease = false;
   /// The VM that shares its evidence for leases; empty if there is none.
   std::string LeasePeer;
   ReadRouter Router;
--- a/src/Proxy/GroupLease.cpp
+++ b/src/Proxy/GroupLease.cpp
@@ -70,14 +70,37 @@
 }
 
 void GroupDispatcher::refreshLease(TimePoint Now) {
-  if (isDirect(Tracker.primary()))
+  // A VM that uses relays relies on their leases.
+  if (isDirect(Tracker.primary())) {
     requestLeaseEvidence(Now);
-  std::optional<Term> Leading = Guard->votesDue(Now);
-  if (Leading && Opts.RequestVotes)
-    Opts.RequestVotes(Opts.Group, *Leading);
+    std::optional<Term> Leading = Guard->votesDue(Now);
+    if (Leading && Opts.RequestVotes)
+      Opts.RequestVotes(Opts.Group, *Leading);
+  }
+  logLeaseChange(Now);
   demoteReplaced(Now);
 }
 
+void GroupDispatcher::logLeaseChange(TimePoint Now) {
+  const PrimaryLease *Lease = Guard->lease();
+  if (!Lease)
+    return;
+  bool HasLease = isDirect(Lease->primary()) && Lease->isValidAt(Now);
+  if (HasLease == std::exchange(HadLease, HasLease))
+    return;
+  std::optional<TimePoint> Until = Lease->validUntil();
+  internal::Logger.info(
+      HasLease ? "lease on the primary held" : "lease on the primary ended",
+      {{"group", Opts.Group},
+       {"target", Lease->primary()},
+       {"term", Lease->term() ? std::to_string(*Lease->term()) : ""},
+       {"remaining_ms",
+        Until ? std::to_string(toMillis(*Until - Now).count()) : ""},
+       {"blocked", Lease->isBlocked() ? "yes" : "no"},
+       {"superseded", Lease->isSuperseded() ? "yes" : "no"},
+       {"waiting", std::to_string(Queue.size())}});
+}
+
 void GroupDispatcher::requestLeaseEvidence(TimePoint Now) {
   std::optional<Term> Leading = Guard->peerEvidenceDue(Now);
   if (Leading && Opts.FindLeasePeer) {
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Proxy/PeerMessage.cpp
@@ -51,23 +51,29 @@
 }
 
 static Json toJson(const LeaseQuery &Message) {
+  Json Items = Json::array();
+  for (const LeaseQuery::Item &Each : Message.Items)
+    Items.push_back(Json::array({Each.Group, Each.Leading}));
   return Json{{"t", "lease?"},
               {"from", Message.From},
               {"n", Message.Number},
-              {"group", Message.Group},
-              {"term", Message.Leading}};
+              {"items", std::move(Items)}};
 }
 
 static Json toJson(const LeaseAnswer &Message) {
-  Json Out{{"t", "lease"},
-           {"from", Message.From},
-           {"n", Message.Number},
-           {"vote", static_cast<int>(Message.Vote)}};
-  if (Message.EvidenceAge) {
-    Out["age"] = Message.EvidenceAge->count();
-    Out["all"] = Message.IsOfAllReplicas;
+  Json Items = Json::array();
+  for (const LeaseAnswer::Item &Each : Message.Items) {
+    Json Item = Json::array({static_cast<int>(Each.Vote)});
+    if (Each.EvidenceAge) {
+      Item.push_back(Each.EvidenceAge->count());
+      Item.push_back(Each.IsOfAllReplicas);
+    }
+    Items.push_back(std::move(Item));
   }
-  return Out;
+  return Json{{"t", "lease"},
+              {"from", Message.From},
+              {"n", Message.Number},
+              {"items", std::move(Items)}};
 }
 
 static Json toJson(const ProposalRequest &Message) {
@@ -110,8 +116,9 @@
   LeaseQuery Out;
   Out.From = In.at("from").get<std::string>();
   Out.Number = In.at("n").get<std::uint64_t>();
-  Out.Group = In.at("group").get<std::string>();
-  Out.Leading = In.at("term").get<Term>();
+  for (const Json &Each : In.at("items"))
+    Out.Items.push_back({.Group = Each.at(0).get<std::string>(),
+                         .Leading = Each.at(1).get<Term>()});
   return Out;
 }
 
@@ -125,13 +132,18 @@
 
 static LeaseAnswer leaseAnswerFrom(const Json &In) {
   constexpr int VoteCount = 3;
+  constexpr std::size_t EvidenceItemSize = 3;
   LeaseAnswer Out;
   Out.From = In.at("from").get<std::string>();
   Out.Number = In.at("n").get<std::uint64_t>();
-  Out.Vote = enumFrom<LeaseVote>(In.at("vote"), VoteCount);
-  if (In.contains("age")) {
-    Out.EvidenceAge = Millis(In.at("age").get<std::int64_t>());
-    Out.IsOfAllReplicas = In.at("all").get<bool>();
+  for (const Json &Each : In.at("items")) {
+    LeaseAnswer::Item Item;
+    Item.Vote = enumFrom<LeaseVote>(Each.at(0), VoteCount);
+    if (Each.size() == EvidenceItemSize) {
+      Item.EvidenceAge = Millis(Each.at(1).get<std::int64_t>());
+      Item.IsOfAllReplicas = Each.at(2).get<bool>();
+    }
+    Out.Items.push_back(Item);
   }
   return Out;
 }
--- a/src/Proxy/PeerMessage.h
+++ b/src/Proxy/PeerMessage.h
@@ -70,27 +70,36 @@
   std::uint64_t Token = 0;
 };
 
-/// Asks the receiver for its vote on the sender's lease on the primary of a
-/// group, and for its own evidence for such a lease.
+/// Asks the receiver for its votes on the sender's leases on the primaries of
+/// groups, and for its own evidence for such leases.
 struct LeaseQuery {
+  struct Item {
+    std::string Group;
+    /// Term that the primary leads.
+    Term Leading = 0;
+  };
+
   std::string From;
   /// Identifies the query; the answer repeats it.
   std::uint64_t Number = 0;
-  std::string Group;
-  /// Term that the primary leads.
-  Term Leading = 0;
+  std::vector<Item> Items;
 };
 
-/// The sender's vote, in reply to a LeaseQuery.
+/// The sender's votes, in reply to a LeaseQuery.
 struct LeaseAnswer {
+  struct Item {
+    LeaseVote Vote = LeaseVote::Unknown;
+    /// Time since the sender requested its own evidence for that lease, rounded
+    /// up; empty if it has none.
+    std::optional<Millis> EvidenceAge;
+    /// Whether that evidence comes from all replicas.
+    bool IsOfAllReplicas = false;
+  };
+
   std::string From;
   std::uint64_t Number = 0;
-  LeaseVote Vote = LeaseVote::Unknown;
-  /// Time since the sender requested its own evidence for that lease, rounded
-  /// up; empty if it has none.
-  std::optional<Millis> EvidenceAge;
-  /// Whether that evidence comes from all replicas.
-  bool IsOfAllReplicas = false;
+  /// In the order of the query's items.
+  std::vector<Item> Items;
 };
 
 /// Asks the receiver to promise what a proposal needs.
--- /dev/null
+++ b/test/Leases/VoterListTest.cpp
@@ -0,0 +1,42 @@
+#define BOOST_TEST_MODULE VoterList
+#include <boost/test/unit_test.hpp>
+
+#include "Leases/VoterList.h"
+
+using namespace cicadawind;
+using std::chrono::seconds;
+
+static TimePoint at(int Seconds) { return TimePoint(seconds(Seconds)); }
+
+BOOST_AUTO_TEST_CASE(aVmThatDoesNotAnswerStillCounts) {
+  VoterList List({.OwnVm = "v1"});
+  List.recordContact("v2", false, at(0));
+  List.recordContact("v3", false, at(0));
+  BOOST_TEST(List.voters(at(299)).size() == 3);
+  BOOST_TEST(List.voters(at(300)).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatLeftStopsCountingSoon) {
+  VoterList List({.OwnVm = "v1"});
+  List.recordContact("v2", false, at(0));
+  List.recordContact("v2", true, at(10));
+  BOOST_TEST(List.voters(at(69)).count("v2") == 1);
+  BOOST_TEST(List.voters(at(70)).count("v2") == 0);
+  List.recordContact("v2", false, at(80)); // It has started again.
+  BOOST_TEST(List.voters(at(81)).count("v2") == 1);
+}
+
+// A VM that starts while it is cut off from most others must not take itself
+// and the few that it reaches for the whole fleet.
+BOOST_AUTO_TEST_CASE(listedAndNamedVmsCountWithoutContact) {
+  VoterList List({.OwnVm = "v1"});
+  for (const char *Vm : {"v2", "v3", "v4"})
+    List.recordListed(Vm);
+  BOOST_TEST(List.voters(at(100)).size() == 4);
+  List.recordContact("v2", false, at(100));
+  List.recordNamed("v3", at(101));
+  BOOST_TEST(List.voters(at(109)).size() == 4);
+  // No peer has named "v4", so it was gone before.
+  BOOST_TEST(List.voters(at(110)).count("v4") == 0);
+  BOOST_TEST(List.voters(at(400)).count("v3") == 1);
+}
