Keep the leases during a planned promotion

Ruled out: the wait for the successor's log (400 ms at most).

Change: a proposal says whether it replaces a lost or a leaving primary. For a leaving one the VMs promise, but keep their leases: the order is sent only after the primary reported that it is a replica, so what it acknowledged before counts.

--- a/src/Leases/PromotionBallot.cpp
+++ b/src/Leases/PromotionBallot.cpp
@@ -42,7 +42,7 @@
   if (!Vote.Granted)
     return;
   VmState &State = Votes[Vm];
-  State.GaveUp = true;
+  State.GaveUp |= Vote.GaveUp;
   if (Vote.Counts && RequestedAt >= ChangedAt)
     State.CountedAt =
         std::max(State.CountedAt.value_or(RequestedAt), RequestedAt);
--- a/src/Leases/PromotionPromise.cpp
+++ b/src/Leases/PromotionPromise.cpp
@@ -23,13 +23,15 @@
   if (!Out.Granted)
     return Out;
   Out.Counts = countsForProposals(Now);
+  Out.GaveUp = Proposal.Kind != ProposalKind::Planned;
   bool IsNew = Proposal.Token != HighestToken;
   if (IsNew)
     WasBlockedBefore = BlockedBelow > 0;
   Holder = Proposal.Holder;
   HighestToken = Proposal.Token;
   ExclusiveUntil = Now + Opts.Exclusive;
-  BlockedBelow = std::max(BlockedBelow, Proposal.NewTerm);
+  if (Out.GaveUp)
+    BlockedBelow = std::max(BlockedBelow, Proposal.NewTerm);
   if (!Proposal.Successor.empty())
     recordSuccessor(Proposal, Now);
   return Out;
--- a/src/Leases/PromotionVote.h
+++ b/src/Leases/PromotionVote.h
@@ -18,6 +18,18 @@
   Unknown,
 };
 
+/// Why a VM proposes a promotion.
+enum class ProposalKind {
+  /// The primary is lost. VMs that still reach it refuse the proposal, the
+  /// others give up their leases on it.
+  Lost,
+  /// The primary is leaving. It is demoted before the order is sent, so the VMs
+  /// keep their leases.
+  Planned,
+  /// An earlier promotion was not finished.
+  Blocked,
+};
+
 /// \class PromotionProposal
 /// \brief What a VM that wants to replace the primary of a group asks the other
 /// VMs to promise.
@@ -30,17 +42,17 @@
   Term NewTerm = 0;
   /// Instance to promote; empty until it is chosen.
   std::string Successor;
-  /// Whether the primary counts as lost. VMs that still reach it refuse the
-  /// proposal then.
-  bool IsPrimaryLost = false;
+  ProposalKind Kind = ProposalKind::Lost;
 };
 
 /// \class PromotionVote
 /// \brief A VM's answer to a PromotionProposal.
 struct PromotionVote {
-  /// Whether the VM gave up its lease on every primary of a term below the
-  /// proposed one. False if it refuses the proposal.
+  /// Whether the VM promises what the proposal asks for.
   bool Granted = false;
+  /// Whether the VM gave up its lease on every primary of a term below the
+  /// proposed one.
+  bool GaveUp = false;
   /// Whether the vote counts towards the majority. It does not shortly after
   /// the VM has started, because the VM may have forgotten an earlier promise.
   bool Counts = false;
--- a/src/Promotion/LeaseExchange.cpp
+++ b/src/Promotion/LeaseExchange.cpp
@@ -169,7 +169,7 @@
   PromotionPromise *Promise = Found ? Found->guard().promise() : nullptr;
   if (!Promise)
     return PromotionVote();
-  if (Proposal.IsPrimaryLost && reachesPrimary(*Found, Now)) {
+  if (Proposal.Kind == ProposalKind::Lost && reachesPrimary(*Found, Now)) {
     internal::Logger.info("proposal refused, as the primary is reached",
                           {{"group", Group},
                            {"target", Found->tracker().primary()},
@@ -179,12 +179,13 @@
   }
   std::uint64_t TokenBefore = Promise->highestToken();
   PromotionVote Vote = Promise->vote(Proposal, Now);
-  if (Vote.Granted)
+  if (Vote.GaveUp)
     Found->guard().lease()->giveUp(Proposal.NewTerm, Now);
   bool IsNew = Proposal.Token != TokenBefore || !Vote.Granted;
   if (IsNew)
-    internal::Logger.info(Vote.Granted ? "lease given up for a promotion"
-                                       : "proposal refused",
+    internal::Logger.info(!Vote.Granted ? "proposal refused"
+                          : Vote.GaveUp ? "lease given up for a promotion"
+                                        : "planned promotion promised",
                           {{"group", Group},
                            {"holder", Proposal.Holder},
                            {"token", std::to_string(Proposal.Token)},
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -21,6 +21,18 @@
 /// Interval at which an attempt is advanced.
 constexpr Duration AdvanceInterval = std::chrono::milliseconds(10);
 
+static ProposalKind kindOf(PromotionReason Reason) {
+  switch (Reason) {
+  case PromotionReason::Lost:
+    return ProposalKind::Lost;
+  case PromotionReason::Leaving:
+    return ProposalKind::Planned;
+  case PromotionReason::Blocked:
+    return ProposalKind::Blocked;
+  }
+  return ProposalKind::Lost;
+}
+
 } // namespace internal
 
 struct LeasedPromotion::Attempt {
@@ -82,7 +94,7 @@
   BallotOpts.Proposal.Holder = Opts.Vm;
   BallotOpts.Proposal.Token = valueOf(Claimed);
   BallotOpts.Proposal.NewTerm = nextTerm(Group);
-  BallotOpts.Proposal.IsPrimaryLost = Reason == PromotionReason::Lost;
+  BallotOpts.Proposal.Kind = internal::kindOf(Reason);
   BallotOpts.Vms = Peers.voters(Now);
   BallotOpts.OldPrimary = OldPrimary;
   for (const TargetEntry &Entry : Dispatcher->entries())
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Proxy/PeerMessage.cpp
@@ -84,7 +84,7 @@
               {"token", Message.Proposal.Token},
               {"term", Message.Proposal.NewTerm},
               {"instance", Message.Proposal.Successor},
-              {"lost", Message.Proposal.IsPrimaryLost}};
+              {"kind", static_cast<int>(Message.Proposal.Kind)}};
 }
 
 static Json toJson(const ProposalAnswer &Message) {
@@ -93,6 +93,7 @@
               {"from", Message.From},
               {"n", Message.Number},
               {"granted", Vote.Granted},
+              {"gave_up", Vote.GaveUp},
               {"reaches", Vote.ReachesPrimary},
               {"counts", Vote.Counts},
               {"token", Vote.HighestToken},
@@ -149,6 +150,7 @@
 }
 
 static ProposalRequest proposalRequestFrom(const Json &In) {
+  constexpr int KindCount = 3;
   ProposalRequest Out;
   Out.Number = In.at("n").get<std::uint64_t>();
   Out.Group = In.at("group").get<std::string>();
@@ -156,7 +158,7 @@
   Out.Proposal.Token = In.at("token").get<std::uint64_t>();
   Out.Proposal.NewTerm = In.at("term").get<Term>();
   Out.Proposal.Successor = In.at("instance").get<std::string>();
-  Out.Proposal.IsPrimaryLost = In.at("lost").get<bool>();
+  Out.Proposal.Kind = enumFrom<ProposalKind>(In.at("kind"), KindCount);
   return Out;
 }
 
@@ -165,6 +167,7 @@
   Out.From = In.at("from").get<std::string>();
   Out.Number = In.at("n").get<std::uint64_t>();
   Out.Vote.Granted = In.at("granted").get<bool>();
+  Out.Vote.GaveUp = In.at("gave_up").get<bool>();
   Out.Vote.ReachesPrimary = In.at("reaches").get<bool>();
   Out.Vote.Counts = In.at("counts").get<bool>();
   Out.Vote.HighestToken = In.at("token").get<std::uint64_t>();
--- a/test/Leases/LeaseWorld.h
+++ b/test/Leases/LeaseWorld.h
@@ -46,6 +46,8 @@
     std::uint64_t Seed = 1;
     LeaseGuards Guards;
     unsigned Vms = 5;
+    /// Part of the writes that take up to 3 s.
+    double SlowWrites = 0.05;
     Duration Length = std::chrono::seconds(25);
   };
 
--- a/test/Leases/PromotionPromiseTest.cpp
+++ b/test/Leases/PromotionPromiseTest.cpp
@@ -102,6 +102,16 @@
   BOOST_TEST((Promise.leaseVote(1, at(15000)) == LeaseVote::Supports));
 }
 
+BOOST_AUTO_TEST_CASE(aPlannedPromotionKeepsTheLeases) {
+  PromotionPromise Promise({}, Start);
+  PromotionProposal Planned = proposal("vm-1", 5, "b");
+  Planned.Kind = ProposalKind::Planned;
+  PromotionVote Vote = Promise.vote(Planned, at(20000));
+  BOOST_TEST(Vote.Granted);
+  BOOST_TEST(!Vote.GaveUp);
+  BOOST_TEST((Promise.leaseVote(1, at(20000)) == LeaseVote::Supports));
+}
+
 BOOST_AUTO_TEST_CASE(proposalsForAKnownTermAreRefused) {
   PromotionPromise Promise({}, Start);
   Promise.recordLeader(2);
