--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -65,25 +65,48 @@
                                            Promotions);
 }
 
-std::string PromotionDriver::leasePeer(const std::string &Group,
-                                       TimePoint Now) const {
+PromotionDriver::VoterView
+PromotionDriver::makeVoterView(const std::string &Group, TimePoint Now) const {
   std::hash<std::string> Hash;
-  std::uint64_t First = hashCombine(Hash(Group), Hash(Opts.Vm));
-  std::string Out;
+  std::uint64_t GroupHash = Hash(Group);
+  std::uint64_t Own = hashCombine(GroupHash, Hash(Opts.Vm));
+  std::uint64_t FirstOfRegion = Own;
   std::set<std::string> Voters = Service.votersFor(Group);
-  std::string OwnRegion = Peers.self().Region;
+  VoterView Out;
   for (const VmEntry &Peer : Peers.livePeers(Now)) {
-    bool Counts = Peer.Region == OwnRegion &&
-                  (Voters.empty() || Voters.count(Peer.Vm) != 0);
-    std::uint64_t Order = hashCombine(Hash(Group), Hash(Peer.Vm));
-    if (!Counts || Order >= First)
+    if (!Voters.empty() && !Voters.count(Peer.Vm))
+      continue;
+    ++Out.Peers;
+    std::uint64_t Order = hashCombine(GroupHash, Hash(Peer.Vm));
+    Out.Rank += Order < Own ? 1 : 0;
+    if (Peer.Region != Peers.region() || Order >= FirstOfRegion)
       continue;
-    First = Order;
-    Out = Peer.Vm;
+    FirstOfRegion = Order;
+    Out.LeasePeer = Peer.Vm;
   }
+  Out.Rank = std::min(Out.Rank, Opts.MaxRank);
   return Out;
 }
 
+const PromotionDriver::VoterView &
+PromotionDriver::votersOf(const std::string &Group, TimePoint Now) {
+  Peers.livePeers(Now);
+  VoterView &View = Groups[Group].Voters;
+  bool IsCurrent = View.LiveVersion == Peers.livePeersVersion() &&
+                   View.PathsVersion == Service.pathsVersion();
+  if (IsCurrent)
+    return View;
+  View = makeVoterView(Group, Now);
+  View.LiveVersion = Peers.livePeersVersion();
+  View.PathsVersion = Service.pathsVersion();
+  return View;
+}
+
+std::string PromotionDriver::leasePeer(const std::string &Group,
+                                       TimePoint Now) {
+  return votersOf(Group, Now).LeasePeer;
+}
+
 void PromotionDriver::sweep(TimePoint Now) {
   for (const auto &[Name, Group] : Service.groups())
     checkGroup(*Group, Now);
@@ -96,20 +119,6 @@
       std::max(State.NotBefore, BootClock::now() + Opts.PeerPromotionWait);
 }
 
-std::size_t PromotionDriver::rankFor(const std::string &Group,
-                                     TimePoint Now) const {
-  std::hash<std::string> Hash;
-  std::uint64_t Own = hashCombine(Hash(Group), Hash(Opts.Vm));
-  std::set<std::string> Voters = Service.votersFor(Group);
-  std::size_t Rank = 0;
-  for (const VmEntry &Peer : Peers.livePeers(Now)) {
-    bool Counts = Voters.empty() || Voters.count(Peer.Vm) != 0;
-    if (Counts && hashCombine(Hash(Group), Hash(Peer.Vm)) < Own)
-      ++Rank;
-  }
-  return std::min(Rank, Opts.MaxRank);
-}
-
 std::optional<PromotionReason>
 PromotionDriver::reasonToPromote(GroupDispatcher &Group, TimePoint Now) {
   const std::string &Primary = Group.tracker().primary();
@@ -120,7 +129,9 @@
     Peers.queryPrimary(Group.group(), Group.failureDetector().primary(), Now);
     logDoubt(Group, Now);
   }
-  if (Group.failureDetector().isLost(liveVoters(Group.group(), Now), Now))
+  bool IsFailing = Group.failureDetector().failingSince().has_value();
+  if (IsFailing &&
+      Group.failureDetector().isLost(votersOf(Group.group(), Now).Peers, Now))
     return PromotionReason::Lost;
   if (Primary.empty() && Group.isPrimaryMissing(Now))
     return PromotionReason::Lost;
@@ -143,15 +154,6 @@
   return Now - *State.BlockedSince > Opts.BlockedTimeout;
 }
 
-std::size_t PromotionDriver::liveVoters(const std::string &Group,
-                                        TimePoint Now) const {
-  std::set<std::string> Voters = Service.votersFor(Group);
-  std::size_t Count = 0;
-  for (const VmEntry &Peer : Peers.livePeers(Now))
-    Count += Voters.empty() || Voters.count(Peer.Vm) != 0 ? 1 : 0;
-  return Count;
-}
-
 void PromotionDriver::logDoubt(GroupDispatcher &Group, TimePoint Now) {
   GroupState &State = Groups[Group.group()];
   if (Now < State.NextDoubtLog)
@@ -171,9 +173,10 @@
 }
 
 void PromotionDriver::checkGroup(GroupDispatcher &Group, TimePoint Now) {
+  if (!Group.isVoter() || Service.isDraining())
+    return;
   GroupState &State = Groups[Group.group()];
-  if (State.InProgress || Now < State.NotBefore || Service.isDraining() ||
-      !Group.isVoter())
+  if (State.InProgress || Now < State.NotBefore)
     return;
   std::optional<PromotionReason> Cause = reasonToPromote(Group, Now);
   if (!Cause) {
@@ -183,7 +186,7 @@
   }
   if (!State.DueSince)
     State.DueSince = Now;
-  Duration Wait = rankFor(Group.group(), Now) * Opts.RankDelay;
+  Duration Wait = votersOf(Group.group(), Now).Rank * Opts.RankDelay;
   if (Now - *State.DueSince < Wait)
     return;
   State.InProgress = true;
@@ -191,7 +194,7 @@
 }
 
 void PromotionDriver::reserveIfFirst(const std::string &Group, TimePoint Now) {
-  if (Tokens.needsReservation(Group, Now) && rankFor(Group, Now) == 0)
+  if (Tokens.needsReservation(Group, Now) && votersOf(Group, Now).Rank == 0)
     spawn(Loop, Tokens.reserve(Group));
 }
 
--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -79,9 +79,22 @@
   LeaseExchange &leases() { return Leases; }
   /// Returns the live VM of this region that comes first in the order of the
   /// group and shares its evidence for leases; empty if that is this VM.
-  std::string leasePeer(const std::string &Group, TimePoint Now) const;
+  std::string leasePeer(const std::string &Group, TimePoint Now);
 
 private:
+  /// What a group's voters mean for this VM.
+  struct VoterView {
+    /// Versions of the live peers and the paths that the view was made from.
+    std::uint64_t LiveVersion = 0;
+    std::uint64_t PathsVersion = 0;
+    /// This VM's rank among the live voters, at most MaxRank. The order is that
+    /// of a hash, so that VMs with the same view of the fleet agree on it.
+    std::size_t Rank = 0;
+    /// Number of live peers that are voters.
+    std::size_t Peers = 0;
+    /// See leasePeer().
+    std::string LeasePeer;
+  };
   struct GroupState {
     bool InProgress = false;
     /// Since when a promotion has been due; empty while none is.
@@ -91,6 +104,7 @@
     TimePoint NextDoubtLog;
     /// Since when the primary is reached but not leased; empty while it is not.
     std::optional<TimePoint> BlockedSince;
+    VoterView Voters;
   };
 
   std::unique_ptr<PromotionProcedure> makeProcedure(PromotionService &Service);
@@ -106,14 +120,12 @@
   /// Returns whether the primary is reached but its use has been blocked for
   /// BlockedTimeout.
   bool isBlocked(GroupDispatcher &Group, TimePoint Now);
-  /// Returns the number of live peers that are voters of \p Group.
-  std::size_t liveVoters(const std::string &Group, TimePoint Now) const;
+  /// Returns the view of the voters of \p Group, made again if the live peers
+  /// or the paths have changed.
+  const VoterView &votersOf(const std::string &Group, TimePoint Now);
+  VoterView makeVoterView(const std::string &Group, TimePoint Now) const;
   /// Logs the evidence on a suspect primary, at most once in DoubtLogInterval.
   void logDoubt(GroupDispatcher &Group, TimePoint Now);
-  /// Returns this VM's rank for \p Group among the live voters, at most
-  /// MaxRank. The order is that of a hash, so that VMs with the same view of
-  /// the fleet agree on it.
-  std::size_t rankFor(const std::string &Group, TimePoint Now) const;
   /// Runs one attempt to replace \p OldPrimary and records its outcome.
   boost::asio::awaitable<void>
   runAttempt(std::string Group, std::string OldPrimary, PromotionReason Reason);
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -29,6 +29,8 @@
 
 bool PromotionTokens::needsReservation(const std::string &Group,
                                        TimePoint Now) const {
+  if (Now - StartedAt < Opts.ReservationDelay)
+    return false;
   auto It = Groups.find(Group);
   if (It == Groups.end())
     return true;
--- a/src/Promotion/PromotionTokens.h
+++ b/src/Promotion/PromotionTokens.h
@@ -29,10 +29,13 @@
     Duration StoreTimeout = std::chrono::milliseconds(700);
     /// Minimum time between two attempts to reserve a token.
     Duration ReservationInterval = std::chrono::milliseconds(2000);
+    /// Time after the start before which no token is reserved. A VM that does
+    /// not know the others yet takes itself for the one to reserve.
+    Duration ReservationDelay = std::chrono::milliseconds(3000);
   };
 
   PromotionTokens(Options Opts, ObjectStore &Store)
-      : Opts(std::move(Opts)), Store(Store) {}
+      : Opts(std::move(Opts)), Store(Store), StartedAt(BootClock::now()) {}
 
   /// Returns the reserved token, or claims a new one for a promotion of
   /// \p Instance. Fails with Conflict if another VM claimed at the same time,
@@ -60,6 +63,7 @@
 
   Options Opts;
   ObjectStore &Store;
+  TimePoint StartedAt;
   std::map<std::string, GroupState> Groups;
 };
 
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Proxy/PeerExchange.cpp
@@ -236,7 +236,27 @@
   }
 }
 
-std::vector<VmEntry> PeerExchange::livePeers(TimePoint Now) const {
+bool PeerExchange::isLivePeersOutdated(TimePoint Now) const {
+  return Now - LivePeersAt >= Opts.LivePeersInterval ||
+         LiveMembersVersion != Members.version() ||
+         LiveContacts != LastContactAt.size();
+}
+
+const std::vector<VmEntry> &PeerExchange::livePeers(TimePoint Now) const {
+  if (!isLivePeersOutdated(Now))
+    return LivePeers;
+  LivePeersAt = Now;
+  LiveMembersVersion = Members.version();
+  LiveContacts = LastContactAt.size();
+  std::vector<VmEntry> Found = findLivePeers(Now);
+  if (Found == LivePeers)
+    return LivePeers;
+  LivePeers = std::move(Found);
+  ++LiveVersion;
+  return LivePeers;
+}
+
+std::vector<VmEntry> PeerExchange::findLivePeers(TimePoint Now) const {
   std::vector<VmEntry> Out;
   std::vector<VmEntry> Usable = Members.usable();
   Duration SameRegionTimeout = peerTimeout(Usable, true);
@@ -254,7 +274,11 @@
 }
 
 void PeerExchange::updateServicePeers(TimePoint Now) {
-  Service.setPeers(livePeers(Now));
+  const std::vector<VmEntry> &Live = livePeers(Now);
+  if (ServiceLiveVersion == LiveVersion)
+    return;
+  ServiceLiveVersion = LiveVersion;
+  Service.setPeers(Live);
 }
 
 void PeerExchange::sendHellos(std::vector<VmEntry> Peers) {
--- a/src/Proxy/PeerExchange.h
+++ b/src/Proxy/PeerExchange.h
@@ -60,6 +60,8 @@
     /// fleet, where hellos between two VMs are less frequent, the timeout grows
     /// in proportion.
     Duration PeerTimeout = std::chrono::seconds(8);
+    /// Interval at which the list of live peers is renewed.
+    Duration LivePeersInterval = std::chrono::milliseconds(250);
     /// Minimum time between two queries about the same group and primary.
     Duration MinQueryInterval = std::chrono::milliseconds(80);
     /// Maximum number of peers that one query for a leadership proof goes to.
@@ -131,9 +133,13 @@
   void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
 
   VmEntry self() const;
+  const std::string &region() const { return Opts.Region; }
   /// Returns the VMs with a recent contact, except this one and those that are
-  /// leaving; see PeerTimeout.
-  std::vector<VmEntry> livePeers(TimePoint Now) const;
+  /// leaving; see PeerTimeout. The list is renewed every LivePeersInterval and
+  /// after each change of an entry.
+  const std::vector<VmEntry> &livePeers(TimePoint Now) const;
+  /// Returns a number that increases whenever livePeers() has changed.
+  std::uint64_t livePeersVersion() const { return LiveVersion; }
   const MemberTable &members() const { return Members; }
   /// Returns the VMs whose majority decides about leases and promotions.
   std::set<std::string> voters(TimePoint Now) const {
@@ -170,7 +176,10 @@
   boost::asio::awaitable<void> fetchAndApplyState(std::string Vm,
                                                   std::string Address);
   HttpResponse stateResponse() const;
-  /// Passes the live peers on to the service.
+  /// Returns whether the list of live peers has to be made again.
+  bool isLivePeersOutdated(TimePoint Now) const;
+  std::vector<VmEntry> findLivePeers(TimePoint Now) const;
+  /// Passes the live peers on to the service if they have changed.
   void updateServicePeers(TimePoint Now);
   /// If this VM knows a later incarnation of \p From than the one in \p From,
   /// sends it a hello with that entry, so that it takes a higher one.
@@ -194,6 +203,14 @@
   bool Fetching = false;
   /// Last contact with each VM, by name.
   std::map<std::string, TimePoint> LastContactAt;
+  /// The list of live peers, when it was made, and what it was made from.
+  mutable std::vector<VmEntry> LivePeers;
+  mutable TimePoint LivePeersAt;
+  mutable std::uint64_t LiveMembersVersion = 0;
+  mutable std::size_t LiveContacts = 0;
+  mutable std::uint64_t LiveVersion = 0;
+  /// Version of the list that the service has.
+  std::uint64_t ServiceLiveVersion = 0;
   /// Queries whose reports are still accepted, by number.
   std::map<std::uint64_t, PendingQuery> Queries;
   /// When each query was last sent, by group and instance.
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -20,6 +20,8 @@
 /// Maximum number of sessions closed in one sweep of a drain, so that not all
 /// callers reconnect at the same time.
 constexpr std::size_t MaxClosedPerSweep = 2;
+/// Minimum time between two updates of all paths.
+constexpr Duration PathUpdateInterval = std::chrono::milliseconds(100);
 /// Time that the load balancer takes to notice that this VM is draining.
 constexpr Duration BalancerNoticeTime = std::chrono::milliseconds(2500);
 /// The drain ends before the grace time does, by the grace time divided by this
@@ -65,7 +67,7 @@
     return nullptr;
   Plan.recordRelayRequest(Instance, BootClock::now());
   if (!Found->isDirect(Instance))
-    updatePaths();
+    updatePathsOf(*Found);
   return Found;
 }
 
@@ -118,19 +120,20 @@
   std::size_t PreviousCount = Plan.vms();
   if (!Plan.setPeers(LivePeers))
     return;
-  Peers = LivePeers;
+  Peers.clear();
+  for (const VmEntry &Each : LivePeers)
+    Peers[Each.Vm] = Each;
   if (Plan.vms() != PreviousCount)
     internal::Logger.info("number of VMs that share connections changed",
                           {{"count", std::to_string(Plan.vms())},
                            {"before", std::to_string(PreviousCount)}});
-  updatePaths();
 }
 
 std::optional<VmEntry> ProxyService::findPeer(const std::string &Vm) const {
-  for (const VmEntry &Each : Peers)
-    if (Each.Vm == Vm)
-      return Each;
-  return std::nullopt;
+  auto It = Peers.find(Vm);
+  if (It == Peers.end())
+    return std::nullopt;
+  return It->second;
 }
 
 static unsigned maxConnections(const ProxyConfig &Config,
@@ -162,22 +165,26 @@
 }
 
 void ProxyService::updatePaths() {
-  for (auto &[Name, Group] : Groups) {
-    unsigned Connections = maxConnections(*Config, Name);
-    if (Connections == 0)
-      continue;
-    std::map<std::string, TargetPath> Paths;
-    bool IsVoter = false;
-    for (const TargetEntry &Entry : Group->entries()) {
-      TargetPath Path = Plan.pathTo(Entry, Connections);
-      IsVoter |= Path.Direct;
-      Paths[Entry.Instance] = std::move(Path);
-    }
-    Group->setPaths(Paths, IsVoter);
+  for (auto &[Name, Group] : Groups)
+    updatePathsOf(*Group);
+}
+
+void ProxyService::updatePathsOf(GroupDispatcher &Group) {
+  unsigned Connections = maxConnections(*Config, Group.group());
+  if (Connections == 0)
+    return;
+  std::map<std::string, TargetPath> Paths;
+  bool IsVoter = false;
+  for (const TargetEntry &Entry : Group.entries()) {
+    TargetPath Path = Plan.pathTo(Entry, Connections);
+    IsVoter |= Path.Direct;
+    Paths[Entry.Instance] = std::move(Path);
   }
+  Group.setPaths(Paths, IsVoter);
 }
 
 void ProxyService::updateGroups() {
+  ++TargetsUpdates;
   for (const auto &[Name, Limits] : Config->Groups) {
     if (Groups.count(Name))
       continue;
@@ -261,8 +268,10 @@
 void ProxyService::sweep(TimePoint Now) {
   if (Directory.expire(Now))
     updateGroups();
-  if (Plan.sweep(Now))
+  if (Now >= NextPathUpdate && Plan.sweep(Now)) {
+    NextPathUpdate = Now + internal::PathUpdateInterval;
     updatePaths();
+  }
   std::vector<std::shared_ptr<CallerSession>> Current(Sessions.begin(),
                                                       Sessions.end());
   for (const std::shared_ptr<CallerSession> &Session : Current)
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -63,6 +63,10 @@
   /// Sets the other live VMs, with which this one shares the connections of the
   /// targets.
   void setPeers(const std::vector<VmEntry> &LivePeers);
+  /// Returns a number that increases whenever paths may have changed.
+  std::uint64_t pathsVersion() const {
+    return Plan.version() + TargetsUpdates;
+  }
   /// Returns the live peer named \p Vm; empty if there is none.
   std::optional<VmEntry> findPeer(const std::string &Vm) const;
   /// Returns the names of the voters of \p Group: the VMs whose reports are
@@ -144,6 +148,8 @@
   void updateGroups();
   /// Sets the paths to all targets.
   void updatePaths();
+  /// Sets the paths to the targets of \p Group.
+  void updatePathsOf(GroupDispatcher &Group);
   /// Opens the sessions that have waited for the first configuration.
   void openWaitingSessions();
   /// Closes the idle sessions of databases that \p Previous lists and the
@@ -160,8 +166,13 @@
   std::map<std::string, std::unique_ptr<GroupDispatcher>> Groups;
   std::set<std::shared_ptr<CallerSession>> Sessions;
   RelayPlan Plan;
-  std::vector<VmEntry> Peers;
+  /// Time before which a change of the peers does not change the paths, so that
+  /// the paths are not computed once for each VM that starts.
+  TimePoint NextPathUpdate;
+  std::map<std::string, VmEntry> Peers;
   std::uint64_t TargetsRevision = 0;
+  /// Number of updates of the groups and their targets.
+  std::uint64_t TargetsUpdates = 0;
   std::function<void()> ConfigHook;
   LogRateLimiter RequestLogLimiter;
   std::optional<TimePoint> DrainSince;
--- a/src/Proxy/RelayPlan.h
+++ b/src/Proxy/RelayPlan.h
@@ -38,7 +38,9 @@
 /// rendezvous hashing, first among the VMs in the target's failure domain, then
 /// among those in its region, then among all. VMs with the same view of the
 /// fleet choose the same relays. A VM that is asked to relay does so even if
-/// its own view differs. Does no input or output; pathTo takes O(VMs).
+/// its own view differs. Does no input or output. The relays of a target are
+/// computed once for each change of the plan, in O(VMs in its failure domain),
+/// or O(VMs) if that has too few.
 class RelayPlan {
 public:
   struct Options {
@@ -70,11 +72,13 @@
     Duration RelayRequestLifetime = std::chrono::seconds(10);
   };
 
-  explicit RelayPlan(Options Opts) : Opts(std::move(Opts)) {}
+  explicit RelayPlan(Options Opts);
 
   /// Sets the other VMs that are alive and not leaving. Returns whether they
   /// differ from the previous ones.
   bool setPeers(std::vector<VmEntry> Alive);
+  /// Returns a number that increases whenever paths may have changed.
+  std::uint64_t version() const { return Version; }
   /// Returns the number of VMs, including this one.
   std::size_t vms() const { return Peers.size() + 1; }
 
@@ -95,12 +99,22 @@
                                  unsigned MaxConnections) const;
 
 private:
+  /// Index of a VM in Peers, or Peers.size() for this VM.
+  using VmIndex = std::size_t;
+
   bool allDirect(unsigned MaxConnections) const;
   /// Returns the relays of \p Target, best first.
-  std::vector<VmEntry> chooseRelays(const TargetEntry &Target) const;
-  /// Returns 0 if \p Vm is in the target's failure domain, 1 if it is only in
-  /// the target's region, otherwise 2.
-  int distance(const VmEntry &Vm, const TargetEntry &Target) const;
+  const std::vector<VmIndex> &relaysFor(const TargetEntry &Target) const;
+  std::vector<VmIndex> chooseRelays(const TargetEntry &Target) const;
+  /// Sorts those of \p Candidates that are not excluded by the hash of \p
+  /// Target and appends them to \p Out until it has RelaysPerTarget VMs.
+  void appendBest(const TargetEntry &Target,
+                  const std::vector<VmIndex> &Candidates,
+                  std::vector<VmIndex> &Out) const;
+  const VmEntry &entryAt(VmIndex Index) const;
+  void recordChange();
+  /// Groups the VMs by failure domain and region.
+  void indexVms();
 
   struct Exclusion {
     TimePoint Until;
@@ -113,7 +127,16 @@
   bool sweepExclusions(TimePoint Now);
 
   Options Opts;
+  VmEntry Self;
   std::vector<VmEntry> Peers;
+  /// Hashes of the VMs' names, by index.
+  std::vector<std::uint64_t> NameHashes;
+  std::map<std::string, std::vector<VmIndex>> ByDomain;
+  std::map<std::string, std::vector<VmIndex>> ByRegion;
+  std::vector<VmIndex> AllVms;
+  /// Relays by target, as of Version.
+  mutable std::map<std::string, std::vector<VmIndex>> Cache;
+  std::uint64_t Version = 0;
   /// By VM. An expired exclusion is kept for its length once more, so that a
   /// VM which is unreachable again is excluded for twice that time.
   std::map<std::string, Exclusion> Exclusions;
