Part src/Proxy into its subjects

Ruled out: splitting classes at the same time (that changes code); another order of the folders (the includes already had this one: the picture of the folders shows 0 arrows upwards and 0 circles before and after).

Change: Config, Links, Dispatch, Relays, Callers, Exchange, each with its umbrella header; Proxy keeps ProxyService and ProxyState; ProxyStatus goes to Daemons, which is above both that it reads. Tests follow their subjects. Moves and includes only, no behaviour.

Measured: src/Proxy 6,951 lines before, 667 after; largest new folder Links, 1,727.

--- a/src/Proxy/CallerRequests.cpp
+++ b/src/Callers/CallerRequests.cpp
@@ -1,9 +1,9 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
+#include "Callers/CallerSession.h"
+#include "Dispatch/GroupDispatcher.h"
 #include "Net/LineStream.h"
-#include "Proxy/CallerSession.h"
-#include "Proxy/GroupDispatcher.h"
 
 #include <algorithm>
 
--- a/src/Proxy/CallerSession.cpp
+++ b/src/Callers/CallerSession.cpp
@@ -1,10 +1,10 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/CallerSession.h"
+#include "Callers/CallerSession.h"
 
+#include "Dispatch/GroupDispatcher.h"
 #include "Net/LineStream.h"
-#include "Proxy/GroupDispatcher.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/Proxy/CallerSession.h
+++ b/src/Callers/CallerSession.h
@@ -1,14 +1,14 @@
-#ifndef CICADAWIND_PROXY_CALLERSESSION_H
-#define CICADAWIND_PROXY_CALLERSESSION_H
+#ifndef CICADAWIND_CALLERS_CALLERSESSION_H
+#define CICADAWIND_CALLERS_CALLERSESSION_H
 
+#include "Callers/ActiveRequest.h"
+#include "Callers/CallerTransaction.h"
+#include "Callers/RequestReport.h"
+#include "Config/ProxyConfig.h"
 #include "Core/Error.h"
-#include "Proxy/ActiveRequest.h"
-#include "Proxy/CallerTransaction.h"
-#include "Proxy/LinkRequest.h"
-#include "Proxy/PreparedStatement.h"
-#include "Proxy/ProxyConfig.h"
-#include "Proxy/RequestReport.h"
-#include "Proxy/TargetLink.h"
+#include "Links/LinkRequest.h"
+#include "Links/PreparedStatement.h"
+#include "Links/TargetLink.h"
 #include "Statements/StatementCodec.h"
 
 #include <cstdint>
--- /dev/null
+++ b/src/Config/Config.h
@@ -0,0 +1,9 @@
+/// \file
+/// Config module: the routes and limits that operators set for the proxy.
+#ifndef CICADAWIND_CONFIG_CONFIG_H
+#define CICADAWIND_CONFIG_CONFIG_H
+
+#include "Config/ProxyConfig.h"
+#include "Config/ProxyConfigCheck.h"
+
+#endif
--- a/src/Proxy/ProxyConfigCheck.cpp
+++ b/src/Config/ProxyConfigCheck.cpp
@@ -1,4 +1,4 @@
-#include "Proxy/ProxyConfigCheck.h"
+#include "Config/ProxyConfigCheck.h"
 
 namespace cicadawind {
 namespace internal {
--- a/src/Proxy/ProxyConfigCheck.h
+++ b/src/Config/ProxyConfigCheck.h
@@ -1,7 +1,7 @@
-#ifndef CICADAWIND_PROXY_PROXYCONFIGCHECK_H
-#define CICADAWIND_PROXY_PROXYCONFIGCHECK_H
+#ifndef CICADAWIND_CONFIG_PROXYCONFIGCHECK_H
+#define CICADAWIND_CONFIG_PROXYCONFIGCHECK_H
 
-#include "Proxy/ProxyConfig.h"
+#include "Config/ProxyConfig.h"
 
 #include <string>
 #include <vector>
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -4,9 +4,9 @@
 #include "Daemons/ProxyDaemon.h"
 
 #include "Async/AsyncSignal.h"
+#include "Daemons/ProxyStatus.h"
 #include "Leases/LeasedPrimaryGuard.h"
 #include "Observability/Log.h"
-#include "Proxy/ProxyStatus.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -2,13 +2,13 @@
 #define CICADAWIND_DAEMONS_PROXYDAEMON_H
 
 #include "Async/LoopTimers.h"
+#include "Exchange/PeerExchange.h"
+#include "Exchange/VmRegistration.h"
 #include "Http/HttpServer.h"
 #include "Observability/Metrics.h"
 #include "Promotion/PromotionDriver.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
-#include "Proxy/RelayService.h"
-#include "Proxy/VmRegistration.h"
+#include "Relays/RelayService.h"
 #include "Settings/ProxySettings.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/Proxy/ProxyStatus.cpp
+++ b/src/Daemons/ProxyStatus.cpp
@@ -1,9 +1,9 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/ProxyStatus.h"
+#include "Daemons/ProxyStatus.h"
 
-#include "Proxy/PeerExchange.h"
+#include "Exchange/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 
 #include <nlohmann/json.hpp>
--- a/src/Proxy/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -1,12 +1,12 @@
-#ifndef CICADAWIND_PROXY_GROUPDISPATCHER_H
-#define CICADAWIND_PROXY_GROUPDISPATCHER_H
+#ifndef CICADAWIND_DISPATCH_GROUPDISPATCHER_H
+#define CICADAWIND_DISPATCH_GROUPDISPATCHER_H
 
 #include "Core/Random.h"
+#include "Dispatch/PrimaryFailureDetector.h"
 #include "Groups/PrimaryTracker.h"
 #include "Leases/PrimaryGuard.h"
-#include "Proxy/LinkRequest.h"
-#include "Proxy/PrimaryFailureDetector.h"
-#include "Proxy/TargetConnections.h"
+#include "Links/LinkRequest.h"
+#include "Links/TargetConnections.h"
 #include "Routing/ReadRouter.h"
 
 #include <functional>
--- a/src/Proxy/GroupLease.cpp
+++ b/src/Dispatch/GroupLease.cpp
@@ -1,7 +1,7 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/GroupDispatcher.h"
+#include "Dispatch/GroupDispatcher.h"
 
 #include "Leases/PrimaryLease.h"
 #include "Observability/Log.h"
--- a/src/Proxy/PrimaryFailureDetector.cpp
+++ b/src/Dispatch/PrimaryFailureDetector.cpp
@@ -1,4 +1,4 @@
-#include "Proxy/PrimaryFailureDetector.h"
+#include "Dispatch/PrimaryFailureDetector.h"
 
 namespace cicadawind {
 
--- a/src/Proxy/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -1,7 +1,7 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/PeerExchange.h"
+#include "Exchange/PeerExchange.h"
 
 #include "Async/AsyncSignal.h"
 #include "Http/HttpClient.h"
--- a/src/Proxy/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -1,11 +1,11 @@
-#ifndef CICADAWIND_PROXY_PEEREXCHANGE_H
-#define CICADAWIND_PROXY_PEEREXCHANGE_H
+#ifndef CICADAWIND_EXCHANGE_PEEREXCHANGE_H
+#define CICADAWIND_EXCHANGE_PEEREXCHANGE_H
 
 #include "Core/Random.h"
+#include "Exchange/PeerMessage.h"
 #include "Http/HttpMessage.h"
 #include "Leases/VoterList.h"
 #include "Membership/MemberTable.h"
-#include "Proxy/PeerMessage.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
--- a/src/Proxy/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -1,4 +1,4 @@
-#include "Proxy/PeerMessage.h"
+#include "Exchange/PeerMessage.h"
 
 #include "Membership/VmEntryCodec.h"
 
--- a/src/Proxy/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -1,14 +1,14 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/VmRegistration.h"
+#include "Exchange/VmRegistration.h"
 
 #include "Async/AsyncSignal.h"
+#include "Exchange/PeerExchange.h"
 #include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/ObjectWatcher.h"
-#include "Proxy/PeerExchange.h"
 
 namespace cicadawind {
 namespace internal {
--- a/src/Proxy/LinkRequest.h
+++ b/src/Links/LinkRequest.h
@@ -1,9 +1,9 @@
-#ifndef CICADAWIND_PROXY_LINKREQUEST_H
-#define CICADAWIND_PROXY_LINKREQUEST_H
+#ifndef CICADAWIND_LINKS_LINKREQUEST_H
+#define CICADAWIND_LINKS_LINKREQUEST_H
 
 #include "Core/Error.h"
 #include "Groups/PrimaryTracker.h"
-#include "Proxy/LinkGrant.h"
+#include "Links/LinkGrant.h"
 
 #include <functional>
 #include <optional>
--- a/src/Proxy/RelayLine.cpp
+++ b/src/Links/RelayLine.cpp
@@ -1,4 +1,4 @@
-#include "Proxy/RelayLine.h"
+#include "Links/RelayLine.h"
 
 #include <charconv>
 
--- a/src/Proxy/RelayPlan.cpp
+++ b/src/Links/RelayPlan.cpp
@@ -1,4 +1,4 @@
-#include "Proxy/RelayPlan.h"
+#include "Links/RelayPlan.h"
 
 #include "Core/Random.h"
 
--- a/src/Proxy/RelayPlan.h
+++ b/src/Links/RelayPlan.h
@@ -1,9 +1,9 @@
-#ifndef CICADAWIND_PROXY_RELAYPLAN_H
-#define CICADAWIND_PROXY_RELAYPLAN_H
+#ifndef CICADAWIND_LINKS_RELAYPLAN_H
+#define CICADAWIND_LINKS_RELAYPLAN_H
 
 #include "Core/Clock.h"
+#include "Links/TargetEntry.h"
 #include "Membership/VmEntry.h"
-#include "Proxy/TargetEntry.h"
 
 #include <cstdint>
 #include <map>
--- a/src/Proxy/TargetConnections.h
+++ b/src/Links/TargetConnections.h
@@ -1,10 +1,10 @@
-#ifndef CICADAWIND_PROXY_TARGETCONNECTIONS_H
-#define CICADAWIND_PROXY_TARGETCONNECTIONS_H
+#ifndef CICADAWIND_LINKS_TARGETCONNECTIONS_H
+#define CICADAWIND_LINKS_TARGETCONNECTIONS_H
 
 #include "Admission/ConcurrencyLimit.h"
-#include "Proxy/RelayPlan.h"
-#include "Proxy/TargetEntry.h"
-#include "Proxy/TargetLink.h"
+#include "Links/RelayPlan.h"
+#include "Links/TargetEntry.h"
+#include "Links/TargetLink.h"
 
 #include <deque>
 #include <functional>
--- a/src/Proxy/TargetDirectory.cpp
+++ b/src/Links/TargetDirectory.cpp
@@ -1,4 +1,4 @@
-#include "Proxy/TargetDirectory.h"
+#include "Links/TargetDirectory.h"
 
 namespace cicadawind {
 
--- a/src/Proxy/TargetDirectory.h
+++ b/src/Links/TargetDirectory.h
@@ -1,8 +1,8 @@
-#ifndef CICADAWIND_PROXY_TARGETDIRECTORY_H
-#define CICADAWIND_PROXY_TARGETDIRECTORY_H
+#ifndef CICADAWIND_LINKS_TARGETDIRECTORY_H
+#define CICADAWIND_LINKS_TARGETDIRECTORY_H
 
 #include "Core/Clock.h"
-#include "Proxy/TargetEntry.h"
+#include "Links/TargetEntry.h"
 
 #include <map>
 #include <optional>
--- a/src/Proxy/TargetLink.cpp
+++ b/src/Links/TargetLink.cpp
@@ -1,7 +1,7 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/TargetLink.h"
+#include "Links/TargetLink.h"
 
 #include <cassert>
 #include <unordered_map>
--- a/src/Proxy/TargetLink.h
+++ b/src/Links/TargetLink.h
@@ -1,9 +1,9 @@
-#ifndef CICADAWIND_PROXY_TARGETLINK_H
-#define CICADAWIND_PROXY_TARGETLINK_H
+#ifndef CICADAWIND_LINKS_TARGETLINK_H
+#define CICADAWIND_LINKS_TARGETLINK_H
 
 #include "Core/Error.h"
+#include "Links/RelayLine.h"
 #include "Net/LineStream.h"
-#include "Proxy/RelayLine.h"
 #include "Statements/StatementCodec.h"
 
 #include <deque>
--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -3,10 +3,10 @@
 
 #include "Promotion/FencedPromotion.h"
 
+#include "Exchange/PeerExchange.h"
 #include "Observability/Log.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/PromotionTokens.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 
 namespace cicadawind {
--- a/src/Promotion/LeaseExchange.cpp
+++ b/src/Promotion/LeaseExchange.cpp
@@ -3,10 +3,10 @@
 
 #include "Promotion/LeaseExchange.h"
 
+#include "Exchange/PeerExchange.h"
 #include "Leases/PrimaryLease.h"
 #include "Leases/PromotionPromise.h"
 #include "Observability/Log.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 
 namespace cicadawind {
--- a/src/Promotion/LeaseExchange.h
+++ b/src/Promotion/LeaseExchange.h
@@ -2,8 +2,8 @@
 #define CICADAWIND_PROMOTION_LEASEEXCHANGE_H
 
 #include "Core/Clock.h"
+#include "Exchange/PeerMessage.h"
 #include "Leases/PromotionVote.h"
-#include "Proxy/PeerMessage.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -4,12 +4,12 @@
 #include "Promotion/LeasedPromotion.h"
 
 #include "Async/AsyncSignal.h"
+#include "Exchange/PeerExchange.h"
 #include "Leases/PrimaryLease.h"
 #include "Observability/Log.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/LeaseExchange.h"
 #include "Promotion/PromotionTokens.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 
 #include <algorithm>
--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -5,10 +5,10 @@
 
 #include "Async/AsyncSignal.h"
 #include "Core/Random.h"
+#include "Exchange/PeerExchange.h"
 #include "Leases/PrimaryLease.h"
 #include "Observability/Log.h"
 #include "Observability/Metrics.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -1,14 +1,14 @@
 #ifndef CICADAWIND_PROXY_PROXYSERVICE_H
 #define CICADAWIND_PROXY_PROXYSERVICE_H
 
+#include "Callers/CallerSession.h"
+#include "Config/ProxyConfig.h"
 #include "Core/Random.h"
+#include "Dispatch/GroupDispatcher.h"
+#include "Links/RelayPlan.h"
+#include "Links/TargetDirectory.h"
 #include "Observability/LogRateLimiter.h"
-#include "Proxy/CallerSession.h"
-#include "Proxy/GroupDispatcher.h"
-#include "Proxy/ProxyConfig.h"
 #include "Proxy/ProxyState.h"
-#include "Proxy/RelayPlan.h"
-#include "Proxy/TargetDirectory.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
--- a/src/Proxy/ProxyState.h
+++ b/src/Proxy/ProxyState.h
@@ -1,9 +1,9 @@
 #ifndef CICADAWIND_PROXY_PROXYSTATE_H
 #define CICADAWIND_PROXY_PROXYSTATE_H
 
+#include "Config/ProxyConfig.h"
 #include "Core/Result.h"
-#include "Proxy/ProxyConfig.h"
-#include "Proxy/TargetEntry.h"
+#include "Links/TargetEntry.h"
 
 #include <cstdint>
 #include <string>
--- a/src/Proxy/RelayService.cpp
+++ b/src/Relays/RelayService.cpp
@@ -1,7 +1,7 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/RelayService.h"
+#include "Relays/RelayService.h"
 
 #include "Net/LineStream.h"
 
--- a/src/Proxy/RelayService.h
+++ b/src/Relays/RelayService.h
@@ -1,7 +1,7 @@
-#ifndef CICADAWIND_PROXY_RELAYSERVICE_H
-#define CICADAWIND_PROXY_RELAYSERVICE_H
+#ifndef CICADAWIND_RELAYS_RELAYSERVICE_H
+#define CICADAWIND_RELAYS_RELAYSERVICE_H
 
-#include "Proxy/RelaySession.h"
+#include "Relays/RelaySession.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
--- a/src/Proxy/RelaySession.cpp
+++ b/src/Relays/RelaySession.cpp
@@ -1,12 +1,12 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
-#include "Proxy/RelaySession.h"
+#include "Relays/RelaySession.h"
 
+#include "Dispatch/GroupDispatcher.h"
+#include "Links/RelayLine.h"
 #include "Net/LineStream.h"
 #include "Observability/Log.h"
-#include "Proxy/GroupDispatcher.h"
-#include "Proxy/RelayLine.h"
 
 #include <cassert>
 
--- a/src/Proxy/RelaySession.h
+++ b/src/Relays/RelaySession.h
@@ -1,10 +1,10 @@
-#ifndef CICADAWIND_PROXY_RELAYSESSION_H
-#define CICADAWIND_PROXY_RELAYSESSION_H
+#ifndef CICADAWIND_RELAYS_RELAYSESSION_H
+#define CICADAWIND_RELAYS_RELAYSESSION_H
 
 #include "Core/Error.h"
-#include "Proxy/LinkGrant.h"
-#include "Proxy/PreparedStatement.h"
-#include "Proxy/TargetLink.h"
+#include "Links/LinkGrant.h"
+#include "Links/PreparedStatement.h"
+#include "Links/TargetLink.h"
 #include "Statements/StatementCodec.h"
 
 #include <cstdint>
--- a/test/Proxy/SessionLifeTest.cpp
+++ b/test/Callers/SessionLifeTest.cpp
@@ -4,9 +4,9 @@
 #define BOOST_TEST_MODULE SessionLife
 #include <boost/test/unit_test.hpp>
 
+#include "Callers/CallerSession.h"
 #include "LineProtocol.h"
 #include "Net/LineStream.h"
-#include "Proxy/CallerSession.h"
 
 #include <boost/asio.hpp>
 
--- a/test/Cli/ProxyCommandsTest.cpp
+++ b/test/Cli/ProxyCommandsTest.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Cli/ProxyCommands.h"
-#include "Proxy/ProxyConfigCheck.h"
+#include "Config/ProxyConfigCheck.h"
 
 #include <nlohmann/json.hpp>
 
--- a/test/Proxy/PrimaryFailureDetectorTest.cpp
+++ b/test/Dispatch/PrimaryFailureDetectorTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE PrimaryFailureDetector
 #include <boost/test/unit_test.hpp>
 
-#include "Proxy/PrimaryFailureDetector.h"
+#include "Dispatch/PrimaryFailureDetector.h"
 
 using namespace cicadawind;
 using namespace std::chrono_literals;
--- a/test/Proxy/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -4,10 +4,10 @@
 #define BOOST_TEST_MODULE PeerExchange
 #include <boost/test/unit_test.hpp>
 
+#include "Daemons/ProxyStatus.h"
+#include "Exchange/PeerExchange.h"
+#include "Exchange/PeerVm.h"
 #include "Http/HttpClient.h"
-#include "Proxy/PeerExchange.h"
-#include "Proxy/PeerVm.h"
-#include "Proxy/ProxyStatus.h"
 #include "Proxy/ProxyWorld.h"
 #include "System/PortBlock.h"
 
--- a/test/Proxy/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE PeerMessage
 #include <boost/test/unit_test.hpp>
 
-#include "Proxy/PeerMessage.h"
+#include "Exchange/PeerMessage.h"
 #include "Proxy/ProxyState.h"
 
 #include <rapidcheck.h>
--- a/test/Proxy/PeerVm.h
+++ b/test/Exchange/PeerVm.h
@@ -1,8 +1,8 @@
-#ifndef CICADAWIND_TEST_PROXY_PEERVM_H
-#define CICADAWIND_TEST_PROXY_PEERVM_H
+#ifndef CICADAWIND_TEST_EXCHANGE_PEERVM_H
+#define CICADAWIND_TEST_EXCHANGE_PEERVM_H
 
+#include "Exchange/PeerMessage.h"
 #include "Http/HttpServer.h"
-#include "Proxy/PeerMessage.h"
 #include "Proxy/ProxyState.h"
 #include "Proxy/ProxyWorld.h"
 
--- a/test/Proxy/RelayPlanTest.cpp
+++ b/test/Links/RelayPlanTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE RelayPlan
 #include <boost/test/unit_test.hpp>
 
-#include "Proxy/RelayPlan.h"
+#include "Links/RelayPlan.h"
 
 #include <algorithm>
 
--- a/test/Proxy/TargetDirectoryTest.cpp
+++ b/test/Links/TargetDirectoryTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE TargetDirectory
 #include <boost/test/unit_test.hpp>
 
-#include "Proxy/TargetDirectory.h"
+#include "Links/TargetDirectory.h"
 
 using namespace cicadawind;
 using namespace std::chrono_literals;
--- a/test/Promotion/LeasedFleet.h
+++ b/test/Promotion/LeasedFleet.h
@@ -3,13 +3,13 @@
 
 #include "Emulator/EmulatedGroup.h"
 #include "Emulator/EmulatedInstance.h"
+#include "Exchange/PeerExchange.h"
 #include "Fakes/MemoryStore.h"
 #include "Http/HttpClient.h"
 #include "LineProtocol.h"
 #include "Observability/Metrics.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/PromotionDriver.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 #include "System/PortBlock.h"
 
--- a/test/Promotion/PromotionDriverTest.cpp
+++ b/test/Promotion/PromotionDriverTest.cpp
@@ -4,12 +4,12 @@
 #define BOOST_TEST_MODULE PromotionDriver
 #include <boost/test/unit_test.hpp>
 
+#include "Exchange/PeerExchange.h"
+#include "Exchange/PeerVm.h"
 #include "Fakes/MemoryStore.h"
 #include "Http/HttpClient.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/PromotionDriver.h"
-#include "Proxy/PeerExchange.h"
-#include "Proxy/PeerVm.h"
 #include "Proxy/ProxyWorld.h"
 #include "System/PortBlock.h"
 
--- a/test/Proxy/RelayTest.cpp
+++ b/test/Relays/RelayTest.cpp
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Proxy/ProxyWorld.h"
-#include "Proxy/RelayService.h"
+#include "Relays/RelayService.h"
 
 #include <boost/asio.hpp>
 
--- a/test/Scale/LargeFleet.h
+++ b/test/Scale/LargeFleet.h
@@ -1,13 +1,13 @@
 #ifndef CICADAWIND_TEST_SCALE_LARGEFLEET_H
 #define CICADAWIND_TEST_SCALE_LARGEFLEET_H
 
+#include "Exchange/PeerExchange.h"
 #include "Fakes/MemoryStore.h"
 #include "Http/HttpClient.h"
 #include "LineProtocol.h"
 #include "Observability/Metrics.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/PromotionDriver.h"
-#include "Proxy/PeerExchange.h"
 #include "Proxy/ProxyService.h"
 #include "Scale/AnyTarget.h"
 #include "System/PortBlock.h"
