Let no majority of restarted VMs forget an order that is still pending

Ruled out: a quarantine of 15 s for all votes (after a restart of half of the VMs nothing could be promoted for 15 s).

Change: a vote says whether its VM has run longer than an order may be pending. A majority counts if the VMs that do not vote or do not remember are no majority by themselves, or if all VMs vote.

Open: after a restart of ALL VMs nobody remembers an order that was sent just before.

--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -96,6 +96,7 @@
               {"gave_up", Vote.GaveUp},
               {"reaches", Vote.ReachesPrimary},
               {"counts", Vote.Counts},
+              {"remembers", Vote.RemembersOrders},
               {"token", Vote.HighestToken},
               {"known", Vote.KnownTerm},
               {"named", Vote.NamedTerm},
@@ -170,6 +171,7 @@
   Out.Vote.GaveUp = In.at("gave_up").get<bool>();
   Out.Vote.ReachesPrimary = In.at("reaches").get<bool>();
   Out.Vote.Counts = In.at("counts").get<bool>();
+  Out.Vote.RemembersOrders = In.at("remembers").get<bool>();
   Out.Vote.HighestToken = In.at("token").get<std::uint64_t>();
   Out.Vote.KnownTerm = In.at("known").get<Term>();
   Out.Vote.NamedTerm = In.at("named").get<Term>();
--- a/src/Leases/PromotionBallot.cpp
+++ b/src/Leases/PromotionBallot.cpp
@@ -43,6 +43,7 @@
     return;
   VmState &State = Votes[Vm];
   State.GaveUp |= Vote.GaveUp;
+  State.RemembersOrders = Vote.RemembersOrders;
   if (Vote.Counts && RequestedAt >= ChangedAt)
     State.CountedAt =
         std::max(State.CountedAt.value_or(RequestedAt), RequestedAt);
@@ -66,10 +67,15 @@
 
 bool PromotionBallot::hasMajority(TimePoint Now) const {
   std::size_t Count = 0;
-  for (const auto &[Vm, State] : Votes)
-    if (State.CountedAt && Now < *State.CountedAt + Opts.OrderWindow)
-      ++Count;
-  return 2 * Count > Opts.Vms.size();
+  std::size_t Remembering = 0;
+  for (const auto &[Vm, State] : Votes) {
+    bool Holds = State.CountedAt && Now < *State.CountedAt + Opts.OrderWindow;
+    Count += Holds ? 1 : 0;
+    Remembering += Holds && State.RemembersOrders ? 1 : 0;
+  }
+  std::size_t All = Opts.Vms.size();
+  bool KnowsEarlierOrders = 2 * Remembering >= All || Count == All;
+  return 2 * Count > All && KnowsEarlierOrders;
 }
 
 bool PromotionBallot::allGaveUp() const {
--- a/src/Leases/PromotionBallot.h
+++ b/src/Leases/PromotionBallot.h
@@ -81,7 +81,10 @@
   /// Returns the highest term that a VM or an instance reported. A later
   /// proposal must open a higher one.
   Term highestTerm() const { return HighestTerm; }
-  /// Returns whether a majority of the VMs holds the proposal at \p Now.
+  /// Returns whether a majority of the VMs holds the proposal at \p Now, and
+  /// includes a VM that knows of each earlier order which may still be carried
+  /// out: the VMs that do not vote or do not remember are no majority by
+  /// themselves, or all VMs vote.
   bool hasMajority(TimePoint Now) const;
   /// Returns whether all VMs have given up their leases.
   bool allGaveUp() const;
@@ -109,6 +112,7 @@
     bool GaveUp = false;
     /// Request time of the latest vote that counts for the current successor.
     std::optional<TimePoint> CountedAt;
+    bool RemembersOrders = false;
   };
 
   Options Opts;
--- a/src/Leases/PromotionPromise.cpp
+++ b/src/Leases/PromotionPromise.cpp
@@ -23,6 +23,7 @@
   if (!Out.Granted)
     return Out;
   Out.Counts = countsForProposals(Now);
+  Out.RemembersOrders = remembersOrders(Now);
   Out.GaveUp = Proposal.Kind != ProposalKind::Planned;
   bool IsNew = Proposal.Token != HighestToken;
   if (IsNew)
@@ -86,7 +87,7 @@
 LeaseVote PromotionPromise::leaseVote(Term Leading, TimePoint Now) const {
   if (Leading < BlockedBelow || Leading < KnownTerm)
     return LeaseVote::Objects;
-  return countsForLeases(Now) ? LeaseVote::Supports : LeaseVote::Unknown;
+  return remembersOrders(Now) ? LeaseVote::Supports : LeaseVote::Unknown;
 }
 
 } // namespace cicadawind
--- a/src/Leases/PromotionPromise.h
+++ b/src/Leases/PromotionPromise.h
@@ -63,7 +63,7 @@
     return Now - StartedAt >= Opts.Quarantine;
   }
   /// An order that this VM has forgotten may be carried out until then.
-  bool countsForLeases(TimePoint Now) const {
+  bool remembersOrders(TimePoint Now) const {
     return Now - StartedAt >= Opts.OrderLifetime;
   }
 
--- a/src/Leases/PromotionVote.h
+++ b/src/Leases/PromotionVote.h
@@ -56,6 +56,9 @@
   /// Whether the vote counts towards the majority. It does not shortly after
   /// the VM has started, because the VM may have forgotten an earlier promise.
   bool Counts = false;
+  /// Whether the VM has run for so long that every order which it may have
+  /// forgotten at its start is over.
+  bool RemembersOrders = false;
   /// Whether the VM refused the proposal because it reaches the primary.
   bool ReachesPrimary = false;
   /// Highest token that the VM has seen for the group.
--- a/test/Leases/LeaseWorld.h
+++ b/test/Leases/LeaseWorld.h
@@ -30,6 +30,8 @@
   bool GiveUpLeases = true;
   /// A promotion keeps to the successor that an unanswered order named.
   bool KeepSuccessor = true;
+  /// VMs that have just started are no majority that knows all earlier orders.
+  bool KnowEarlierOrders = true;
 };
 
 /// \class LeaseWorld
--- a/test/Leases/PromotionPromiseTest.cpp
+++ b/test/Leases/PromotionPromiseTest.cpp
@@ -45,6 +45,12 @@
   BOOST_TEST(Promise.vote(proposal("vm-1", 5), at(2000)).Counts);
 }
 
+BOOST_AUTO_TEST_CASE(aVmThatHasJustStartedDoesNotKnowEarlierOrders) {
+  PromotionPromise Promise({}, Start);
+  BOOST_TEST(!Promise.vote(proposal("vm-1", 5), at(14999)).RemembersOrders);
+  BOOST_TEST(Promise.vote(proposal("vm-1", 5), at(15000)).RemembersOrders);
+}
+
 BOOST_AUTO_TEST_CASE(
     aNamedSuccessorStaysTheOnlyOneWhileItsOrderMayBeCarriedOut) {
   PromotionPromise Promise({}, Start);
