Keep the latest refusal of a target that is not primary

EarlierRefusalThatArrivesLateDoesNotAdmitAnOutdatedProof failed first.

Ruled out: proofs out of order (they were compared with the newest one already).

Change: the latest request time is kept.

--- a/src/Groups/PrimaryTracker.cpp
+++ b/src/Groups/PrimaryTracker.cpp
@@ -29,7 +29,9 @@
 
 void PrimaryTracker::recordNotPrimary(const std::string &Instance,
                                       TimePoint RequestedAt) {
-  NotPrimaryRequestAt[Instance] = RequestedAt;
+  TimePoint &Latest = NotPrimaryRequestAt[Instance];
+  // Replies may arrive out of order.
+  Latest = std::max(Latest, RequestedAt);
   bool Newer = !Confirmed || RequestedAt > ConfirmedAt;
   if (Instance != Primary || !Newer)
     return;
--- a/test/Groups/PrimaryTrackerTest.cpp
+++ b/test/Groups/PrimaryTrackerTest.cpp
@@ -77,6 +77,14 @@
   BOOST_TEST(Tracker.primary() == "");
 }
 
+BOOST_AUTO_TEST_CASE(EarlierRefusalThatArrivesLateDoesNotAdmitAnOutdatedProof) {
+  PrimaryTracker Tracker;
+  Tracker.recordNotPrimary("a", Start + 2s);
+  Tracker.recordNotPrimary("a", Start);
+  Tracker.recordLeadershipProof("a", position(1, 10), Start + 1s);
+  BOOST_TEST(Tracker.primary() == "");
+}
+
 // A peer that has not polled the old primary again still reports its earlier
 // proof. That proof must not make the old primary the primary again.
 BOOST_AUTO_TEST_CASE(OlderProofDoesNotRestoreARefusingPrimary) {
