Report no proof under the name of an unconfirmed primary

Cause: after a claim, PrimaryTracker keeps the earlier primary's proofs while the new one is not confirmed, and PeerQueries sent the newest of them under the new name.

Ruled out: dropping the proofs at a claim (they still cover writes that were acknowledged before them).

Change: a report has a proof only if the primary is confirmed.

--- a/src/Exchange/PeerQueries.cpp
+++ b/src/Exchange/PeerQueries.cpp
@@ -38,7 +38,8 @@
     }
     const PrimaryTracker &Tracker = Group->tracker();
     std::optional<LeadershipProof> Proof = Tracker.newest();
-    if (Proof) {
+    // Before the primary is confirmed, the newest proof is an earlier one's.
+    if (Proof && Tracker.isConfirmed()) {
       Report.Primary = Tracker.primary();
       Report.LogEnd = Proof->LogEnd;
       // Rounded up: with an understated age, the peer might serve reads that
--- a/test/Exchange/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -153,6 +153,24 @@
   BOOST_TEST((Group.tracker().newest()->RequestedAt <= Before));
 }
 
+// While a new primary is not confirmed, the newest proof is the earlier one's.
+// Under the new name, peers would take it for a proof of the new primary.
+BOOST_AUTO_TEST_CASE(proofIsNotReportedUnderTheNameOfAnUnconfirmedPrimary) {
+  PeerExchangeWorld World;
+  BOOST_TEST(World.makePeerLive());
+  World.instance("b").Faults.Silent = true;
+  GroupDispatcher &Group = *World.Service->findGroup("g");
+  Group.recordPrimaryClaim("b");
+  World.Peer.send(PrimaryQuery{.From = "vm-2", .Number = 1, .Group = "g"});
+  std::vector<PrimaryReport> Reports;
+  BOOST_TEST(World.runUntil([&] {
+    Reports = World.Peer.received<PrimaryReport>();
+    return !Reports.empty();
+  }));
+  BOOST_TEST(!Group.tracker().isConfirmed());
+  BOOST_TEST(Reports.front().Primary == "");
+}
+
 BOOST_AUTO_TEST_CASE(statusContainsPrimaryVersionsAndPeers) {
   PeerExchangeWorld World;
   BOOST_TEST(World.makePeerLive());
