Ask the next primary for a proof after a target was dropped, and close its connections

A request for a leadership proof that was outstanding at the target kept GroupDispatcher from ever asking again. A connection that a session returned after the target was listed again was lent out for its successor.

Ruled out: calling the hooks of a dropped target (their owners may be gone).

Change: the dispatcher keeps the name of the target that was asked and clears it with the target; TargetConnections closes a link that it did not open.

--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -90,6 +90,9 @@
   if (TargetConnections *Links = find(Instance))
     Links->close();
   Targets.erase(Instance);
+  // A dropped target calls no hook.
+  if (ProofTarget == Instance)
+    ProofTarget.clear();
   Views.erase(std::remove_if(Views.begin(), Views.end(),
                              [&](const InstanceView &View) {
                                return View.Name == Instance;
@@ -369,7 +372,7 @@
 }
 
 bool GroupDispatcher::findUse() const {
-  if (IsVoter || ProofWanted || ProofPending || !Queue.empty() ||
+  if (IsVoter || ProofWanted || !ProofTarget.empty() || !Queue.empty() ||
       !Confirmations.empty())
     return true;
   return std::any_of(Targets.begin(), Targets.end(),
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -296,8 +296,9 @@
   bool IsInUse = true;
   /// Whether a newer leadership proof is needed, for reads or as evidence.
   bool ProofWanted = false;
-  /// Whether a request for a leadership proof to the primary is outstanding.
-  bool ProofPending = false;
+  /// The target that was asked for a leadership proof and has not replied yet;
+  /// empty if there is none.
+  std::string ProofTarget;
   TimePoint LastSearch;
   /// Since when no primary has been known; empty while one is.
   std::optional<TimePoint> WithoutPrimarySince;
--- a/src/Dispatch/GroupEvidence.cpp
+++ b/src/Dispatch/GroupEvidence.cpp
@@ -126,16 +126,14 @@
                       Now - Newest->RequestedAt < Opts.RelayedTargetRefreshAge;
   if (PeersSuffice)
     return;
-  if (!(ProofWanted || Unconfirmed) || ProofPending ||
+  if (!(ProofWanted || Unconfirmed) || !ProofTarget.empty() ||
       Tracker.primary().empty())
     return;
   ProofWanted = false;
-  ProofPending = true;
   TargetConnections *Links = find(Tracker.primary());
-  if (!Links) {
-    ProofPending = false;
+  if (!Links)
     return;
-  }
+  ProofTarget = Tracker.primary();
   if (!Links->hasFree())
     Links->openIfAllowed(fallbackRelayFor(Tracker.primary(), Now), Now);
   // A target checks that it is still the primary when a transaction that may
@@ -157,7 +155,7 @@
        Instance = Tracker.primary()](const TargetReply *Reply) {
         if (!*StillAlive)
           return;
-        ProofPending = false;
+        ProofTarget.clear();
         if (Reply)
           recordReply(Instance, *Reply, true);
       },
--- a/src/Links/TargetConnections.cpp
+++ b/src/Links/TargetConnections.cpp
@@ -54,7 +54,7 @@
 void TargetConnections::release(const std::shared_ptr<TargetLink> &Link) {
   // From now on the session that acquires the link applies the timeouts.
   ControlLinks.erase(Link.get());
-  if (!Link->isOpen() || !Link->isIdle())
+  if (!Link->isOpen() || !Link->isIdle() || !isOwn(Link))
     return Link->close();
   if (sendNextControlRequest(Link))
     return;
@@ -62,6 +62,13 @@
   Callbacks->OnAvailable();
 }
 
+bool TargetConnections::isOwn(const std::shared_ptr<TargetLink> &Link) const {
+  return std::any_of(AllLinks.begin(), AllLinks.end(),
+                     [&](const std::weak_ptr<TargetLink> &Each) {
+                       return Each.lock() == Link;
+                     });
+}
+
 void TargetConnections::setPath(const TargetPath &NewPath) {
   if (NewPath == Path)
     return;
--- a/src/Links/TargetConnections.h
+++ b/src/Links/TargetConnections.h
@@ -94,7 +94,8 @@
   bool hasAny() const { return !AllLinks.empty(); }
   /// Returns whether there are connections or control requests.
   bool isInUse() const { return hasAny() || !ControlQueue.empty(); }
-  /// Takes back a link. Closes it if it has failed or has unanswered requests.
+  /// Takes back a link. Closes it if it has failed or has unanswered requests,
+  /// or if it leads to an earlier incarnation of the target.
   void release(const std::shared_ptr<TargetLink> &Link);
   /// Opens a connection if the path allows another one now. If the path is
   /// direct but the target cannot be reached, connects to \p FallbackRelay
@@ -149,6 +150,9 @@
   void open(const VmEntry *Relay);
   bool mayOpen(TimePoint Now) const;
   bool isOnPath(const TargetLink &Link) const;
+  /// Returns whether this object opened \p Link. A target that was dropped and
+  /// listed again has a new object.
+  bool isOwn(const std::shared_ptr<TargetLink> &Link) const;
   void onOpened(const std::shared_ptr<TargetLink> &Link,
                 const std::optional<Error> &Failure);
   void onOpenFailed(const TargetLink &Link, const Error &Failure,
