Read the flags of a trace header as hexadecimal digits

TraceContextTest failed first (7 checks).

Ruled out: other fields (they were checked). Change: the flags are checked and read as hexadecimal.

--- a/src/Observability/TraceContext.cpp
+++ b/src/Observability/TraceContext.cpp
@@ -27,14 +27,16 @@
   bool WellFormed = Traceparent.size() == Length && Traceparent[2] == '-' &&
                     Traceparent[35] == '-' && Traceparent[52] == '-' &&
                     internal::isHex(Traceparent.substr(3, 32)) &&
-                    internal::isHex(Traceparent.substr(36, 16));
+                    internal::isHex(Traceparent.substr(36, 16)) &&
+                    internal::isHex(Traceparent.substr(53, 2));
   if (!WellFormed) {
     Context.TraceId = internal::hex64(Random()) + internal::hex64(Random());
     return Context;
   }
   Context.TraceId = Traceparent.substr(3, 32);
   Context.ParentId = Traceparent.substr(36, 16);
-  Context.Sampled = (Traceparent[54] - '0') % 2 == 1;
+  constexpr int HexBase = 16;
+  Context.Sampled = std::stoi(Traceparent.substr(53, 2), nullptr, HexBase) % 2;
   return Context;
 }
 
