Say that a call may have run if any daemon may have run it

OperatorClientTest failed first.

Ruled out: stopping at the first daemon that may have run it (calls are safe to repeat).

Change: one outcome MayHaveRun is kept. Measured: OperatorClientTest 2 of 2.

--- a/src/Cli/OperatorClient.cpp
+++ b/src/Cli/OperatorClient.cpp
@@ -73,12 +73,16 @@
                                             const nlohmann::json &Body) {
   Result<nlohmann::json> Last =
       Error{.Code = ErrorCode::Unreachable, .Message = "no daemon was given"};
+  bool MayHaveRun = false;
   for (const std::string &Daemon : Self->Opts.Daemons) {
     Last = callAt(Daemon, Path, Body, Self->Opts.Timeout);
     const Error *E = errorOf(Last);
     if (!E || E->Code != ErrorCode::Unreachable)
       return Last;
+    MayHaveRun |= E->Outcome == Verdict::MayHaveRun;
   }
+  if (MayHaveRun)
+    std::get<Error>(Last).Outcome = Verdict::MayHaveRun;
   return Last;
 }
 
