--- a/src/Core/Random.h
+++ b/src/Core/Random.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string_view>
 
 namespace cicadawind {
 
@@ -24,6 +25,14 @@
   return X ^ (X >> 31);
 }
 
+/// Returns a hash of \p Text that is the same on all VMs and in all releases.
+constexpr std::uint64_t hashText(std::string_view Text) {
+  std::uint64_t Hash = Text.size();
+  for (char C : Text)
+    Hash = hashCombine(Hash, static_cast<unsigned char>(C));
+  return Hash;
+}
+
 } // namespace cicadawind
 
 #endif
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -66,6 +66,7 @@
   Out.Region = Settings.Region;
   Out.Regions = Settings.Regions;
   Out.Random = seededRandom();
+  Out.AwaitsPeers = true;
   if (!Settings.PlatformFences) {
     Out.Group.FailureDetector.LostAfter = LeasedLostAfter;
     Out.Group.FailureDetector.VetoWindow = LeasedVetoWindow;
@@ -138,7 +139,7 @@
   Peers.onRequest([this](const HttpRequest &Request) {
     return handleOperatorRequest(Request);
   });
-  Service.onConfig([this] { Peers.broadcastHello(); });
+  Service.onConfig([this] { Peers.announce(); });
   Service.setQueryPeers(
       [this](const std::string &Group, const std::string &Instance) {
         Peers.queryPrimary(Group, Instance, BootClock::now());
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -290,7 +290,7 @@
   /// Priorities of the queued requests.
   std::map<Ticket, unsigned> PriorityOf;
   Ticket LastTicket = 0;
-  bool IsVoter = true;
+  bool IsVoter = false;
   bool DispatchScheduled = false;
   /// Whether sweep() has work to do.
   bool IsInUse = true;
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -6,6 +6,7 @@
 #include "Async/AsyncSignal.h"
 #include "Http/HttpClient.h"
 #include "Http/HttpServer.h"
+#include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
 #include "Proxy/ProxyService.h"
 
@@ -17,20 +18,22 @@
 namespace internal {
 
 static const Log Logger("peers");
-/// Maximum number of other VMs whose entries one hello contains.
-constexpr std::size_t MaxOthersPerHello = 3;
 /// Time after which reports on a query are ignored.
 constexpr Duration QueryTimeout = std::chrono::milliseconds(1000);
 /// Timeout of fetching a peer's state over HTTP.
 constexpr Duration FetchTimeout = std::chrono::milliseconds(1500);
+/// Paths under which a VM serves its state and the entries of all VMs.
+static const char *const StatePath = "/state";
+static const char *const MembersPath = "/members";
 
 } // namespace internal
 
-static MemberTable::Options memberOptions(const PeerExchange::Options &Opts) {
-  MemberTable::Options Out;
+static FleetGossip::Options gossipOptions(const PeerExchange::Options &Opts) {
+  FleetGossip::Options Out;
   Out.OwnVm = Opts.Vm;
   Out.FailureDomain = Opts.FailureDomain;
   Out.Region = Opts.Region;
+  Out.Random = Opts.Random;
   return Out;
 }
 
@@ -47,7 +50,7 @@
 PeerExchange::PeerExchange(boost::asio::io_context &Loop, Options NewOpts,
                            HttpClient &Http, ProxyService &Service)
     : Loop(Loop), Opts(std::move(NewOpts)), Http(Http), Service(Service),
-      Members(memberOptions(Opts)), Socket(Loop), Incarnation(newIncarnation()),
+      Fleet(gossipOptions(Opts)), Socket(Loop), Incarnation(newIncarnation()),
       Voters({.OwnVm = Opts.Vm}) {}
 
 PeerExchange::~PeerExchange() { *Alive = false; }
@@ -77,13 +80,20 @@
   StateServer = std::make_unique<HttpServer>(
       Loop, ServerOpts,
       [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
-        bool ForState = Request.Path == "/state" || !RequestHook;
+        if (Request.Path == internal::MembersPath)
+          co_return membersResponse();
+        bool ForState = Request.Path == internal::StatePath || !RequestHook;
         co_return ForState ? stateResponse() : RequestHook(Request);
       });
   receiveNext();
+  StartedAt = BootClock::now();
+  sendHelloToSeeds(StartedAt);
+}
+
+void PeerExchange::sendHelloToSeeds(TimePoint Now) {
   for (const std::string &Address : Opts.SeedAddresses)
     if (Address != Opts.Address)
-      sendHello(Address + ":" + std::to_string(Opts.Port));
+      sendTo(Address + ":" + std::to_string(Opts.Port), makeHello(Now));
 }
 
 void PeerExchange::receiveNext() {
@@ -135,7 +145,7 @@
 void PeerExchange::send(const std::set<std::string> &Vms,
                         const PeerMessage &Message) {
   std::map<std::string, std::string> Addresses = ListedAddresses;
-  for (const VmEntry &Entry : Members.all())
+  for (const VmEntry &Entry : Fleet.members().all())
     Addresses[Entry.Vm] = Entry.RouterPeer;
   for (const auto &[Vm, Address] : Addresses)
     if (Vm != Opts.Vm && Vms.count(Vm))
@@ -146,53 +156,68 @@
   const VmEntry &From = Hello.Self;
   if (From.Vm == Opts.Vm)
     return;
-  bool IsNew = !LastContactAt.count(From.Vm);
-  Members.merge(From);
-  LastContactAt[From.Vm] = Now;
-  Voters.recordContact(From.Vm, From.Leaving, Now);
-  for (const VmEntry &Other : Hello.Others) {
-    if (Other.Vm != Opts.Vm)
-      Voters.recordNamed(Other.Vm, Now);
-    bool SupersedesSelf = Other.Vm == Opts.Vm && Other != self() &&
-                          Other.Incarnation >= Incarnation;
-    if (SupersedesSelf) {
-      // Either the system clock was set back before this VM started, so that
-      // peers ignore its entry as outdated, or the sender does not know yet
-      // that this VM is leaving. Peers accept the entry with a higher
-      // incarnation.
-      Incarnation = Other.Incarnation + 1;
-      broadcastHello();
-    }
-    if (Other.Vm == Opts.Vm || LastContactAt.count(Other.Vm))
-      continue;
-    // A VM that another one names becomes a member once it replies itself.
-    sendHello(Other.RouterPeer);
-  }
-  if (IsNew) {
+  if (!Fleet.hasContact(From.Vm))
     internal::Logger.info("first contact with a VM",
                           {{"peer", From.Vm},
                            {"address", From.RouterPeer},
                            {"domain", From.FailureDomain}});
-    sendHello(From.RouterPeer);
-  }
+  Voters.recordContact(From.Vm, From.Leaving, Now);
+  for (const FleetMention &Other : Hello.Others)
+    if (Other.Entry.Vm == Opts.Vm)
+      adoptIncarnation(Other.Entry);
+    else
+      Voters.recordNamed(Other.Entry.Vm, Now - Other.ContactAge, Now);
+  if (Fleet.recordHello(From, Hello.Others, Hello.Ages, Now))
+    sendHello(From, Now);
+  for (const ContactAge &Each : Hello.Ages)
+    if (const std::string *Vm = Fleet.findName(Each.VmHash))
+      Voters.recordNamed(*Vm, Now - Each.Age, Now);
+  bool IsNear = From.Region == Opts.Region;
+  if (IsNear && Fleet.isIncomplete(Now))
+    fetchMembers(From);
   reportLaterIncarnation(From);
   updateServicePeers(Now);
-  bool HasNewerConfig = Hello.ConfigVersion > Service.config().Version;
+  if (!hasNewerState(Hello))
+    return;
+  Newer = Announcement{.Hello = Hello, .Since = Newer ? Newer->Since : Now};
+  fetchIfDue(Now);
+}
+
+void PeerExchange::adoptIncarnation(const VmEntry &Other) {
+  if (Other == self() || Other.Incarnation < Incarnation)
+    return;
+  // Either the system clock was set back before this VM started, so that peers
+  // ignore its entry as outdated, or the sender does not know yet that this VM
+  // is leaving. Peers accept the entry with a higher incarnation.
+  Incarnation = Other.Incarnation + 1;
+  announce();
+}
+
+bool PeerExchange::hasNewerState(const PeerHello &Hello) const {
   bool HasNewerTargets =
       !StoreReachable && Hello.TargetsRevision > Service.targetsRevision();
-  if (HasNewerConfig || HasNewerTargets)
-    fetchState(From.Vm, From.RouterPeer);
+  return Hello.ConfigVersion > Service.config().Version || HasNewerTargets;
+}
+
+void PeerExchange::fetchIfDue(TimePoint Now) {
+  if (!Newer)
+    return;
+  if (!hasNewerState(Newer->Hello)) {
+    Newer.reset();
+    return;
+  }
+  if (StoreReachable && Now - Newer->Since < Opts.StoreDelay)
+    return;
+  fetchState(Newer->Hello.Self.Vm, Newer->Hello.Self.RouterPeer);
+  Newer.reset();
 }
 
 void PeerExchange::reportLaterIncarnation(const VmEntry &From) {
-  for (const VmEntry &Entry : Members.all()) {
+  for (const VmEntry &Entry : Fleet.members().all()) {
     if (Entry.Vm != From.Vm || Entry.Incarnation <= From.Incarnation)
       continue;
-    PeerHello Hello;
-    Hello.Self = self();
-    Hello.ConfigVersion = Service.config().Version;
-    Hello.TargetsRevision = Service.targetsRevision();
-    Hello.Others.push_back(Entry);
+    PeerHello Hello = ownHello();
+    Hello.Others.push_back({.Entry = Entry});
     sendTo(From.RouterPeer, Hello);
   }
 }
@@ -211,140 +236,120 @@
   Socket.send_to(boost::asio::buffer(encodePeerMessage(Message)), To, 0, Code);
 }
 
-void PeerExchange::sendHello(const std::string &Address) {
+PeerHello PeerExchange::ownHello() const {
   PeerHello Hello;
   Hello.Self = self();
   Hello.ConfigVersion = Service.config().Version;
   Hello.TargetsRevision = Service.targetsRevision();
-  std::vector<VmEntry> Usable = Members.usable();
-  for (std::size_t I = 0; I < internal::MaxOthersPerHello && !Usable.empty();
-       ++I) {
-    std::size_t Pick = Opts.Random() % Usable.size();
-    Hello.Others.push_back(Usable[Pick]);
-    Usable.erase(Usable.begin() + static_cast<std::ptrdiff_t>(Pick));
-  }
-  sendTo(Address, Hello);
+  return Hello;
+}
+
+PeerHello PeerExchange::makeHello(TimePoint Now) {
+  PeerHello Hello = ownHello();
+  Hello.Others = Fleet.chooseMentions(Now);
+  Hello.Ages = Fleet.chooseAges(Now);
+  return Hello;
+}
+
+void PeerExchange::sendHello(const VmEntry &To, TimePoint Now) {
+  Fleet.recordSent(To.Vm);
+  sendTo(To.RouterPeer, makeHello(Now));
 }
 
 void PeerExchange::contactListed(const std::vector<VmEntry> &Entries) {
+  TimePoint Now = BootClock::now();
+  HasList = true;
   for (const VmEntry &Entry : Entries) {
-    if (Entry.Vm == Opts.Vm || LastContactAt.count(Entry.Vm))
+    if (Entry.Vm == Opts.Vm || Fleet.hasContact(Entry.Vm))
       continue;
     Voters.recordListed(Entry.Vm);
     ListedAddresses[Entry.Vm] = Entry.RouterPeer;
-    sendHello(Entry.RouterPeer);
   }
-}
-
-bool PeerExchange::isLivePeersOutdated(TimePoint Now) const {
-  return Now - LivePeersAt >= Opts.LivePeersInterval ||
-         LiveMembersVersion != Members.version() ||
-         LiveContacts != LastContactAt.size();
-}
-
-const std::vector<VmEntry> &PeerExchange::livePeers(TimePoint Now) const {
-  if (!isLivePeersOutdated(Now))
-    return LivePeers;
-  LivePeersAt = Now;
-  LiveMembersVersion = Members.version();
-  LiveContacts = LastContactAt.size();
-  std::vector<VmEntry> Found = findLivePeers(Now);
-  if (Found == LivePeers)
-    return LivePeers;
-  LivePeers = std::move(Found);
-  ++LiveVersion;
-  return LivePeers;
-}
-
-std::vector<VmEntry> PeerExchange::findLivePeers(TimePoint Now) const {
-  std::vector<VmEntry> Out;
-  std::vector<VmEntry> Usable = Members.usable();
-  Duration SameRegionTimeout = peerTimeout(Usable, true);
-  Duration RemoteTimeout = peerTimeout(Usable, false);
-  for (const VmEntry &Entry : Usable) {
-    auto Contact = LastContactAt.find(Entry.Vm);
-    Duration Timeout =
-        Entry.Region == Opts.Region ? SameRegionTimeout : RemoteTimeout;
-    bool Live =
-        Contact != LastContactAt.end() && Now - Contact->second < Timeout;
-    if (Live && Entry.Vm != Opts.Vm)
-      Out.push_back(Entry);
-  }
-  return Out;
+  for (const VmEntry &To : Fleet.recordListed(Entries, Now))
+    sendHello(To, Now);
+  updateServicePeers(Now);
 }
 
 void PeerExchange::updateServicePeers(TimePoint Now) {
-  const std::vector<VmEntry> &Live = livePeers(Now);
-  if (ServiceLiveVersion == LiveVersion)
+  // A VM that knows only a part of the fleet would take the targets'
+  // connections of the others.
+  if (!HasList && Now - StartedAt < Opts.DiscoveryTimeout)
+    return;
+  const std::vector<VmEntry> &Live = Fleet.livePeers(Now);
+  if (ServiceLiveVersion == Fleet.liveVersion())
     return;
-  ServiceLiveVersion = LiveVersion;
+  ServiceLiveVersion = Fleet.liveVersion();
   Service.setPeers(Live);
 }
 
-void PeerExchange::sendHellos(std::vector<VmEntry> Peers) {
-  for (std::size_t I = 0; I < Peers.size(); ++I)
-    std::swap(Peers[I], Peers[I + Opts.Random() % (Peers.size() - I)]);
-  if (Peers.size() > Opts.HelloFanout) {
-    auto FirstRemote = std::stable_partition(
-        Peers.begin(), Peers.end(),
-        [&](const VmEntry &E) { return E.Region == Opts.Region; });
-    std::size_t SameRegionPeers =
-        static_cast<std::size_t>(FirstRemote - Peers.begin());
-    std::size_t RemoteHellos =
-        std::min(Opts.RemoteHellos, Peers.size() - SameRegionPeers);
-    std::size_t SameRegionHellos =
-        std::min(SameRegionPeers, Opts.HelloFanout - RemoteHellos);
-    Peers.erase(FirstRemote + static_cast<std::ptrdiff_t>(RemoteHellos),
-                Peers.end());
-    Peers.erase(Peers.begin() + static_cast<std::ptrdiff_t>(SameRegionHellos),
-                FirstRemote);
-  }
-  for (const VmEntry &Each : Peers)
-    sendHello(Each.RouterPeer);
-}
-
-Duration PeerExchange::peerTimeout(const std::vector<VmEntry> &Usable,
-                                   bool SameRegion) const {
-  if (Usable.size() <= Opts.HelloFanout + 1)
-    return Opts.PeerTimeout;
-  auto Count = static_cast<std::size_t>(
-      std::count_if(Usable.begin(), Usable.end(), [&](const VmEntry &E) {
-        return (E.Region == Opts.Region) == SameRegion;
-      }));
-  std::size_t Hellos =
-      SameRegion ? Opts.HelloFanout - Opts.RemoteHellos : Opts.RemoteHellos;
-  return Opts.PeerTimeout * std::max<std::size_t>(1, Count / Hellos);
-}
-
 void PeerExchange::sweep(TimePoint Now) {
   for (auto It = Queries.begin(); It != Queries.end();) {
     bool IsExpired = Now - It->second.SentAt > internal::QueryTimeout;
     It = IsExpired ? Queries.erase(It) : std::next(It);
   }
+  fetchIfDue(Now);
   if (Now < NextHello)
     return;
   NextHello = Now + Opts.HelloInterval;
-  std::vector<VmEntry> Peers = Members.usable();
-  Peers.erase(std::remove_if(Peers.begin(), Peers.end(),
-                             [&](const VmEntry &E) { return E.Vm == Opts.Vm; }),
-              Peers.end());
-  sendHellos(Peers);
-  if (Peers.empty())
-    for (const std::string &Address : Opts.SeedAddresses)
-      if (Address != Opts.Address)
-        sendHello(Address + ":" + std::to_string(Opts.Port));
+  std::vector<VmEntry> Recipients = Fleet.chooseRecipients(Now);
+  for (const VmEntry &To : Recipients)
+    sendHello(To, Now);
+  if (Recipients.empty())
+    sendHelloToSeeds(Now);
   updateServicePeers(Now);
 }
 
-void PeerExchange::broadcastHello() {
-  for (const VmEntry &Entry : Members.usable())
-    if (Entry.Vm != Opts.Vm)
-      sendHello(Entry.RouterPeer);
+void PeerExchange::announce() {
+  TimePoint Now = BootClock::now();
+  for (const VmEntry &To : Fleet.chooseRecipients(Now))
+    sendHello(To, Now);
 }
 
 void PeerExchange::broadcastLeaving() {
   Leaving = true;
-  broadcastHello();
+  PeerHello Hello = ownHello();
+  for (const VmEntry &Entry : Fleet.members().usable())
+    if (Entry.Vm != Opts.Vm)
+      sendTo(Entry.RouterPeer, Hello);
+}
+
+HttpResponse PeerExchange::membersResponse() const {
+  HttpResponse Response;
+  Response.ContentType = "application/cbor";
+  Response.Body = encodeEntries(Fleet.members().usable());
+  return Response;
+}
+
+void PeerExchange::fetchMembers(const VmEntry &From) {
+  if (std::exchange(FetchingMembers, true))
+    return;
+  spawn(Loop, fetchAndRecordMembers(From));
+}
+
+boost::asio::awaitable<void> PeerExchange::fetchAndRecordMembers(VmEntry From) {
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Path = internal::MembersPath;
+  HttpResult CallResult = co_await Http.call(
+      From.RouterPeer, std::move(Request), internal::FetchTimeout);
+  FetchingMembers = false;
+  const HttpResponse *Response = std::get_if<HttpResponse>(&CallResult);
+  if (!Response || Response->Status != 200) {
+    internal::Logger.info("entries of VMs could not be fetched from a peer; "
+                          "retrying after the next hello",
+                          {{"peer", From.Vm}});
+    co_return;
+  }
+  Result<std::vector<VmEntry>> Entries = decodeEntries(Response->Body);
+  if (const Error *E = errorOf(Entries)) {
+    internal::Logger.warning("malformed entries of VMs from a peer ignored",
+                             {{"peer", From.Vm}, {"why", E->Message}});
+    co_return;
+  }
+  internal::Logger.info(
+      "entries of VMs fetched from a peer",
+      {{"peer", From.Vm}, {"count", std::to_string(valueOf(Entries).size())}});
+  contactListed(valueOf(Entries));
 }
 
 HttpResponse PeerExchange::stateResponse() const {
@@ -365,7 +370,7 @@
 PeerExchange::fetchAndApplyState(std::string Vm, std::string Address) {
   HttpRequest Request;
   Request.Method = "GET";
-  Request.Path = "/state";
+  Request.Path = internal::StatePath;
   HttpResult CallResult =
       co_await Http.call(Address, std::move(Request), internal::FetchTimeout);
   Fetching = false;
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -5,7 +5,7 @@
 #include "Exchange/PeerMessage.h"
 #include "Http/HttpMessage.h"
 #include "Leases/VoterList.h"
-#include "Membership/MemberTable.h"
+#include "Membership/FleetGossip.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -30,9 +30,10 @@
 /// primaries with the proxies of other VMs.
 ///
 /// Datagrams carry hellos, queries, reports and notices. State that does not
-/// fit a datagram is fetched over HTTP from the peer that has it. A VM sends at
-/// most HelloFanout periodic hellos in a HelloInterval, whatever the size of
-/// the fleet, and others when its configuration or entry changes. The age that
+/// fit a datagram is fetched over HTTP from the peer that has it. FleetGossip
+/// chooses the VMs that get hellos, both the periodic ones and those that
+/// announce a newer configuration, so that their number does not grow with the
+/// fleet. Only a VM that leaves tells all others itself. The age that
 /// a peer reports for a leadership proof is counted back from the time at which
 /// this VM sent its query, so that the result does not depend on the clocks of
 /// other VMs. Runs on the loop's thread.
@@ -50,18 +51,12 @@
     /// IP addresses of the VMs that get a hello while no peer is known.
     std::vector<std::string> SeedAddresses;
     Duration HelloInterval = std::chrono::milliseconds(1000);
-    /// Maximum number of periodic hellos sent in a HelloInterval.
-    std::size_t HelloFanout = 8;
-    /// Maximum number of periodic hellos to other regions if there are more
-    /// peers than HelloFanout, since traffic between regions is expensive.
-    std::size_t RemoteHellos = 1;
-    /// Time since the last contact after which a VM no longer counts as live,
-    /// if each VM sends a hello to all others in a HelloInterval. In a larger
-    /// fleet, where hellos between two VMs are less frequent, the timeout grows
-    /// in proportion.
-    Duration PeerTimeout = std::chrono::seconds(8);
-    /// Interval at which the list of live peers is renewed.
-    Duration LivePeersInterval = std::chrono::milliseconds(250);
+    /// Time after the start at which the live peers count as the whole fleet,
+    /// even if the store's list of VMs could not be read.
+    Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
+    /// Time for which a VM that reads the store waits for a newer configuration
+    /// to arrive from there before it fetches it from a peer.
+    Duration StoreDelay = std::chrono::milliseconds(500);
     /// Minimum time between two queries about the same group and primary.
     Duration MinQueryInterval = std::chrono::milliseconds(80);
     /// Maximum number of peers that one query for a leadership proof goes to.
@@ -85,14 +80,14 @@
   /// milliseconds.
   void sweep(TimePoint Now);
 
-  /// Sends a hello to all usable VMs (see MemberTable::usable()), because the
-  /// configuration or this VM's entry has changed.
-  void broadcastHello();
+  /// Sends a hello to some VMs, because the configuration or this VM's entry
+  /// has changed. Those that apply the configuration do the same.
+  void announce();
   /// Tells all usable VMs that this VM is leaving.
   void broadcastLeaving();
 
-  /// Sends a hello to those VMs of the store's list that this VM has had no
-  /// contact with. They become members once they reply.
+  /// Applies a list of VMs from the store or a peer and sends a hello to some
+  /// of them.
   void contactListed(const std::vector<VmEntry> &Entries);
 
   /// Queries peers about the primary of \p Group. If \p Instance is given, it
@@ -134,13 +129,13 @@
 
   VmEntry self() const;
   const std::string &region() const { return Opts.Region; }
-  /// Returns the VMs with a recent contact, except this one and those that are
-  /// leaving; see PeerTimeout. The list is renewed every LivePeersInterval and
-  /// after each change of an entry.
-  const std::vector<VmEntry> &livePeers(TimePoint Now) const;
+  /// See FleetGossip::livePeers().
+  const std::vector<VmEntry> &livePeers(TimePoint Now) const {
+    return Fleet.livePeers(Now);
+  }
   /// Returns a number that increases whenever livePeers() has changed.
-  std::uint64_t livePeersVersion() const { return LiveVersion; }
-  const MemberTable &members() const { return Members; }
+  std::uint64_t livePeersVersion() const { return Fleet.liveVersion(); }
+  const MemberTable &members() const { return Fleet.members(); }
   /// Returns the VMs whose majority decides about leases and promotions.
   std::set<std::string> voters(TimePoint Now) const {
     return Voters.voters(Now);
@@ -163,23 +158,32 @@
   void handleReport(const PrimaryReport &Report, TimePoint Now);
   void handleNotice(const PromotionNotice &Notice);
   void sendTo(const std::string &Address, const PeerMessage &Message);
-  void sendHello(const std::string &Address);
-  /// Sends hellos to a random choice of \p Peers, at most HelloFanout.
-  void sendHellos(std::vector<VmEntry> Peers);
-  /// Returns the time since the last contact after which a VM no longer counts
-  /// as live. \p SameRegion says whether it is in this VM's region; \p Usable
-  /// are all usable VMs.
-  Duration peerTimeout(const std::vector<VmEntry> &Usable,
-                       bool SameRegion) const;
+  /// Returns a hello that says nothing of other VMs.
+  PeerHello ownHello() const;
+  /// Returns a hello with what this VM tells of other VMs.
+  PeerHello makeHello(TimePoint Now);
+  void sendHello(const VmEntry &To, TimePoint Now);
+  void sendHelloToSeeds(TimePoint Now);
+  /// Returns whether \p Hello announces a state that this VM lacks.
+  bool hasNewerState(const PeerHello &Hello) const;
+  /// Fetches the state that a peer has announced if the store did not deliver
+  /// it in time.
+  void fetchIfDue(TimePoint Now);
+  /// Takes a higher incarnation if \p Other, an entry of this VM that a peer
+  /// has, supersedes this VM's own.
+  void adoptIncarnation(const VmEntry &Other);
   /// Starts to fetch the state of \p Vm, unless a fetch is in progress.
   void fetchState(const std::string &Vm, const std::string &Address);
   boost::asio::awaitable<void> fetchAndApplyState(std::string Vm,
                                                   std::string Address);
   HttpResponse stateResponse() const;
-  /// Returns whether the list of live peers has to be made again.
-  bool isLivePeersOutdated(TimePoint Now) const;
-  std::vector<VmEntry> findLivePeers(TimePoint Now) const;
-  /// Passes the live peers on to the service if they have changed.
+  /// Starts to fetch the entries of all VMs that \p From knows, unless a fetch
+  /// is in progress.
+  void fetchMembers(const VmEntry &From);
+  boost::asio::awaitable<void> fetchAndRecordMembers(VmEntry From);
+  HttpResponse membersResponse() const;
+  /// Passes the live peers on to the service if they have changed, once they
+  /// are the whole fleet.
   void updateServicePeers(TimePoint Now);
   /// If this VM knows a later incarnation of \p From than the one in \p From,
   /// sends it a hello with that entry, so that it takes a higher one.
@@ -189,7 +193,7 @@
   Options Opts;
   HttpClient &Http;
   ProxyService &Service;
-  MemberTable Members;
+  FleetGossip Fleet;
   /// False after destruction, for callbacks that may run later.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   boost::asio::ip::udp::socket Socket;
@@ -201,16 +205,19 @@
   bool Leaving = false;
   bool StoreReachable = true;
   bool Fetching = false;
-  /// Last contact with each VM, by name.
-  std::map<std::string, TimePoint> LastContactAt;
-  /// The list of live peers, when it was made, and what it was made from.
-  mutable std::vector<VmEntry> LivePeers;
-  mutable TimePoint LivePeersAt;
-  mutable std::uint64_t LiveMembersVersion = 0;
-  mutable std::size_t LiveContacts = 0;
-  mutable std::uint64_t LiveVersion = 0;
-  /// Version of the list that the service has.
-  std::uint64_t ServiceLiveVersion = 0;
+  bool FetchingMembers = false;
+  TimePoint StartedAt;
+  /// Whether a list of VMs has been read from the store or a peer.
+  bool HasList = false;
+  /// Version of the live peers that the service has; empty if it has none.
+  std::optional<std::uint64_t> ServiceLiveVersion;
+  /// The last hello that announced a state which this VM lacks, and when the
+  /// first of them arrived.
+  struct Announcement {
+    PeerHello Hello;
+    TimePoint Since;
+  };
+  std::optional<Announcement> Newer;
   /// Queries whose reports are still accepted, by number.
   std::map<std::uint64_t, PendingQuery> Queries;
   /// When each query was last sent, by group and instance.
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -4,19 +4,62 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <stdexcept>
+
 namespace cicadawind {
 namespace internal {
 
 using Json = nlohmann::json;
 
+/// Encoding of a ContactAge: four bytes of the hash, the lowest first, and one
+/// byte of the age in units of AgeUnit, rounded up.
+constexpr std::size_t ContactAgeBytes = 5;
+constexpr Millis AgeUnit(250);
+constexpr int MaxAgeUnits = 255;
+
+static Json toJson(const std::vector<ContactAge> &Ages) {
+  std::vector<std::uint8_t> Bytes;
+  Bytes.reserve(Ages.size() * ContactAgeBytes);
+  for (const ContactAge &Each : Ages) {
+    for (unsigned Shift = 0; Shift < 32; Shift += 8)
+      Bytes.push_back(static_cast<std::uint8_t>(Each.VmHash >> Shift));
+    auto Units = (Each.Age + AgeUnit - Millis(1)) / AgeUnit;
+    Bytes.push_back(
+        static_cast<std::uint8_t>(std::clamp<long>(Units, 0, MaxAgeUnits)));
+  }
+  return Json::binary(std::move(Bytes));
+}
+
+static std::vector<ContactAge> contactAgesFrom(const Json &In) {
+  const auto &Bytes = In.get_binary();
+  if (Bytes.size() % ContactAgeBytes != 0)
+    throw std::invalid_argument("contact ages of a wrong size");
+  std::vector<ContactAge> Out;
+  for (std::size_t I = 0; I < Bytes.size(); I += ContactAgeBytes) {
+    ContactAge Each;
+    for (unsigned B = 0; B < 4; ++B)
+      Each.VmHash |= static_cast<std::uint32_t>(Bytes[I + B]) << (8 * B);
+    Each.Age = Bytes[I + 4] * AgeUnit;
+    // The largest value also stands for ages that do not fit.
+    if (Bytes[I + 4] < MaxAgeUnits)
+      Out.push_back(Each);
+  }
+  return Out;
+}
+
 static Json toJson(const PeerHello &Message) {
   Json Out{{"t", "hello"},
            {"self", cicadawind::toJson(Message.Self)},
            {"config", Message.ConfigVersion},
            {"targets", Message.TargetsRevision},
-           {"others", Json::array()}};
-  for (const VmEntry &Entry : Message.Others)
-    Out["others"].push_back(cicadawind::toJson(Entry));
+           {"others", Json::array()},
+           {"ages", toJson(Message.Ages)}};
+  for (const FleetMention &Each : Message.Others) {
+    Json Entry = cicadawind::toJson(Each.Entry);
+    Entry["contact_age"] = Each.ContactAge.count();
+    Out["others"].push_back(std::move(Entry));
+  }
   return Out;
 }
 
@@ -192,13 +235,21 @@
   return Out;
 }
 
+/// Age of a contact in the hello of a release that does not send it: no VM
+/// counts as live after that time.
+constexpr Millis UnknownAge = std::chrono::hours(1);
+
 static PeerHello helloFrom(const Json &In) {
   PeerHello Out;
   Out.Self = vmEntryFrom(In.at("self"));
   Out.ConfigVersion = In.at("config").get<std::uint64_t>();
   Out.TargetsRevision = In.at("targets").get<std::uint64_t>();
   for (const Json &Each : In.at("others"))
-    Out.Others.push_back(vmEntryFrom(Each));
+    Out.Others.push_back(
+        {.Entry = vmEntryFrom(Each),
+         .ContactAge = Millis(Each.value("contact_age", UnknownAge.count()))});
+  if (In.contains("ages"))
+    Out.Ages = contactAgesFrom(In["ages"]);
   return Out;
 }
 
--- a/src/Exchange/PeerMessage.h
+++ b/src/Exchange/PeerMessage.h
@@ -5,6 +5,8 @@
 #include "Core/LogPosition.h"
 #include "Core/Result.h"
 #include "Leases/PromotionVote.h"
+#include "Membership/ContactAge.h"
+#include "Membership/FleetMention.h"
 #include "Membership/VmEntry.h"
 
 #include <cstdint>
@@ -24,8 +26,10 @@
   std::uint64_t ConfigVersion = 0;
   /// Revision of the store that the sender's list of targets reflects.
   std::uint64_t TargetsRevision = 0;
-  /// Some of the other VMs that the sender knows.
-  std::vector<VmEntry> Others;
+  /// Other VMs whose entries have changed.
+  std::vector<FleetMention> Others;
+  /// Contact ages of some of the other VMs that the sender knows.
+  std::vector<ContactAge> Ages;
 };
 
 /// Asks the receiver for its evidence on the primary of a group.
--- a/src/Exchange/PeerQueries.cpp
+++ b/src/Exchange/PeerQueries.cpp
@@ -57,7 +57,7 @@
   auto It = Queries.find(Report.Number);
   if (It == Queries.end() || It->second.Group != Report.Group)
     return;
-  LastContactAt[Report.From] = Now;
+  Fleet.recordContact(Report.From, Now);
   GroupDispatcher *Group = Service.findGroup(Report.Group);
   if (!Group)
     return;
--- a/src/Leases/VoterList.cpp
+++ b/src/Leases/VoterList.cpp
@@ -1,5 +1,7 @@
 #include "Leases/VoterList.h"
 
+#include <algorithm>
+
 namespace cicadawind {
 
 void VoterList::recordContact(const std::string &Vm, bool IsLeaving,
@@ -16,10 +18,12 @@
     Each.LeavingSince = Now;
 }
 
-void VoterList::recordNamed(const std::string &Vm, TimePoint Now) {
+void VoterList::recordNamed(const std::string &Vm, TimePoint ContactAt,
+                            TimePoint Now) {
+  if (Vm == Opts.OwnVm)
+    return;
   Entry &Each = Entries[Vm];
-  if (!Each.SeenAt)
-    Each.SeenAt = Now;
+  Each.SeenAt = std::max(Each.SeenAt.value_or(Now), ContactAt);
 }
 
 void VoterList::recordListed(const std::string &Vm) { Entries.try_emplace(Vm); }
--- a/src/Leases/VoterList.h
+++ b/src/Leases/VoterList.h
@@ -37,8 +37,10 @@
 
   /// Records a message of \p Vm.
   void recordContact(const std::string &Vm, bool IsLeaving, TimePoint Now);
-  /// Records that a peer named \p Vm.
-  void recordNamed(const std::string &Vm, TimePoint Now);
+  /// Records that a peer named \p Vm, with which some VM had contact at \p
+  /// ContactAt. If this VM has not heard of it before, it counts as seen now,
+  /// because it may be held up rather than gone.
+  void recordNamed(const std::string &Vm, TimePoint ContactAt, TimePoint Now);
   /// Records that the store lists \p Vm.
   void recordListed(const std::string &Vm);
 
@@ -47,7 +49,7 @@
 
 private:
   struct Entry {
-    /// Last contact, or when a peer first named the VM.
+    /// Last contact of any VM, or when a peer first named the VM.
     std::optional<TimePoint> SeenAt;
     std::optional<TimePoint> LeavingSince;
   };
--- a/src/Membership/MemberTable.cpp
+++ b/src/Membership/MemberTable.cpp
@@ -5,17 +5,6 @@
 #include <utility>
 
 namespace cicadawind {
-namespace internal {
-
-static std::uint64_t hashText(const std::string &Text) {
-  std::uint64_t Hash = Text.size();
-  for (unsigned char C : Text)
-    Hash = hashCombine(Hash, C);
-  return Hash;
-}
-
-} // namespace internal
-
 MemberTable::MemberTable(Options NewOpts) : Opts(std::move(NewOpts)) {}
 
 void MemberTable::recordChange() { ++Version; }
@@ -31,7 +20,7 @@
   if (Current.Entry == Merged)
     return;
   Current.Entry = std::move(Merged);
-  Current.NameHash = internal::hashText(Entry.Vm);
+  Current.NameHash = hashText(Entry.Vm);
   recordChange();
 }
 
@@ -94,11 +83,24 @@
   return Out;
 }
 
+const VmEntry *MemberTable::find(const std::string &Vm) const {
+  auto It = Rows.find(Vm);
+  return It == Rows.end() ? nullptr : &It->second.Entry;
+}
+
 std::vector<VmEntry> MemberTable::usable() const {
   std::vector<VmEntry> Out;
+  for (const VmEntry *Entry : usableEntries())
+    Out.push_back(*Entry);
+  return Out;
+}
+
+std::vector<const VmEntry *> MemberTable::usableEntries() const {
+  std::vector<const VmEntry *> Out;
+  Out.reserve(Rows.size());
   for (const auto &[Name, Item] : Rows)
-    if (!isLeaving(Name))
-      Out.push_back(Item.Entry);
+    if (!Item.Entry.Leaving && !Withdrawn.count(Name))
+      Out.push_back(&Item.Entry);
   return Out;
 }
 
@@ -115,7 +117,7 @@
 void MemberTable::keepBest(const std::string &Key, std::size_t Count,
                            TimePoint Now, Candidates &From) const {
   using Rank = std::tuple<bool, std::uint64_t, const Row *>;
-  std::uint64_t KeyHash = internal::hashText(Key);
+  std::uint64_t KeyHash = hashText(Key);
   std::vector<Rank> Ranked;
   Ranked.reserve(From.size());
   bool AnySuspected = !SuspectedUntil.empty();
--- a/src/Membership/MemberTable.h
+++ b/src/Membership/MemberTable.h
@@ -54,10 +54,14 @@
   bool isSuspected(const std::string &Vm, TimePoint Now) const;
 
   std::vector<VmEntry> all() const;
+  /// Returns the entry of \p Vm; null if it is not known.
+  const VmEntry *find(const std::string &Vm) const;
 
   /// Returns the VMs that may get new work: those known and neither leaving nor
   /// withdrawn.
   std::vector<VmEntry> usable() const;
+  /// Like usable(), without copies. Valid until the table changes.
+  std::vector<const VmEntry *> usableEntries() const;
 
   /// Returns the first \p Count VMs whose poolers may own the target \p Target
   /// in \p FailureDomain. These are the usable VMs of that failure domain in
--- a/src/Membership/Membership.h
+++ b/src/Membership/Membership.h
@@ -4,6 +4,9 @@
 #ifndef CICADAWIND_MEMBERSHIP_MEMBERSHIP_H
 #define CICADAWIND_MEMBERSHIP_MEMBERSHIP_H
 
+#include "Membership/ContactAge.h"
+#include "Membership/FleetGossip.h"
+#include "Membership/FleetMention.h"
 #include "Membership/MemberTable.h"
 #include "Membership/VmEntry.h"
 
--- a/src/Membership/VmEntryCodec.cpp
+++ b/src/Membership/VmEntryCodec.cpp
@@ -24,4 +24,25 @@
   return Entry;
 }
 
+std::string encodeEntries(const std::vector<VmEntry> &Entries) {
+  nlohmann::json Out = nlohmann::json::array();
+  for (const VmEntry &Each : Entries)
+    Out.push_back(toJson(Each));
+  std::string Bytes;
+  nlohmann::json::to_cbor(Out, Bytes);
+  return Bytes;
+}
+
+Result<std::vector<VmEntry>> decodeEntries(const std::string &Bytes) {
+  try {
+    std::vector<VmEntry> Out;
+    for (const nlohmann::json &Each : nlohmann::json::from_cbor(Bytes))
+      Out.push_back(vmEntryFrom(Each));
+    return Out;
+  } catch (const nlohmann::json::exception &E) {
+    return Error{.Code = ErrorCode::BadRequest,
+                 .Message = std::string("malformed entries: ") + E.what()};
+  }
+}
+
 } // namespace cicadawind
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -8,6 +8,7 @@
 #include "Observability/Metrics.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadawind {
 namespace internal {
@@ -43,7 +44,8 @@
                            Metrics &Meter)
     : Loop(Loop), Opts(std::move(NewOpts)), Meter(Meter),
       Config(std::make_shared<ProxyConfig>()),
-      Host(std::make_shared<CallerSession::Host>()), Plan(planOptions(Opts)) {
+      Host(std::make_shared<CallerSession::Host>()), Plan(planOptions(Opts)),
+      KnowsPeers(!Opts.AwaitsPeers) {
   Host->Codec = Opts.Codec;
   Host->Config = [this]() -> const ProxyConfig & { return *Config; };
   Host->Group = [this](const std::string &Name) { return findGroup(Name); };
@@ -118,7 +120,10 @@
 
 void ProxyService::setPeers(const std::vector<VmEntry> &LivePeers) {
   std::size_t PreviousCount = Plan.vms();
-  if (!Plan.setPeers(LivePeers))
+  bool HasChanged = Plan.setPeers(LivePeers);
+  if (!std::exchange(KnowsPeers, true))
+    updatePaths();
+  if (!HasChanged)
     return;
   Peers.clear();
   for (const VmEntry &Each : LivePeers)
@@ -171,7 +176,7 @@
 
 void ProxyService::updatePathsOf(GroupDispatcher &Group) {
   unsigned Connections = maxConnections(*Config, Group.group());
-  if (Connections == 0)
+  if (Connections == 0 || !KnowsPeers)
     return;
   std::map<std::string, TargetPath> Paths;
   bool IsVoter = false;
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -44,6 +44,9 @@
     /// Maximum number of open sessions; low enough to leave file descriptors
     /// for all other connections.
     std::size_t MaxSessions = 3000;
+    /// Whether setPeers() will be called. Until then no connections are opened
+    /// ahead of requests, because the number of VMs that share them is unknown.
+    bool AwaitsPeers = false;
     /// Options of every group's dispatcher; those that depend on the VM or the
     /// group are overwritten.
     GroupDispatcher::Options Group;
@@ -164,6 +167,8 @@
   std::map<std::string, std::unique_ptr<GroupDispatcher>> Groups;
   std::set<std::shared_ptr<CallerSession>> Sessions;
   RelayPlan Plan;
+  /// Whether Plan knows the VMs that share the targets' connections.
+  bool KnowsPeers = false;
   /// Time before which a change of the peers does not change the paths, so that
   /// the paths are not computed once for each VM that starts.
   TimePoint NextPathUpdate;
--- a/test/Exchange/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -30,7 +30,7 @@
         Peer(*this, PeerPort, OwnPort) {
     Peers.start();
     onSweep([this](TimePoint Now) { Peers.sweep(Now); });
-    Service->onConfig([this] { Peers.broadcastHello(); });
+    Service->onConfig([this] { Peers.announce(); });
   }
   ~PeerExchangeWorld() { onSweep(nullptr); }
 
@@ -73,6 +73,33 @@
   BOOST_TEST(!World.Service->config().findRoute("own"));
 }
 
+BOOST_AUTO_TEST_CASE(newerConfigurationIsFetchedAtOnceWithoutTheStore) {
+  PeerExchangeWorld World;
+  World.Peers.setStoreReachable(false);
+  World.Peer.State.Config = *World.Config;
+  World.Peer.State.Config.Version = 9;
+  TimePoint Start = BootClock::now();
+  World.Peer.sendHello(9);
+  BOOST_TEST(World.runUntil([&] { return World.Peer.Fetches == 1; }));
+  BOOST_TEST((BootClock::now() - Start < std::chrono::milliseconds(300)));
+}
+
+// A new configuration reaches all VMs from the store within milliseconds. If
+// each also fetched it from the VM that announced it first, that VM would have
+// to send it to the whole fleet.
+BOOST_AUTO_TEST_CASE(configurationThatTheStoreDeliversIsNotFetched) {
+  PeerExchangeWorld World;
+  World.Peer.State.Config = *World.Config;
+  World.Peer.State.Config.Version = 9;
+  World.Peer.sendHello(9);
+  World.runFor(std::chrono::milliseconds(50));
+  auto FromStore = std::make_shared<ProxyConfig>(*World.Config);
+  FromStore->Version = 9;
+  World.Service->applyConfig(FromStore);
+  World.runFor(std::chrono::milliseconds(700));
+  BOOST_TEST(World.Peer.Fetches == 0);
+}
+
 BOOST_AUTO_TEST_CASE(configurationThatIsNotNewerIsNotFetched) {
   PeerExchangeWorld World;
   BOOST_TEST(World.makePeerLive());
@@ -187,12 +214,9 @@
   BOOST_TEST(Status["groups"][0]["targets"].size() == 3);
 }
 
-// Traffic between regions is expensive, so hellos to VMs of the same region
-// must be more frequent.
-BOOST_AUTO_TEST_CASE(hellosOfLargeFleetGoMostlyToOwnRegion) {
-  PeerExchangeWorld World;
-  auto RemotePort = static_cast<std::uint16_t>(World.Ports.next());
-  PeerVm RemotePeer(World, RemotePort, World.OwnPort);
+/// Lets \p World know 60 VMs, half of them of another region, whose VMs all
+/// have the address of \p RemotePort.
+static void introduceFleet(PeerExchangeWorld &World, std::uint16_t RemotePort) {
   // The VMs of a region share one address, so that the hellos to the region can
   // be counted there.
   for (int I = 0; I < 60; ++I) {
@@ -208,6 +232,15 @@
   }
   BOOST_TEST(World.runUntil(
       [&] { return World.Peers.livePeers(BootClock::now()).size() == 60; }));
+}
+
+// Traffic between regions is expensive, so hellos to VMs of the same region
+// must be more frequent.
+BOOST_AUTO_TEST_CASE(hellosOfLargeFleetGoMostlyToOwnRegion) {
+  PeerExchangeWorld World;
+  auto RemotePort = static_cast<std::uint16_t>(World.Ports.next());
+  PeerVm RemotePeer(World, RemotePort, World.OwnPort);
+  introduceFleet(World, RemotePort);
   World.runFor(std::chrono::milliseconds(1200));
   std::size_t SameRegionBefore = World.Peer.received<PeerHello>().size();
   std::size_t RemoteBefore = RemotePeer.received<PeerHello>().size();
@@ -215,3 +248,17 @@
   BOOST_TEST(World.Peer.received<PeerHello>().size() - SameRegionBefore == 7);
   BOOST_TEST(RemotePeer.received<PeerHello>().size() - RemoteBefore == 1);
 }
+
+// Each VM announces each configuration that it applies. If it told all others,
+// the announcements would grow with the square of the fleet.
+BOOST_AUTO_TEST_CASE(anAnnouncementGoesToFewVmsOfALargeFleet) {
+  PeerExchangeWorld World;
+  auto RemotePort = static_cast<std::uint16_t>(World.Ports.next());
+  PeerVm RemotePeer(World, RemotePort, World.OwnPort);
+  introduceFleet(World, RemotePort);
+  std::size_t SameRegionBefore = World.Peer.received<PeerHello>().size();
+  std::size_t RemoteBefore = RemotePeer.received<PeerHello>().size();
+  World.Peers.announce();
+  BOOST_TEST(World.Peer.received<PeerHello>().size() - SameRegionBefore == 7);
+  BOOST_TEST(RemotePeer.received<PeerHello>().size() - RemoteBefore == 1);
+}
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -21,7 +21,10 @@
                 .Incarnation = 99};
   Hello.ConfigVersion = 12;
   Hello.TargetsRevision = 345;
-  Hello.Others = {Hello.Self, Hello.Self, Hello.Self};
+  // The largest numbers, see FleetGossip::Options.
+  Hello.Others.assign(
+      4, {.Entry = Hello.Self, .ContactAge = std::chrono::minutes(2)});
+  Hello.Ages.assign(64, {.VmHash = 0xfedcba98, .Age = Millis(1500)});
   std::string Bytes = encodePeerMessage(Hello);
   BOOST_TEST(Bytes.size() < MaxDatagramBytes);
   Result<PeerMessage> Decoded = decodePeerMessage(Bytes);
@@ -29,7 +32,26 @@
   BOOST_TEST((Read.Self == Hello.Self));
   BOOST_TEST(Read.ConfigVersion == 12);
   BOOST_TEST(Read.TargetsRevision == 345);
-  BOOST_TEST(Read.Others.size() == 3);
+  BOOST_REQUIRE(Read.Others.size() == 4);
+  BOOST_TEST((Read.Others[3].Entry == Hello.Self));
+  BOOST_TEST((Read.Others[3].ContactAge == std::chrono::minutes(2)));
+  BOOST_TEST((Read.Ages == Hello.Ages));
+}
+
+// An age must not become smaller, or VMs would keep each other's belief in a VM
+// that is gone.
+BOOST_AUTO_TEST_CASE(contactAgesAreRoundedUpAndTheLargestAreLeftOut) {
+  PeerHello Hello;
+  Hello.Ages = {{.VmHash = 1, .Age = Millis(0)},
+                {.VmHash = 2, .Age = Millis(1)},
+                {.VmHash = 3, .Age = Millis(251)},
+                {.VmHash = 4, .Age = std::chrono::minutes(5)}};
+  Result<PeerMessage> Decoded = decodePeerMessage(encodePeerMessage(Hello));
+  const auto &Read = std::get<PeerHello>(valueOf(Decoded));
+  std::vector<ContactAge> Expected = {{.VmHash = 1, .Age = Millis(0)},
+                                      {.VmHash = 2, .Age = Millis(250)},
+                                      {.VmHash = 3, .Age = Millis(500)}};
+  BOOST_TEST((Read.Ages == Expected));
 }
 
 BOOST_AUTO_TEST_CASE(queryReportAndNoticeSurviveEncodingAndDecoding) {
--- a/test/Leases/VoterListTest.cpp
+++ b/test/Leases/VoterListTest.cpp
@@ -34,9 +34,18 @@
     List.recordListed(Vm);
   BOOST_TEST(List.voters(at(100)).size() == 4);
   List.recordContact("v2", false, at(100));
-  List.recordNamed("v3", at(101));
+  List.recordNamed("v3", at(40), at(101));
   BOOST_TEST(List.voters(at(109)).size() == 4);
   // No peer has named "v4", so it was gone before.
   BOOST_TEST(List.voters(at(110)).count("v4") == 0);
   BOOST_TEST(List.voters(at(400)).count("v3") == 1);
 }
+
+// In a large fleet, two VMs may have no contact with each other for minutes.
+BOOST_AUTO_TEST_CASE(aVmThatPeersAreInContactWithCounts) {
+  VoterList List({.OwnVm = "v1"});
+  List.recordNamed("v2", at(0), at(0));
+  List.recordNamed("v2", at(200), at(210));
+  BOOST_TEST(List.voters(at(499)).count("v2") == 1);
+  BOOST_TEST(List.voters(at(500)).count("v2") == 0);
+}
--- /dev/null
+++ b/test/Membership/FleetGossipTest.cpp
@@ -0,0 +1,221 @@
+#define BOOST_TEST_MODULE FleetGossip
+#include <boost/test/unit_test.hpp>
+
+#include "Membership/FleetGossip.h"
+
+#include <iostream>
+#include <memory>
+#include <random>
+
+using namespace cicadawind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned Domains = 6;
+/// Time between two rounds of the simulation, in which each VM sends its
+/// hellos.
+constexpr Duration HelloInterval = seconds(1);
+
+/// A fleet in virtual time. Hellos arrive at once.
+class GossipFleet {
+public:
+  explicit GossipFleet(std::size_t Count) {
+    auto Engine = std::make_shared<std::mt19937_64>(11);
+    for (std::size_t I = 0; I < Count; ++I) {
+      FleetGossip::Options Opts;
+      Opts.OwnVm = nameOf(I);
+      Opts.FailureDomain = "d" + std::to_string(I % Domains);
+      Opts.Region = I % Domains < Domains / 2 ? "r0" : "r1";
+      Opts.Random = [Engine] { return (*Engine)(); };
+      VmEntry Entry;
+      Entry.Vm = Opts.OwnVm;
+      Entry.FailureDomain = Opts.FailureDomain;
+      Entry.Region = Opts.Region;
+      Entry.Incarnation = 1;
+      Entries.push_back(Entry);
+      Vms.push_back(std::make_unique<FleetGossip>(Opts));
+      IsDown.push_back(false);
+    }
+  }
+
+  static std::string nameOf(std::size_t I) { return "vm-" + std::to_string(I); }
+
+  /// Lets the VM \p I read the store's list of all VMs.
+  void readList(std::size_t I) { readList(I, Entries); }
+  void readList(std::size_t I, const std::vector<VmEntry> &Listed) {
+    for (const VmEntry &To : Vms[I]->recordListed(Listed, Now))
+      send(I, To);
+  }
+  void send(std::size_t From, const VmEntry &To) {
+    std::size_t I = std::stoul(To.Vm.substr(3));
+    ++Hellos;
+    Vms[From]->recordSent(To.Vm);
+    if (IsDown[I])
+      return;
+    FleetGossip &Sender = *Vms[From];
+    if (Vms[I]->recordHello(Entries[From], Sender.chooseMentions(Now),
+                            Sender.chooseAges(Now), Now))
+      send(I, Entries[From]);
+    if (Vms[I]->isIncomplete(Now)) {
+      ++Fetches;
+      readList(I, Sender.members().usable());
+    }
+  }
+  /// Runs one HelloInterval and returns the number of hellos that were sent.
+  std::size_t runRound() {
+    Hellos = 0;
+    Now += HelloInterval;
+    for (std::size_t I = 0; I < Vms.size(); ++I)
+      if (!IsDown[I])
+        for (const VmEntry &To : Vms[I]->chooseRecipients(Now))
+          send(I, To);
+    return Hellos;
+  }
+  /// Returns the smallest number of live peers that a running VM knows.
+  std::size_t fewestLive() const {
+    std::size_t Fewest = Vms.size();
+    for (std::size_t I = 0; I < Vms.size(); ++I)
+      if (!IsDown[I])
+        Fewest = std::min(Fewest, Vms[I]->livePeers(Now).size());
+    return Fewest;
+  }
+  /// Returns the largest such number.
+  std::size_t mostLive() const {
+    std::size_t Most = 0;
+    for (std::size_t I = 0; I < Vms.size(); ++I)
+      if (!IsDown[I])
+        Most = std::max(Most, Vms[I]->livePeers(Now).size());
+    return Most;
+  }
+
+  TimePoint Now{seconds(1000)};
+  std::vector<VmEntry> Entries;
+  std::vector<std::unique_ptr<FleetGossip>> Vms;
+  std::vector<bool> IsDown;
+  std::size_t Hellos = 0;
+  /// How often a VM fetched the list of a peer.
+  std::size_t Fetches = 0;
+};
+
+} // namespace
+
+// All VMs start together. They must agree on the fleet at once, because they
+// derive from it which of them connect to a target, and stay agreed.
+BOOST_AUTO_TEST_CASE(vmsThatStartTogetherAgreeOnTheFleet) {
+  for (std::size_t Count : {30, 101, 300, 936}) {
+    GossipFleet Fleet(Count);
+    for (std::size_t I = 0; I < Count; ++I)
+      Fleet.readList(I);
+    std::size_t AtStart = Fleet.Hellos;
+    BOOST_TEST(Fleet.fewestLive() == Count - 1);
+    std::size_t MostPerRound = 0;
+    // Longer than any VM counts as live that is only listed.
+    for (int Round = 0; Round < 75; ++Round) {
+      MostPerRound = std::max(MostPerRound, Fleet.runRound());
+      BOOST_TEST(Fleet.fewestLive() == Count - 1, "round " << Round);
+    }
+    std::cout << Count << " VMs: " << AtStart / Count
+              << " hellos a VM at the start, " << MostPerRound / Count
+              << " a second\n";
+    // A hello at the start may be replied to once.
+    BOOST_TEST(AtStart <= Count * 2 * 16);
+    BOOST_TEST(MostPerRound <= Count * 2 * 8);
+    BOOST_TEST(Fleet.Fetches == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(newsOfAVmThatJoinsSpreadsInAFewRounds) {
+  for (std::size_t Count : {101, 300, 936}) {
+    GossipFleet Fleet(Count);
+    Fleet.IsDown[0] = true;
+    std::vector<VmEntry> Others(Fleet.Entries.begin() + 1, Fleet.Entries.end());
+    for (std::size_t I = 1; I < Count; ++I)
+      Fleet.readList(I, Others);
+    for (int Round = 0; Round < 5; ++Round)
+      Fleet.runRound();
+    BOOST_TEST(Fleet.mostLive() == Count - 2);
+    Fleet.IsDown[0] = false;
+    Fleet.readList(0);
+    int Rounds = 0;
+    auto KnownBy = [&] {
+      std::size_t Known = 0;
+      for (std::size_t I = 1; I < Count; ++I)
+        Known += Fleet.Vms[I]->livePeers(Fleet.Now).size() == Count - 1 ? 1 : 0;
+      return Known;
+    };
+    while (KnownBy() < Count - 1 && Rounds < 30) {
+      Fleet.runRound();
+      ++Rounds;
+    }
+    std::cout << Count << " VMs: a VM that joins is known to all after "
+              << Rounds << " rounds\n";
+    BOOST_TEST(Rounds <= 15);
+  }
+}
+
+// Mentions carry the age of the last contact, so VMs do not keep each other's
+// belief in a VM that is gone alive.
+BOOST_AUTO_TEST_CASE(aVmThatIsGoneIsForgottenByAll) {
+  GossipFleet Fleet(101);
+  for (std::size_t I = 0; I < 101; ++I)
+    Fleet.readList(I);
+  for (int Round = 0; Round < 30; ++Round)
+    Fleet.runRound();
+  Fleet.IsDown[7] = true;
+  int Rounds = 0;
+  while (Fleet.mostLive() == 100 && Rounds < 200) {
+    Fleet.runRound();
+    ++Rounds;
+  }
+  std::cout << "a lost VM is forgotten after " << Rounds << " rounds\n";
+  BOOST_TEST(Rounds <= 60);
+  for (int Round = 0; Round < 30; ++Round)
+    Fleet.runRound();
+  BOOST_TEST(Fleet.mostLive() == 99);
+}
+
+BOOST_AUTO_TEST_CASE(aListedVmThatIsGoneIsForgotten) {
+  GossipFleet Fleet(12);
+  Fleet.IsDown[3] = true;
+  for (std::size_t I = 0; I < 12; ++I)
+    if (I != 3)
+      Fleet.readList(I);
+  BOOST_TEST(Fleet.mostLive() == 11);
+  for (int Round = 0; Round < 11; ++Round)
+    Fleet.runRound();
+  BOOST_TEST(Fleet.mostLive() == 10);
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatWasCutOffIsFoundAgain) {
+  GossipFleet Fleet(7);
+  for (std::size_t I = 0; I < 7; ++I)
+    Fleet.readList(I);
+  Fleet.IsDown[2] = true;
+  for (int Round = 0; Round < 20; ++Round)
+    Fleet.runRound();
+  BOOST_TEST(Fleet.mostLive() == 5);
+  Fleet.IsDown[2] = false;
+  Fleet.runRound();
+  Fleet.runRound();
+  BOOST_TEST(Fleet.fewestLive() == 6);
+}
+
+// VMs that start at the same time read lists that lack those which register a
+// moment later.
+BOOST_AUTO_TEST_CASE(vmsThatAListLacksAreLearnedFromPeers) {
+  constexpr std::size_t Count = 300;
+  GossipFleet Fleet(Count);
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::vector<VmEntry> Listed(Fleet.Entries.begin(),
+                                Fleet.Entries.begin() +
+                                    static_cast<std::ptrdiff_t>(I));
+    Fleet.readList(I, Listed);
+  }
+  for (int Round = 0; Round < 15; ++Round)
+    Fleet.runRound();
+  BOOST_TEST(Fleet.fewestLive() == Count - 1);
+  std::cout << Fleet.Fetches << " lists fetched by " << Count << " VMs\n";
+  BOOST_TEST(Fleet.Fetches <= 2 * Count);
+}
--- /dev/null
+++ b/test/Proxy/ProxyServiceTest.cpp
@@ -0,0 +1,82 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE ProxyService
+#include <boost/test/unit_test.hpp>
+
+#include "Proxy/ProxyWorld.h"
+
+#include <random>
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A ProxyWorld with the proxy of another VM, which has just started and does
+/// not know the fleet yet.
+struct StartingVm : ProxyWorld {
+  StartingVm() {
+    ProxyService::Options Opts;
+    Opts.Codec = &Codec;
+    Opts.Vm = "vm-9";
+    Opts.FailureDomain = "d1";
+    Opts.Region = "r1";
+    Opts.Regions = {{"d1", "r1"}};
+    Opts.Random = [Engine = std::mt19937_64(3)]() mutable { return Engine(); };
+    Opts.AwaitsPeers = true;
+    Starting = std::make_unique<ProxyService>(Loop, Opts, Meter);
+    Starting->applyConfig(Config);
+    Starting->applyTargets(listedTargets(), 1);
+    onSweep([this](TimePoint Now) { Starting->sweep(Now); });
+  }
+  ~StartingVm() { onSweep(nullptr); }
+
+  std::size_t connections() {
+    std::size_t Count = 0;
+    for (const auto &[Id, Each] : Instances)
+      Count += Each->connections();
+    return Count;
+  }
+  /// Returns \p Count other VMs of the failure domain.
+  static std::vector<VmEntry> others(std::size_t Count) {
+    std::vector<VmEntry> Out;
+    for (std::size_t I = 0; I < Count; ++I)
+      Out.push_back({.Vm = "other-" + std::to_string(I),
+                     .FailureDomain = "d1",
+                     .Region = "r1",
+                     .PoolerPeer = "127.0.0.1:9",
+                     .Incarnation = 1});
+    return Out;
+  }
+
+  std::unique_ptr<ProxyService> Starting;
+};
+
+} // namespace
+
+// With a part of the fleet in view, every VM would take direct connections that
+// the targets do not have for all of them.
+BOOST_AUTO_TEST_CASE(aVmOpensNoConnectionsBeforeItKnowsTheFleet) {
+  StartingVm World;
+  std::size_t Before = World.connections();
+  World.runFor(milliseconds(150));
+  BOOST_TEST(World.connections() <= Before);
+  World.Starting->setPeers({});
+  BOOST_TEST(World.runUntil([&] { return World.connections() > Before; }));
+}
+
+BOOST_AUTO_TEST_CASE(aVmOfALargeFleetLeavesTheConnectionsToItsRelays) {
+  StartingVm World;
+  std::size_t Before = World.connections();
+  World.Starting->setPeers(StartingVm::others(60));
+  World.runFor(milliseconds(150));
+  BOOST_TEST(World.connections() <= Before);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestIsServedBeforeTheFleetIsKnown) {
+  StartingVm World;
+  ProxyCaller Caller(World, *World.Starting, "latest");
+  BOOST_TEST(Caller.ask("WRITE i1 x").find("COMPLETE") != std::string::npos);
+}
