Count no service time for a statement that did not run

Ruled out: leaving the slot unreleased until the statement is repeated (it is not repeated here).

Change: the duration of a released slot is optional; without one the estimate stays.

--- a/src/Admission/SlotScheduler.cpp
+++ b/src/Admission/SlotScheduler.cpp
@@ -217,11 +217,13 @@
   return Expired;
 }
 
-void SlotScheduler::finish(WorkId Id, Duration ServiceTime, TimePoint Now) {
+void SlotScheduler::finish(WorkId Id, std::optional<Duration> ServiceTime,
+                           TimePoint Now) {
   auto It = Running.find(Id);
   assert(It != Running.end() && "only a started item can finish");
   updateLongCredit(Now);
-  Times.observe(It->second.Item.Fingerprint, ServiceTime);
+  if (ServiceTime)
+    Times.observe(It->second.Item.Fingerprint, *ServiceTime);
   Running.erase(It);
 }
 
--- a/src/Admission/SlotScheduler.h
+++ b/src/Admission/SlotScheduler.h
@@ -6,6 +6,7 @@
 #include "Core/Result.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,8 +66,9 @@
   std::vector<WorkId> expire(TimePoint Now);
 
   /// Records that the started item \p Id has ended after it held its slot for
-  /// \p ServiceTime.
-  void finish(WorkId Id, Duration ServiceTime, TimePoint Now);
+  /// \p ServiceTime; empty if it did not run, which says nothing about the
+  /// service time of its fingerprint.
+  void finish(WorkId Id, std::optional<Duration> ServiceTime, TimePoint Now);
 
   /// Removes \p Id from the queue. Returns false if it is not queued.
   bool cancel(WorkId Id);
--- a/src/Pooler/PoolerService.cpp
+++ b/src/Pooler/PoolerService.cpp
@@ -217,7 +217,7 @@
   Result<std::unique_ptr<PooledConnection>> Connection =
       co_await Pool->acquireConnection(Deadline);
   if (const Error *E = errorOf(Connection)) {
-    Pool->releaseSlot(valueOf(Slot), Duration::zero());
+    Pool->releaseSlot(valueOf(Slot), std::nullopt);
     co_return *E;
   }
   PooledConnection &Acquired = *valueOf(Connection);
--- a/src/Pooler/TargetPool.cpp
+++ b/src/Pooler/TargetPool.cpp
@@ -77,7 +77,7 @@
   co_return Item.Id;
 }
 
-void TargetPool::releaseSlot(WorkId Id, Duration Held) {
+void TargetPool::releaseSlot(WorkId Id, std::optional<Duration> Held) {
   Scheduler.finish(Id, Held, BootClock::now());
   runScheduler();
 }
--- a/src/Pooler/TargetPool.h
+++ b/src/Pooler/TargetPool.h
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cicadawind {
@@ -71,8 +72,8 @@
   boost::asio::awaitable<Result<WorkId>> acquireSlot(std::uint64_t Fingerprint,
                                                      std::string Caller,
                                                      TimePoint Deadline);
-  /// Releases a slot that was held for \p Held.
-  void releaseSlot(WorkId Id, Duration Held);
+  /// Releases a slot in which a statement ran for \p Held; empty if none ran.
+  void releaseSlot(WorkId Id, std::optional<Duration> Held);
 
   /// Returns a clean connection, waiting until \p Deadline for one. Each
   /// returned connection has to be passed to releaseConnection().
--- a/test/Admission/SlotSchedulerTest.cpp
+++ b/test/Admission/SlotSchedulerTest.cpp
@@ -51,6 +51,21 @@
   BOOST_TEST((Scheduler.start(Start) == std::vector<WorkId>{9}));
 }
 
+// A statement that got a slot but no connection has not run. If that counted as
+// a service time of zero, long statements would pass for short ones after a few
+// failed connections.
+BOOST_AUTO_TEST_CASE(ItemsThatDidNotRunDoNotChangeTheEstimate) {
+  SlotScheduler Scheduler = makeTrainedScheduler();
+  for (WorkId Id = 1; Id <= 50; ++Id) {
+    Scheduler.offer(item(Id, LongFingerprint, 1h), Start);
+    Scheduler.start(Start);
+    Scheduler.finish(Id, std::nullopt, Start);
+  }
+  for (WorkId Id = 101; Id <= 103; ++Id)
+    Scheduler.offer(item(Id, LongFingerprint, 1h), Start);
+  BOOST_TEST(Scheduler.start(Start).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ShortItemsRunInOrderOfDeadline) {
   SlotScheduler Scheduler = makeTrainedScheduler({.Slots = 1});
   Scheduler.offer(item(1, ShortFingerprint, 900ms), Start);
