Reject an object whose version is no number

Ruled out for decodeHandle of RouterTransactions: its text comes out of a sealed token, so only this program writes it.

Change: such a read fails with StoreUnavailable, such a write has an unknown outcome.

Measured: ObjectStoreContractTest objectsWithAMalformedVersionAreRejected ended with a type_error before and passes now.

--- a/src/Platform/PlatformClient.cpp
+++ b/src/Platform/PlatformClient.cpp
@@ -28,8 +28,10 @@
     return storeError("the platform answered " +
                       std::to_string(Response.Status));
   nlohmann::json Json = nlohmann::json::parse(Response.Body, nullptr, false);
-  if (!Json.is_object() || !Json.contains("value") ||
-      !Json.contains("version") || !Json["value"].is_string())
+  bool IsObject = Json.is_object() && Json.contains("value") &&
+                  Json.contains("version") && Json["value"].is_string() &&
+                  Json["version"].is_number_unsigned();
+  if (!IsObject)
     return storeError("the platform's answer is malformed");
   return StoredObject{.Value = Json["value"].get<std::string>(),
                       .Version = Json["version"].get<std::uint64_t>()};
@@ -43,9 +45,11 @@
   }
   const HttpResponse &Response = std::get<HttpResponse>(Result);
   nlohmann::json Json = nlohmann::json::parse(Response.Body, nullptr, false);
-  if (Response.Status == 200 && Json.is_object())
+  bool HasVersion = Json.is_object() && Json.contains("version") &&
+                    Json["version"].is_number_unsigned();
+  if (Response.Status == 200 && HasVersion)
     return WriteResult{.Outcome = WriteOutcome::Accepted,
-                       .Version = Json.value("version", std::uint64_t{0})};
+                       .Version = Json["version"].get<std::uint64_t>()};
   if (Response.Status == 409)
     return WriteResult{.Outcome = WriteOutcome::Conflict};
   // With these statuses the platform refuses the request before the update.
--- a/test/Contract/ObjectStoreContractTest.cpp
+++ b/test/Contract/ObjectStoreContractTest.cpp
@@ -2,6 +2,7 @@
 // Boost.Asio 1.74's coroutine headers need <utility> to come first.
 #include <utility>
 
+#include "Fakes/FakeHttpServer.h"
 #include "Fakes/FakePlatform.h"
 #include "Fakes/MemoryStore.h"
 #include "Http/HttpClient.h"
@@ -136,3 +137,28 @@
              SetFaults("{\"lose_answers\":" + std::to_string(N) + "}");
            }});
 }
+
+// A response of the wrong type is an error of the store, not an exception that
+// ends the process.
+BOOST_AUTO_TEST_CASE(objectsWithAMalformedVersionAreRejected) {
+  for (const char *Version : {R"("7")", "-7", "1.5", "null", "{}"}) {
+    boost::asio::io_context Loop(1);
+    fakes::FakeHttpServer Server(
+        Loop, "127.0.0.1", 0,
+        [Version](HttpRequest, std::uint64_t, fakes::ResponseAction &)
+            -> boost::asio::awaitable<HttpResponse> {
+          HttpResponse Response;
+          Response.Body =
+              R"({"value":"v","version":)" + std::string(Version) + "}";
+          co_return Response;
+        },
+        nullptr);
+    HttpClient Http(Loop, HttpClient::Options{});
+    PlatformClient Client(Http, "127.0.0.1:" + std::to_string(Server.port()));
+    Result<StoredObject> Read = runOn(Loop, Client.read("kind", "a", 1s));
+    BOOST_REQUIRE(errorOf(Read));
+    BOOST_TEST((errorOf(Read)->Code == ErrorCode::StoreUnavailable), Version);
+    WriteResult Written = runOn(Loop, Client.write("kind", "a", "v", 0, 1s));
+    BOOST_TEST((Written.Outcome == WriteOutcome::Unknown), Version);
+  }
+}
