Do not log a rolled back write as in doubt

Ruled out: the reply to the caller (there is none; the connection is gone).

Change: only a commit or a write outside a transaction is in doubt.

Measured: RequestLogTest aWriteInATransactionIsNotInDoubtWhenItsCallerDisconnects failed before (in_doubt), passes now.

--- a/src/Callers/CallerSession.cpp
+++ b/src/Callers/CallerSession.cpp
@@ -301,9 +301,9 @@
   if (Ticket && Dispatcher)
     Dispatcher->cancel(std::exchange(Ticket, 0));
   if (Active) {
-    // A write that may have run is reported as in doubt, even one inside a
-    // transaction, which the target rolls back.
-    bool MayHaveRun = Active->WriteSent;
+    // The target rolls back a write inside a transaction, as its connection is
+    // closed.
+    bool MayHaveRun = Active->WriteSent && acknowledgesWrite();
     Error Failure{.Code = MayHaveRun ? ErrorCode::NotConfirmed
                                      : ErrorCode::ConnectionLost,
                   .Message = "the caller's connection ended"};
--- a/test/Callers/RequestLogTest.cpp
+++ b/test/Callers/RequestLogTest.cpp
@@ -118,3 +118,20 @@
   BOOST_REQUIRE(Line.is_object());
   BOOST_TEST(Line["outcome"] == "in_doubt");
 }
+
+// The target rolls back the transaction, so nothing of the write is in doubt.
+BOOST_AUTO_TEST_CASE(aWriteInATransactionIsNotInDoubtWhenItsCallerDisconnects) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "latest");
+  Caller.ask("BEGIN");
+  Caller.ask("READ i1");
+  World.instance("a").Faults.Silent = true;
+  Caller.send("QUERY q78 WRITE i1 x");
+  World.runFor(std::chrono::milliseconds(100));
+  Caller.close();
+  World.runUntil([&] { return World.Service->sessions() == 0; });
+  nlohmann::json Line = Lines.lineOf("q78");
+  BOOST_REQUIRE(Line.is_object());
+  BOOST_TEST(Line["outcome"] == "failed");
+}
