Suspect a VM only if its pooler did not respond

Ruled out: another code for the target's error (callers see it).

Change: send() tells whether the pooler responded; only then is the code looked at no more.

--- a/src/Router/PoolerCaller.cpp
+++ b/src/Router/PoolerCaller.cpp
@@ -34,7 +34,8 @@
 
 boost::asio::awaitable<PoolerCaller::CallResult>
 PoolerCaller::send(std::string Address, ExecuteRequest Request,
-                   Duration Timeout, std::string Traceparent, bool &Sent) {
+                   Duration Timeout, std::string Traceparent,
+                   Delivery &Delivered) {
   CallResult Out;
   Out.Pooler = Address;
   Duration ForPooler =
@@ -49,10 +50,11 @@
   HttpResult Result =
       co_await Http.call(std::move(Address), std::move(Call), Timeout);
   Duration Took = BootClock::now() - Start;
-  Sent = true;
+  Delivered = Delivery::Answered;
   if (const HttpFailure *Failure = std::get_if<HttpFailure>(&Result)) {
     Out.Response.Failure = internal::callError(*Failure);
-    Sent = Failure->MayHaveBeenSent;
+    Delivered =
+        Failure->MayHaveBeenSent ? Delivery::Unanswered : Delivery::NotSent;
     co_return Out;
   }
   const HttpResponse &Response = std::get<HttpResponse>(Result);
@@ -78,14 +80,12 @@
     Duration Left = End - BootClock::now();
     if (Left <= Duration::zero())
       break;
-    bool Sent = false;
-    Last =
-        co_await send(Owners[I].PoolerPeer, Request, Left, Traceparent, Sent);
-    bool Failed = Last.Response.Failure.has_value();
-    ErrorCode Code = Failed ? Last.Response.Failure->Code : ErrorCode::Internal;
-    if (!Sent || Code == ErrorCode::ConnectionLost)
+    Delivery Delivered = Delivery::NotSent;
+    Last = co_await send(Owners[I].PoolerPeer, Request, Left, Traceparent,
+                         Delivered);
+    if (Delivered != Delivery::Answered)
       Members.suspect(Owners[I].Vm, BootClock::now());
-    if (Sent)
+    if (Delivered != Delivery::NotSent)
       co_return Last;
   }
   co_return Last;
@@ -94,9 +94,9 @@
 boost::asio::awaitable<PoolerCaller::CallResult>
 PoolerCaller::callAt(std::string Address, ExecuteRequest Request,
                      Duration Timeout, std::string Traceparent) {
-  bool Sent = false;
+  Delivery Ignored = Delivery::NotSent;
   co_return co_await send(std::move(Address), std::move(Request), Timeout,
-                          std::move(Traceparent), Sent);
+                          std::move(Traceparent), Ignored);
 }
 
 } // namespace cicadawind
--- a/src/Router/PoolerCaller.h
+++ b/src/Router/PoolerCaller.h
@@ -48,10 +48,19 @@
                                             std::string Traceparent);
 
 private:
-  boost::asio::awaitable<CallResult> send(std::string Address,
-                                          ExecuteRequest Request,
-                                          Duration Timeout,
-                                          std::string Traceparent, bool &Sent);
+  /// How far a call got. The response's error code does not tell, because a
+  /// pooler reports its target's lost connection with the same code.
+  enum class Delivery {
+    /// The request cannot have reached the pooler.
+    NotSent,
+    /// The request may have reached the pooler, which did not respond.
+    Unanswered,
+    Answered,
+  };
+
+  boost::asio::awaitable<CallResult>
+  send(std::string Address, ExecuteRequest Request, Duration Timeout,
+       std::string Traceparent, Delivery &Delivered);
 
   HttpClient &Http;
   MemberTable &Members;
