Show the leases on primaries in the status

Ruled out: deriving it from the logs (a line tells when a lease ended, not what holds now).

Change: each group's status has the lease on its primary (held, remaining time, blocked by a promotion, superseded) and the replaced primaries that are not demoted yet; cicadawindctl status sums them up.

Measured: LeasedPromotionTest theStatusContainsTheLease passes (no such field before). The text of cicadawindctl has no test.

--- a/src/Cli/ProxyCommands.cpp
+++ b/src/Cli/ProxyCommands.cpp
@@ -89,12 +89,27 @@
   std::map<std::string, int> Primaries;
   /// Number of VMs at which the primary is in doubt.
   int InDoubt = 0;
+  /// Number of VMs that connect to the primary without a lease on it although
+  /// they need one, and of those that a promotion blocks.
+  int WithoutLease = 0;
+  int Blocked = 0;
+  /// Replaced primaries that were not demoted yet.
+  std::set<std::string> NotDemoted;
   /// Number of VMs that cannot reach each target.
   std::map<std::string, int> NotReached;
   /// Targets that are leaving.
   std::set<std::string> Leaving;
 };
 
+static void addLease(const Json &Lease, GroupSummary &Summary) {
+  if (!Lease.is_object())
+    return;
+  Summary.WithoutLease += Lease.value("held", true) ? 0 : 1;
+  Summary.Blocked += Lease.value("blocked", false) ? 1 : 0;
+  for (const Json &Target : Lease.value("replaced_primaries", Json::array()))
+    Summary.NotDemoted.insert(Target.get<std::string>());
+}
+
 static std::map<std::string, GroupSummary> summarise(const Json &Proxies) {
   std::map<std::string, GroupSummary> Out;
   for (const Json &Row : Proxies)
@@ -105,6 +120,7 @@
           std::max(Summary.Term, Group.value("term", std::uint64_t{0}));
       ++Summary.Primaries[Primary.empty() ? "none" : Primary];
       Summary.InDoubt += Group.value("in_doubt", false) ? 1 : 0;
+      addLease(Group.value("lease", Json()), Summary);
       for (const Json &Target : Group.value("targets", Json::array())) {
         std::string Name = Target.value("target", std::string());
         if (!Target.value("reached", true))
@@ -128,6 +144,13 @@
       std::cout << Primary << " (" << Vms << ") ";
     if (Summary.InDoubt > 0)
       std::cout << "in doubt on " << Summary.InDoubt << " VMs ";
+    if (Summary.WithoutLease > 0)
+      std::cout << "no lease on " << Summary.WithoutLease << " VMs ";
+    if (Summary.Blocked > 0)
+      std::cout << "lease blocked by a promotion on " << Summary.Blocked
+                << " VMs ";
+    for (const std::string &Target : Summary.NotDemoted)
+      std::cout << Target << " replaced but not demoted ";
     for (const auto &[Target, Vms] : Summary.NotReached)
       std::cout << Target << " not reached by " << Vms << " VMs ";
     for (const std::string &Target : Summary.Leaving)
--- a/src/Daemons/ProxyStatus.cpp
+++ b/src/Daemons/ProxyStatus.cpp
@@ -4,10 +4,13 @@
 #include "Daemons/ProxyStatus.h"
 
 #include "Exchange/PeerExchange.h"
+#include "Leases/PrimaryLease.h"
 #include "Proxy/ProxyService.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace cicadawind {
 namespace internal {
 
@@ -22,6 +25,21 @@
           {"reached", !Group.isUnreachable(Entry.Instance)}};
 }
 
+/// Returns the lease on the primary that \p Group uses; null if the platform
+/// fences promotions or this VM uses relays, which have leases of their own.
+static Json leaseStatus(const GroupDispatcher &Group, TimePoint Now) {
+  const PrimaryLease *Lease = Group.guard().lease();
+  if (!Lease || !Group.isDirect(Lease->primary()))
+    return nullptr;
+  std::optional<TimePoint> Until = Lease->validUntil();
+  Millis Left = Until ? toMillis(*Until - Now) : Millis::zero();
+  return {{"held", Lease->isValidAt(Now)},
+          {"remaining_ms", std::max(Left, Millis::zero()).count()},
+          {"blocked", Lease->isBlocked()},
+          {"superseded", Lease->isSuperseded()},
+          {"replaced_primaries", Group.guard().replacedPrimaries()}};
+}
+
 static Json groupStatus(const GroupDispatcher &Group, TimePoint Now) {
   const PrimaryTracker &Tracker = Group.tracker();
   std::optional<LeadershipProof> Proof = Tracker.newest();
@@ -36,6 +54,7 @@
           {"proof_age_ms", Age},
           {"in_doubt", Group.failureDetector().isSuspect(Now)},
           {"waiting", Group.waiting()},
+          {"lease", leaseStatus(Group, Now)},
           {"targets", std::move(Targets)}};
 }
 
--- a/src/Leases/FencedPrimaryGuard.h
+++ b/src/Leases/FencedPrimaryGuard.h
@@ -29,6 +29,7 @@
   }
   std::optional<Term> votesDue(TimePoint) override { return std::nullopt; }
   PrimaryLease *lease() override { return nullptr; }
+  const PrimaryLease *lease() const override { return nullptr; }
   PromotionPromise *promise() override { return nullptr; }
 };
 
--- a/src/Leases/LeasedPrimaryGuard.h
+++ b/src/Leases/LeasedPrimaryGuard.h
@@ -40,6 +40,7 @@
   std::optional<Term> peerEvidenceDue(TimePoint Now) override;
   std::optional<Term> votesDue(TimePoint Now) override;
   PrimaryLease *lease() override { return &Lease; }
+  const PrimaryLease *lease() const override { return &Lease; }
   PromotionPromise *promise() override { return &Promise; }
 
 private:
--- a/src/Leases/PrimaryGuard.h
+++ b/src/Leases/PrimaryGuard.h
@@ -65,6 +65,7 @@
   /// Returns the lease and the promises of a group whose platform does not
   /// fence; null otherwise.
   virtual PrimaryLease *lease() = 0;
+  virtual const PrimaryLease *lease() const = 0;
   virtual PromotionPromise *promise() = 0;
 };
 
--- a/test/Promotion/LeasedPromotionTest.cpp
+++ b/test/Promotion/LeasedPromotionTest.cpp
@@ -4,9 +4,12 @@
 #define BOOST_TEST_MODULE LeasedPromotion
 #include <boost/test/unit_test.hpp>
 
+#include "Daemons/ProxyStatus.h"
 #include "Leases/LeasedPrimaryGuard.h"
 #include "Promotion/LeasedFleet.h"
 
+#include <nlohmann/json.hpp>
+
 #include <set>
 
 using namespace cicadawind;
@@ -150,3 +153,21 @@
   for (const char *Id : {"b", "c"})
     BOOST_TEST(Fleet.Group.at(Id).PausedUpTo == 0);
 }
+
+BOOST_AUTO_TEST_CASE(theStatusContainsTheLease) {
+  LeasedFleet Fleet;
+  BOOST_REQUIRE(Fleet.waitForLeases("a"));
+  LeasedFleet::Vm &Vm = *Fleet.Vms[0];
+  auto leaseOf = [&] {
+    nlohmann::json Status = statusOf(*Vm.Service, *Vm.Peers, BootClock::now());
+    return Status["groups"][0]["lease"];
+  };
+  nlohmann::json Lease = leaseOf();
+  BOOST_REQUIRE(Lease.is_object());
+  BOOST_TEST(Lease["held"] == true);
+  BOOST_TEST(Lease["remaining_ms"] > 0);
+  BOOST_TEST(Lease["blocked"] == false);
+  Fleet.openProposal("vm-9", 2);
+  BOOST_TEST(leaseOf()["held"] == false);
+  BOOST_TEST(leaseOf()["blocked"] == true);
+}
