Do not decide alone that a primary is lost when most VMs are silent

Ruled out: a longer time until a peer no longer counts as live (relays and votes depend on it). A primary that is really gone while most VMs are silent is still replaced once its entry has left the store's list.

Change: PromotionDriver also asks whether this VM and its live peers are a majority of VoterList's VMs, which counts a silent VM for 5 minutes.

Measured: PromotionDriverTest vmThatReachesNoMajorityDoesNotReplaceThePrimary failed before (one order), passes now; 11 of 11 cases pass.

--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -33,6 +33,7 @@
   Out.OwnVm = Opts.Vm;
   Out.FailureDomain = Opts.FailureDomain;
   Out.Region = Opts.Region;
+  Out.PeerTimeout = Opts.PeerTimeout;
   Out.Random = Opts.Random;
   return Out;
 }
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -51,6 +51,8 @@
     /// IP addresses of the VMs that get a hello while no peer is known.
     std::vector<std::string> SeedAddresses;
     Duration HelloInterval = std::chrono::milliseconds(1000);
+    /// See FleetGossip::Options.
+    Duration PeerTimeout = std::chrono::seconds(8);
     /// Time after the start at which the live peers count as the whole fleet,
     /// even if the store's list of VMs could not be read.
     Duration DiscoveryTimeout = std::chrono::milliseconds(1000);
@@ -140,6 +142,10 @@
   std::set<std::string> voters(TimePoint Now) const {
     return Voters.voters(Now);
   }
+  /// Returns whether this VM and its live peers are more than half of voters().
+  bool reachesMajority(TimePoint Now) const {
+    return 2 * (livePeers(Now).size() + 1) > voters(Now).size();
+  }
 
 private:
   struct PendingQuery {
--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -129,9 +129,7 @@
     Peers.queryPrimary(Group.group(), Group.failureDetector().primary(), Now);
     logDoubt(Group, Now);
   }
-  bool IsFailing = Group.failureDetector().failingSince().has_value();
-  if (IsFailing &&
-      Group.failureDetector().isLost(votersOf(Group.group(), Now).Peers, Now))
+  if (isLost(Group, Now))
     return PromotionReason::Lost;
   if (Primary.empty() && Group.isPrimaryMissing(Now))
     return PromotionReason::Lost;
@@ -140,6 +138,17 @@
   return std::nullopt;
 }
 
+bool PromotionDriver::isLost(GroupDispatcher &Group, TimePoint Now) {
+  const PrimaryFailureDetector &Detector = Group.failureDetector();
+  if (!Detector.failingSince())
+    return false;
+  if (!Detector.isLost(votersOf(Group.group(), Now).Peers, Now))
+    return false;
+  // The voters are live peers. A VM that is cut off from most VMs has few or
+  // none of them, and must not decide while the others may use the primary.
+  return Peers.reachesMajority(Now);
+}
+
 bool PromotionDriver::isBlocked(GroupDispatcher &Group, TimePoint Now) {
   GroupState &State = Groups[Group.group()];
   const PrimaryLease *Lease = Group.guard().lease();
--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -117,6 +117,8 @@
   /// not. Queries the peers while the primary is suspect.
   std::optional<PromotionReason> reasonToPromote(GroupDispatcher &Group,
                                                  TimePoint Now);
+  /// Returns whether the reports of a majority say that the primary has failed.
+  bool isLost(GroupDispatcher &Group, TimePoint Now);
   /// Returns whether the primary is reached but its use has been blocked for
   /// BlockedTimeout.
   bool isBlocked(GroupDispatcher &Group, TimePoint Now);
--- a/test/Promotion/PromotionDriverTest.cpp
+++ b/test/Promotion/PromotionDriverTest.cpp
@@ -55,10 +55,10 @@
 
 /// A ProxyWorld whose VM runs a PromotionDriver, without peers until addPeer().
 struct PromotionWorld : ProxyWorld {
-  PromotionWorld()
+  explicit PromotionWorld(Duration PeerTimeout = std::chrono::seconds(8))
       : Store(Loop), Promotions(Group), Http(Loop, HttpClient::Options{}),
         OwnPort(static_cast<std::uint16_t>(Ports.next())),
-        Peers(Loop, peerOptions(OwnPort), Http, *Service),
+        Peers(Loop, peerOptions(OwnPort, PeerTimeout), Http, *Service),
         Driver(Loop,
                {.Vm = "vm-1", .Tokens = {.ReservationDelay = Duration::zero()}},
                *Service, Peers, Store, Promotions, Meter) {
@@ -66,14 +66,29 @@
   }
   ~PromotionWorld() { onSweep(nullptr); }
 
-  static PeerExchange::Options peerOptions(std::uint16_t Port) {
+  static PeerExchange::Options peerOptions(std::uint16_t Port,
+                                           Duration PeerTimeout) {
     PeerExchange::Options Out;
     Out.Vm = "vm-1";
     Out.Address = "127.0.0.1";
     Out.Port = Port;
+    Out.PeerTimeout = PeerTimeout;
     Out.Random = [] { return 4; };
     return Out;
   }
+  /// Lets the store list \p Count other VMs, none of which responds.
+  void listSilentVms(int Count) {
+    std::vector<VmEntry> Entries;
+    for (int I = 0; I < Count; ++I)
+      Entries.push_back(
+          {.Vm = "silent-" + std::to_string(I),
+           .FailureDomain = "d1",
+           .Region = "r1",
+           .RouterPeer = "127.0.0.1:" + std::to_string(Ports.next()),
+           .Incarnation = 1});
+    Peers.start();
+    Peers.contactListed(Entries);
+  }
   /// Adds a live peer that reports no contact with any primary.
   void addPeer() {
     Peer = std::make_unique<PeerVm>(
@@ -271,3 +286,17 @@
   BOOST_TEST(!WasSuspect);
   BOOST_TEST(World.Promotions.Tokens.empty());
 }
+
+// A VM that is cut off from the others and from the primary cannot tell whether
+// the others still use the primary. A promotion would discard their writes.
+BOOST_AUTO_TEST_CASE(vmThatReachesNoMajorityDoesNotReplaceThePrimary) {
+  PromotionWorld World(std::chrono::milliseconds(500));
+  ProxyCaller Caller(World, "latest");
+  Caller.ask("WRITE i1 x");
+  World.listSilentVms(2);
+  World.instance("a").crash();
+  // Three times the time after which the silent VMs no longer count as live.
+  World.runFor(std::chrono::milliseconds(1500));
+  BOOST_TEST(World.Peers.livePeers(BootClock::now()).empty());
+  BOOST_TEST(World.Promotions.Tokens.empty());
+}
