--- a/src/Callers/CallerRequests.cpp
+++ b/src/Callers/CallerRequests.cpp
@@ -384,30 +384,4 @@
   processNext();
 }
 
-void CallerSession::report(const char *Outcome, const Error *Failure) const {
-  TimePoint Now = BootClock::now();
-  RequestReport Report;
-  Report.Id = Active->Request.Id;
-  Report.Database = Database;
-  Report.Group = Route.Group;
-  Report.Kind = toString(Active->Request.Kind);
-  Report.Outcome = Outcome;
-  if (Failure) {
-    Report.Reason = Failure->Message;
-    Report.Code = toString(Failure->Code);
-  }
-  Report.FailedAttempts = Active->FailedAttempts;
-  Report.Instance = Active->LastInstance;
-  if (Active->MinPosition)
-    Report.MinPosition = toString(*Active->MinPosition);
-  std::optional<LeadershipProof> Proof;
-  if (Dispatcher)
-    Proof = Dispatcher->tracker().newest();
-  if (Proof)
-    Report.ProofAge = Now - Proof->RequestedAt;
-  Report.Attempts = Active->Attempts;
-  Report.Latency = Now - Active->Since;
-  Owner->Report(Report);
-}
-
 } // namespace cicadawind
--- a/src/Callers/CallerSession.cpp
+++ b/src/Callers/CallerSession.cpp
@@ -287,6 +287,34 @@
                  .Code = std::string(toString(ErrorCode::TransactionEnded))});
 }
 
+void CallerSession::report(const char *Outcome, const Error *Failure) const {
+  TimePoint Now = BootClock::now();
+  RequestReport Report;
+  Report.Id = Active->Request.Id;
+  Report.Database = Database;
+  Report.Group = Route.Group;
+  Report.Kind = toString(Active->Request.Kind);
+  Report.Outcome = Outcome;
+  if (Failure) {
+    Report.Reason = Failure->Message;
+    Report.Code = toString(Failure->Code);
+  }
+  Report.FailedAttempts = Active->FailedAttempts;
+  Report.Instance = Active->LastInstance;
+  if (Active->MinPosition)
+    Report.MinPosition = toString(*Active->MinPosition);
+  std::optional<LeadershipProof> Proof;
+  if (Dispatcher)
+    Proof = Dispatcher->tracker().newest();
+  if (Proof)
+    Report.ProofAge = Now - Proof->RequestedAt;
+  if (Failure && Dispatcher)
+    Report.Connections = Dispatcher->connectionCount();
+  Report.Attempts = Active->Attempts;
+  Report.Latency = Now - Active->Since;
+  Owner->Report(Report);
+}
+
 void CallerSession::close() {
   Stream->close();
   end();
--- a/src/Callers/RequestReport.h
+++ b/src/Callers/RequestReport.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_CALLERS_REQUESTREPORT_H
 
 #include "Core/Clock.h"
+#include "Links/ConnectionCount.h"
 
 #include <optional>
 #include <string>
@@ -35,6 +36,9 @@
   /// Age of the newest leadership proof when the request finished; empty when
   /// there is no proof.
   std::optional<Duration> ProofAge;
+  /// Connections of this VM to the group when a request was not served; empty
+  /// if it was served or its group is not known.
+  std::optional<ConnectionCount> Connections;
   unsigned Attempts = 0;
   /// Time from the start of processing to the response, without the wait for
   /// the caller's earlier requests.
--- a/src/Cli/RequestExplanation.cpp
+++ b/src/Cli/RequestExplanation.cpp
@@ -59,6 +59,30 @@
   std::string Advice;
 };
 
+/// Returns how long the VM of \p Request had been up, if \p Evidence says so.
+static std::optional<Millis> uptimeOf(const Json &Request,
+                                      const std::vector<Json> &Evidence) {
+  std::optional<Millis> Out;
+  for (const Json &Line : Evidence) {
+    bool IsStart = textOf(Line, "message") == "serving" &&
+                   textOf(Line, "vm") == textOf(Request, "vm");
+    auto Start = parseTime(textOf(Line, "time"));
+    auto End = parseTime(textOf(Request, "time"));
+    if (IsStart && Start && End && *Start <= *End)
+      Out = std::chrono::duration_cast<Millis>(*End - *Start);
+  }
+  return Out;
+}
+
+/// Returns whether \p Connections, such as "2 of 6", are fewer than allowed.
+static bool isBelowShare(const std::string &Connections) {
+  std::size_t Of = Connections.find(" of ");
+  if (Of == std::string::npos)
+    return false;
+  return std::atoi(Connections.c_str()) <
+         std::atoi(Connections.c_str() + Of + 4);
+}
+
 /// Diagnoses a request that waited for a connection and never got one.
 static Diagnosis diagnoseTimeout(const Json &Request,
                                  const std::vector<Json> &Evidence) {
@@ -77,6 +101,14 @@
   if (Missing)
     return {"fewer targets of its group took connections than usual",
             "see which targets the lines below name"};
+  std::string Connections = textOf(Request, "connections");
+  std::optional<Millis> Uptime = uptimeOf(Request, Evidence);
+  if (Uptime && isBelowShare(Connections))
+    return {"this VM had been up for " + std::to_string(Uptime->count()) +
+                " ms and had " + Connections +
+                " connections to the group's targets",
+            "nothing if it ends within seconds; a VM opens its connections "
+            "one after the other"};
   return {
       "callers asked for more than the group's targets run at once",
       "compare requests_total{outcome=\"refused\"} of all VMs; add slots or "
--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -180,6 +180,15 @@
   }
 }
 
+ConnectionCount GroupDispatcher::connectionCount() const {
+  ConnectionCount Out;
+  for (const auto &[Name, Links] : Targets) {
+    Out.Open += Links->openCount();
+    Out.Allowed += Links->path().Share;
+  }
+  return Out;
+}
+
 bool GroupDispatcher::isDirect(const std::string &Instance) const {
   const TargetConnections *Links = find(Instance);
   return Links && Links->path().Direct;
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -5,6 +5,7 @@
 #include "Dispatch/PrimaryFailureDetector.h"
 #include "Groups/PrimaryTracker.h"
 #include "Leases/PrimaryGuard.h"
+#include "Links/ConnectionCount.h"
 #include "Links/LinkRequest.h"
 #include "Links/TargetConnections.h"
 #include "Routing/ReadRouter.h"
@@ -187,6 +188,8 @@
   }
   /// Returns the number of requests that wait for a connection.
   std::size_t waiting() const { return Queue.size(); }
+  /// Returns the number of connections of this VM to the group's targets.
+  ConnectionCount connectionCount() const;
   const std::string &group() const { return Opts.Group; }
   /// Returns the entry of \p Instance; null if it is no target of this group.
   const TargetEntry *findEntry(const std::string &Instance) const;
--- a/src/Links/TargetConnections.h
+++ b/src/Links/TargetConnections.h
@@ -92,6 +92,8 @@
   std::shared_ptr<TargetLink> tryAcquire(std::size_t MinFree);
   bool hasFree() const { return !FreeLinks.empty(); }
   bool hasAny() const { return !AllLinks.empty(); }
+  /// Returns the number of connections that are open.
+  std::size_t openCount() const { return AllLinks.size() - OpeningCount; }
   /// Returns whether there are connections or control requests.
   bool isInUse() const { return hasAny() || !ControlQueue.empty(); }
   /// Takes back a link. Closes it if it has failed or has unanswered requests,
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -29,6 +29,13 @@
 /// number. That leaves time to close what is still open.
 constexpr unsigned DrainMarginDivisor = 12;
 
+static std::string describe(const std::optional<ConnectionCount> &Connections) {
+  if (!Connections)
+    return {};
+  return std::to_string(Connections->Open) + " of " +
+         std::to_string(Connections->Allowed);
+}
+
 } // namespace internal
 
 static RelayPlan::Options planOptions(const ProxyService::Options &Opts) {
@@ -256,6 +263,7 @@
        {"proof_age_ms", Report.ProofAge
                             ? std::to_string(toMillis(*Report.ProofAge).count())
                             : std::string()},
+       {"connections", internal::describe(Report.Connections)},
        {"config", std::to_string(Config->Version)},
        {"took_ms", std::to_string(toMillis(Report.Latency).count())}});
 }
--- a/test/Callers/RequestLogTest.cpp
+++ b/test/Callers/RequestLogTest.cpp
@@ -105,6 +105,21 @@
   BOOST_TEST(Line["attempts"] == "0");
 }
 
+// Tells a VM that is still opening connections from one whose targets are busy.
+BOOST_AUTO_TEST_CASE(theConnectionsOfTheGroupAreLoggedForAFailedRequest) {
+  ProxyWorld World;
+  LoggedLines Lines;
+  ProxyCaller Caller(World, "latest");
+  World.instance("a").Faults.Busy = 1000;
+  Caller.ask("WRITE i1 x");
+  nlohmann::json Line = Lines.lineOf(Caller.lastId());
+  BOOST_REQUIRE(Line.is_object());
+  ConnectionCount Count = World.Service->findGroup("g")->connectionCount();
+  BOOST_TEST(Count.Open > 0U);
+  BOOST_TEST(Line["connections"] == std::to_string(Count.Open) + " of " +
+                                        std::to_string(Count.Allowed));
+}
+
 BOOST_AUTO_TEST_CASE(anActiveRequestIsLoggedWhenItsCallerDisconnects) {
   ProxyWorld World;
   LoggedLines Lines;
