--- a/src/Links/RelayPlan.cpp
+++ b/src/Links/RelayPlan.cpp
@@ -77,11 +77,6 @@
   indexExclusions();
 }
 
-void RelayPlan::recordStart(TimePoint Now) {
-  StartupEnd = Now + Opts.StartupPeriod;
-  recordChange();
-}
-
 bool RelayPlan::isExcluded(const std::string &Vm) const {
   auto It = Exclusions.find(Vm);
   return It != Exclusions.end() && !It->second.Expired;
@@ -120,10 +115,6 @@
 bool RelayPlan::sweep(TimePoint Now) {
   bool Expired = sweepExclusions(Now);
   Expired |= internal::eraseExpired(RelayRequestedUntil, Now);
-  if (StartupEnd && Now >= *StartupEnd) {
-    StartupEnd.reset();
-    Expired = true;
-  }
   if (Expired)
     recordChange();
   return std::exchange(Changed, false);
@@ -178,17 +169,10 @@
   return It->second;
 }
 
-unsigned RelayPlan::sharePerRelay(unsigned MaxConnections) const {
-  double Share = MaxConnections * (1 - Opts.ReservedFraction) /
-                 static_cast<double>(Opts.RelaysPerTarget);
-  return std::max(1U, static_cast<unsigned>(Share));
-}
-
 TargetPath RelayPlan::pathTo(const TargetEntry &Target,
                              unsigned MaxConnections) const {
   TargetPath Path;
-  bool IsStarting = StartupEnd && vms() > Opts.RelaysPerTarget;
-  if (allDirect(MaxConnections) && !IsStarting) {
+  if (allDirect(MaxConnections)) {
     Path.Share =
         std::max<unsigned>(1, MaxConnections / static_cast<unsigned>(vms()));
     return Path;
@@ -198,7 +182,9 @@
       RelayRequestedUntil.count(Target.Instance) != 0 ||
       std::find(Chosen.begin(), Chosen.end(), Peers.size()) != Chosen.end();
   if (IsRelay) {
-    Path.Share = sharePerRelay(MaxConnections);
+    double SharePerRelay = MaxConnections * (1 - Opts.ReservedFraction) /
+                           static_cast<double>(Opts.RelaysPerTarget);
+    Path.Share = std::max(1U, static_cast<unsigned>(SharePerRelay));
     return Path;
   }
   Path.Direct = false;
--- a/src/Links/RelayPlan.h
+++ b/src/Links/RelayPlan.h
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,8 +37,7 @@
 /// RelaysPerTarget VMs relay the statements of all VMs. They are chosen by
 /// rendezvous hashing, first among the VMs in the target's failure domain, then
 /// among those in its region, then among all. VMs with the same view of the
-/// fleet choose the same relays. A VM that has just started uses relays in any
-/// case. A VM that is asked to relay does so even if
+/// fleet choose the same relays. A VM that is asked to relay does so even if
 /// its own view differs. Does no input or output. The relays of a target are
 /// computed once for each change of the plan, in O(VMs in its failure domain),
 /// or O(VMs) if that has too few.
@@ -72,11 +70,6 @@
     /// Time for which a VM keeps its direct path after a peer last asked it to
     /// relay.
     Duration RelayRequestLifetime = std::chrono::seconds(10);
-    /// Time after its start in which a VM that is no relay uses relays even if
-    /// all VMs may connect directly. After a power failure the targets keep the
-    /// connections of the lost VMs for 3 s, and accept so few others meanwhile
-    /// that the VMs must share them.
-    Duration StartupPeriod = std::chrono::seconds(3);
   };
 
   explicit RelayPlan(Options Opts);
@@ -89,8 +82,6 @@
   /// Returns the number of VMs, including this one.
   std::size_t vms() const { return Peers.size() + 1; }
 
-  /// Records that this VM has started at \p Now.
-  void recordStart(TimePoint Now);
   /// Records that \p Vm could not be reached and excludes it for a while.
   void markUnreachable(const std::string &Vm, TimePoint Now);
   /// Records that a peer asks this VM to relay statements to \p Instance.
@@ -111,10 +102,7 @@
   /// Index of a VM in Peers, or Peers.size() for this VM.
   using VmIndex = std::size_t;
 
-  /// Returns whether all VMs connect to a target directly, once started.
   bool allDirect(unsigned MaxConnections) const;
-  /// Returns the number of connections that one of the relays may have.
-  unsigned sharePerRelay(unsigned MaxConnections) const;
   /// Returns the relays of \p Target, best first.
   const std::vector<VmIndex> &relaysFor(const TargetEntry &Target) const;
   std::vector<VmIndex> chooseRelays(const TargetEntry &Target) const;
@@ -156,8 +144,6 @@
   /// By VM. An expired exclusion is kept for its length once more, so that a
   /// VM which is unreachable again is excluded for twice that time.
   std::map<std::string, Exclusion> Exclusions;
-  /// End of the StartupPeriod; empty if it is over.
-  std::optional<TimePoint> StartupEnd;
   /// Time until which this VM relays, by target.
   std::map<std::string, TimePoint> RelayRequestedUntil;
   /// Whether paths may have changed since the last sweep.
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -53,7 +53,6 @@
       Config(std::make_shared<ProxyConfig>()),
       Host(std::make_shared<CallerSession::Host>()), Plan(planOptions(Opts)),
       KnowsPeers(!Opts.AwaitsPeers) {
-  Plan.recordStart(BootClock::now());
   Host->Codec = Opts.Codec;
   Host->Config = [this]() -> const ProxyConfig & { return *Config; };
   Host->Group = [this](const std::string &Name) { return findGroup(Name); };
