Let three VMs of each failure domain read the store for the others

Each VM lists the targets, the configuration and the VMs at its start, about 0.65 MB, so 148 VMs ask for 96 MB over the link between regions, which takes longer than the 2 s that a list may take; all repeat it for ever. A configuration was acknowledged after 2.8 s (0.3 s at 30 VMs), as the store sent it to all VMs.

Change: StoreReaders, a policy class, lets the three VMs that come first in each failure domain read the store. The others fetch configuration and targets from the peer that announces them, in their own region at once, in the other one after 1 s. A VM that hears of no read for 4 s reads the store itself, after a wait by rank; until the VMs of its domain are known it waits 0.2 to 1 s. Hellos name the latest reads and a hash of the targets; a peer that lacks a state is told at once; the encoded state is kept. Watches can be suspended. Domains of up to three VMs work as before.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Daemons/ProxyStatus.h"
 #include "Leases/LeasedPrimaryGuard.h"
 #include "Observability/Log.h"
+#include "Platform/ObjectWatcher.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -140,6 +141,8 @@
     return handleOperatorRequest(Request);
   });
   Service.onConfig([this] { Peers.announce(); });
+  Service.onTargets([this] { Peers.announce(); });
+  Opts.Listings->setWatching(false);
   Service.setQueryPeers(
       [this](const std::string &Group, const std::string &Instance) {
         Peers.queryPrimary(Group, Instance, BootClock::now());
@@ -252,6 +255,7 @@
 void ProxyDaemon::sweep(TimePoint Now) {
   Service.sweep(Now);
   Peers.sweep(Now);
+  Opts.Listings->setWatching(Peers.mayReadStore(Now));
   Promotions.sweep(Now);
   // Sessions that this VM relays for other VMs also finish their requests and
   // transactions before it stops, unless the time for the drain has passed.
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -38,6 +38,13 @@
   return Out;
 }
 
+static StoreReaders::Options readerOptions(const PeerExchange::Options &Opts) {
+  StoreReaders::Options Out;
+  Out.OwnVm = Opts.Vm;
+  Out.FailureDomain = Opts.FailureDomain;
+  return Out;
+}
+
 /// Returns an incarnation that is higher than those of earlier starts of this
 /// VM, unless its system clock has been set back. In that case a peer that
 /// knows the later incarnation sends it to this VM, and handleHello takes a
@@ -51,8 +58,9 @@
 PeerExchange::PeerExchange(boost::asio::io_context &Loop, Options NewOpts,
                            HttpClient &Http, ProxyService &Service)
     : Loop(Loop), Opts(std::move(NewOpts)), Http(Http), Service(Service),
-      Fleet(gossipOptions(Opts)), Socket(Loop), Incarnation(newIncarnation()),
-      Voters({.OwnVm = Opts.Vm}) {}
+      Fleet(gossipOptions(Opts)),
+      Readers(readerOptions(Opts), BootClock::now()), Socket(Loop),
+      Incarnation(newIncarnation()), Voters({.OwnVm = Opts.Vm}) {}
 
 PeerExchange::~PeerExchange() { *Alive = false; }
 
@@ -173,17 +181,55 @@
   for (const ContactAge &Each : Hello.Ages)
     if (const std::string *Vm = Fleet.findName(Each.VmHash))
       Voters.recordNamed(*Vm, Now - Each.Age, Now);
+  for (const ContactAge &Each : Hello.StoreReads)
+    Readers.recordRead(Each.VmHash, Now - Each.Age);
   bool IsNear = From.Region == Opts.Region;
   if (IsNear && Fleet.isIncomplete(Now))
     fetchMembers(From);
   reportLaterIncarnation(From);
   updateServicePeers(Now);
-  if (!hasNewerState(Hello))
+  bool ConfirmsTargets = !readsStore(Now) &&
+                         Hello.TargetsRevision > Service.targetsRevision() &&
+                         Hello.TargetsHash == Service.targetsHash();
+  if (ConfirmsTargets)
+    Service.confirmTargets(Hello.TargetsRevision);
+  if (IsNear && lacksState(Hello))
+    sendTo(From.RouterPeer, ownHello());
+  if (!hasNewerState(Hello, Now))
     return;
-  Newer = Announcement{.Hello = Hello, .Since = Newer ? Newer->Since : Now};
+  recordNewerState(Hello, Now);
   fetchIfDue(Now);
 }
 
+void PeerExchange::setStoreReachable(bool Reachable) {
+  StoreReachable = Reachable;
+  if (!Reachable)
+    Readers.recordFailure(BootClock::now());
+}
+
+bool PeerExchange::readsStore(TimePoint Now) const {
+  // A VM without targets has just started, and applies whatever arrives first.
+  return StoreReachable && Readers.mayRead(Now) &&
+         Service.targetsRevision() != 0;
+}
+
+bool PeerExchange::lacksState(const PeerHello &Hello) const {
+  bool HasOlderTargets = Hello.TargetsRevision < Service.targetsRevision() &&
+                         Hello.TargetsHash != Service.targetsHash();
+  return Hello.ConfigVersion < Service.config().Version || HasOlderTargets;
+}
+
+void PeerExchange::recordNewerState(const PeerHello &Hello, TimePoint Now) {
+  if (!Newer) {
+    Newer = Announcement{.Hello = Hello, .Since = Now};
+    return;
+  }
+  bool IsNear = Hello.Self.Region == Opts.Region;
+  bool WasNear = Newer->Hello.Self.Region == Opts.Region;
+  if (IsNear || !WasNear)
+    Newer->Hello = Hello;
+}
+
 void PeerExchange::adoptIncarnation(const VmEntry &Other) {
   if (Other == self() || Other.Incarnation < Incarnation)
     return;
@@ -194,20 +240,25 @@
   announce();
 }
 
-bool PeerExchange::hasNewerState(const PeerHello &Hello) const {
-  bool HasNewerTargets =
-      !StoreReachable && Hello.TargetsRevision > Service.targetsRevision();
+bool PeerExchange::hasNewerState(const PeerHello &Hello, TimePoint Now) const {
+  bool HasNewerTargets = !readsStore(Now) &&
+                         Hello.TargetsRevision > Service.targetsRevision() &&
+                         Hello.TargetsHash != Service.targetsHash();
   return Hello.ConfigVersion > Service.config().Version || HasNewerTargets;
 }
 
 void PeerExchange::fetchIfDue(TimePoint Now) {
   if (!Newer)
     return;
-  if (!hasNewerState(Newer->Hello)) {
+  if (!hasNewerState(Newer->Hello, Now)) {
     Newer.reset();
     return;
   }
-  if (StoreReachable && Now - Newer->Since < Opts.StoreDelay)
+  bool IsNear = Newer->Hello.Self.Region == Opts.Region;
+  Duration Delay = IsNear ? Duration::zero() : Opts.RemoteFetchDelay;
+  if (readsStore(Now))
+    Delay = Opts.StoreDelay;
+  if (Fetching || Now - Newer->Since < Delay)
     return;
   fetchState(Newer->Hello.Self.Vm, Newer->Hello.Self.RouterPeer);
   Newer.reset();
@@ -242,6 +293,7 @@
   Hello.Self = self();
   Hello.ConfigVersion = Service.config().Version;
   Hello.TargetsRevision = Service.targetsRevision();
+  Hello.TargetsHash = Service.targetsHash();
   return Hello;
 }
 
@@ -249,6 +301,9 @@
   PeerHello Hello = ownHello();
   Hello.Others = Fleet.chooseMentions(Now);
   Hello.Ages = Fleet.chooseAges(Now);
+  Hello.StoreReads = Readers.latestReads(Now);
+  if (readsStore(Now))
+    Hello.StoreReads.push_back({.VmHash = FleetGossip::hashOf(Opts.Vm)});
   return Hello;
 }
 
@@ -280,6 +335,7 @@
   if (ServiceLiveVersion == Fleet.liveVersion())
     return;
   ServiceLiveVersion = Fleet.liveVersion();
+  Readers.setPeers(Live, Now);
   Service.setPeers(Live);
 }
 
@@ -353,10 +409,16 @@
   contactListed(valueOf(Entries));
 }
 
-HttpResponse PeerExchange::stateResponse() const {
+HttpResponse PeerExchange::stateResponse() {
+  StateVersion Current{.Config = Service.config().Version,
+                       .TargetsRevision = Service.targetsRevision()};
+  if (EncodedState.empty() || Current != EncodedVersion) {
+    EncodedState = encodeState(Service.state());
+    EncodedVersion = Current;
+  }
   HttpResponse Response;
   Response.ContentType = "application/cbor";
-  Response.Body = encodeState(Service.state());
+  Response.Body = EncodedState;
   return Response;
 }
 
@@ -395,7 +457,8 @@
   std::uint64_t Version = Fetched.Config.Version;
   bool Applied = Service.applyConfig(
       std::make_shared<ProxyConfig>(std::move(Fetched.Config)));
-  if (!StoreReachable && Fetched.TargetsRevision > Service.targetsRevision())
+  bool IsNewer = Fetched.TargetsRevision > Service.targetsRevision();
+  if (!readsStore(BootClock::now()) && IsNewer)
     Service.applyTargets(Fetched.Targets, Fetched.TargetsRevision);
   if (Applied)
     internal::Logger.info("configuration applied from a peer",
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -6,6 +6,7 @@
 #include "Http/HttpMessage.h"
 #include "Leases/VoterList.h"
 #include "Membership/FleetGossip.h"
+#include "Membership/StoreReaders.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -59,6 +60,9 @@
     /// Time for which a VM that reads the store waits for a newer configuration
     /// to arrive from there before it fetches it from a peer.
     Duration StoreDelay = std::chrono::milliseconds(500);
+    /// Time for which a VM that does not read the store waits for a newer state
+    /// to be announced in its own region before it fetches it from another one.
+    Duration RemoteFetchDelay = std::chrono::milliseconds(1000);
     /// Minimum time between two queries about the same group and primary.
     Duration MinQueryInterval = std::chrono::milliseconds(80);
     /// Maximum number of peers that one query for a leadership proof goes to.
@@ -125,9 +129,10 @@
     RequestHook = std::move(Hook);
   }
 
-  /// Sets whether this VM can read the store; if not, it applies the lists of
-  /// targets of its peers.
-  void setStoreReachable(bool Reachable) { StoreReachable = Reachable; }
+  /// Sets whether this VM could read the store when it last tried.
+  void setStoreReachable(bool Reachable);
+  /// Returns whether this VM may read the store; see StoreReaders.
+  bool mayReadStore(TimePoint Now) const { return Readers.mayRead(Now); }
 
   VmEntry self() const;
   const std::string &region() const { return Opts.Region; }
@@ -170,8 +175,17 @@
   PeerHello makeHello(TimePoint Now);
   void sendHello(const VmEntry &To, TimePoint Now);
   void sendHelloToSeeds(TimePoint Now);
+  /// Returns whether this VM reads the store. If not, it applies the targets of
+  /// its peers, too.
+  bool readsStore(TimePoint Now) const;
   /// Returns whether \p Hello announces a state that this VM lacks.
-  bool hasNewerState(const PeerHello &Hello) const;
+  bool hasNewerState(const PeerHello &Hello, TimePoint Now) const;
+  /// Returns whether the sender of \p Hello lacks a state that this VM has. It
+  /// is told at once, since it may not hear of that for seconds otherwise.
+  bool lacksState(const PeerHello &Hello) const;
+  /// Keeps \p Hello, which announces a state that this VM lacks, until that is
+  /// fetched.
+  void recordNewerState(const PeerHello &Hello, TimePoint Now);
   /// Fetches the state that a peer has announced if the store did not deliver
   /// it in time.
   void fetchIfDue(TimePoint Now);
@@ -182,7 +196,7 @@
   void fetchState(const std::string &Vm, const std::string &Address);
   boost::asio::awaitable<void> fetchAndApplyState(std::string Vm,
                                                   std::string Address);
-  HttpResponse stateResponse() const;
+  HttpResponse stateResponse();
   /// Starts to fetch the entries of all VMs that \p From knows, unless a fetch
   /// is in progress.
   void fetchMembers(const VmEntry &From);
@@ -200,6 +214,7 @@
   HttpClient &Http;
   ProxyService &Service;
   FleetGossip Fleet;
+  StoreReaders Readers;
   /// False after destruction, for callbacks that may run later.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   boost::asio::ip::udp::socket Socket;
@@ -217,6 +232,16 @@
   bool HasList = false;
   /// Version of the live peers that the service has; empty if it has none.
   std::optional<std::uint64_t> ServiceLiveVersion;
+  /// The state in the form that peers fetch, which many do after a change, and
+  /// what it was made from.
+  struct StateVersion {
+    std::uint64_t Config = 0;
+    std::uint64_t TargetsRevision = 0;
+
+    bool operator==(const StateVersion &) const = default;
+  };
+  std::string EncodedState;
+  StateVersion EncodedVersion;
   /// The last hello that announced a state which this VM lacks, and when the
   /// first of them arrived.
   struct Announcement {
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -53,6 +53,8 @@
            {"self", cicadawind::toJson(Message.Self)},
            {"config", Message.ConfigVersion},
            {"targets", Message.TargetsRevision},
+           {"targets_hash", Message.TargetsHash},
+           {"reads", toJson(Message.StoreReads)},
            {"others", Json::array()},
            {"ages", toJson(Message.Ages)}};
   for (const FleetMention &Each : Message.Others) {
@@ -248,6 +250,9 @@
     Out.Others.push_back(
         {.Entry = vmEntryFrom(Each),
          .ContactAge = Millis(Each.value("contact_age", UnknownAge.count()))});
+  Out.TargetsHash = In.value("targets_hash", std::uint64_t{0});
+  if (In.contains("reads"))
+    Out.StoreReads = contactAgesFrom(In["reads"]);
   if (In.contains("ages"))
     Out.Ages = contactAgesFrom(In["ages"]);
   return Out;
--- a/src/Exchange/PeerMessage.h
+++ b/src/Exchange/PeerMessage.h
@@ -26,6 +26,10 @@
   std::uint64_t ConfigVersion = 0;
   /// Revision of the store that the sender's list of targets reflects.
   std::uint64_t TargetsRevision = 0;
+  /// Hash of that list, which is the same on all VMs with the same targets.
+  std::uint64_t TargetsHash = 0;
+  /// The latest reads of the store, by the VMs that read it; see StoreReaders.
+  std::vector<ContactAge> StoreReads;
   /// Other VMs whose entries have changed.
   std::vector<FleetMention> Others;
   /// Contact ages of some of the other VMs that the sender knows.
--- a/src/Membership/FleetGossip.cpp
+++ b/src/Membership/FleetGossip.cpp
@@ -6,10 +6,6 @@
 namespace cicadawind {
 namespace internal {
 
-static std::uint32_t vmHash(const std::string &Vm) {
-  return static_cast<std::uint32_t>(hashText(Vm));
-}
-
 static MemberTable::Options memberOptions(const FleetGossip::Options &Opts) {
   MemberTable::Options Out;
   Out.OwnVm = Opts.OwnVm;
@@ -20,17 +16,21 @@
 
 } // namespace internal
 
+std::uint32_t FleetGossip::hashOf(const std::string &Vm) {
+  return static_cast<std::uint32_t>(hashText(Vm));
+}
+
 FleetGossip::FleetGossip(Options NewOpts)
     : Opts(std::move(NewOpts)), Members(internal::memberOptions(Opts)) {
   assert(Opts.Random && "gossip needs a source of random numbers");
-  NamesByHash[internal::vmHash(Opts.OwnVm)] = Opts.OwnVm;
+  NamesByHash[hashOf(Opts.OwnVm)] = Opts.OwnVm;
 }
 
 bool FleetGossip::merge(const VmEntry &Entry) {
   std::uint64_t Before = Members.version();
   Members.merge(Entry);
-  NamesByHash.try_emplace(internal::vmHash(Entry.Vm), Entry.Vm);
-  Unknown.erase(internal::vmHash(Entry.Vm));
+  NamesByHash.try_emplace(hashOf(Entry.Vm), Entry.Vm);
+  Unknown.erase(hashOf(Entry.Vm));
   return Members.version() != Before;
 }
 
@@ -169,8 +169,8 @@
     const std::string &Vm = Live[(First + I) % Live.size()].Vm;
     auto Contact = ContactAt.find(Vm);
     if (Contact != ContactAt.end())
-      Out.push_back({.VmHash = internal::vmHash(Vm),
-                     .Age = toMillis(Now - Contact->second)});
+      Out.push_back(
+          {.VmHash = hashOf(Vm), .Age = toMillis(Now - Contact->second)});
   }
   return Out;
 }
--- a/src/Membership/FleetGossip.h
+++ b/src/Membership/FleetGossip.h
@@ -64,6 +64,9 @@
 
   explicit FleetGossip(Options Opts);
 
+  /// Returns the hash that names \p Vm in a ContactAge.
+  static std::uint32_t hashOf(const std::string &Vm);
+
   /// Records a hello of \p From. Returns whether it should get one in reply:
   /// if this is the first contact and no hello was sent to it before.
   bool recordHello(const VmEntry &From,
--- a/src/Platform/ObjectWatcher.h
+++ b/src/Platform/ObjectWatcher.h
@@ -38,6 +38,12 @@
   virtual void watchKind(std::string Kind, Duration MinInterval,
                          ChangeHook OnChange,
                          ReachabilityHook OnReachabilityChange) = 0;
+
+  /// Suspends or resumes all watches. They run unless they are suspended. A
+  /// call in progress completes and is still reported. A watch that resumes
+  /// lists its kind again. While watches are suspended, the store counts as
+  /// reachable.
+  virtual void setWatching(bool Enabled) = 0;
 };
 
 } // namespace cicadawind
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -123,6 +123,9 @@
   TargetsRevision = Revision;
   Directory.applyList(Listed, BootClock::now());
   updateGroups();
+  std::uint64_t Previous = std::exchange(TargetsHash, Directory.listedHash());
+  if (TargetsHash != Previous && TargetsHook)
+    TargetsHook();
 }
 
 void ProxyService::setPeers(const std::vector<VmEntry> &LivePeers) {
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -114,11 +114,18 @@
     return Groups;
   }
   std::uint64_t targetsRevision() const { return TargetsRevision; }
+  /// Returns a hash of the listed targets, which is the same on all VMs with
+  /// the same list.
+  std::uint64_t targetsHash() const { return TargetsHash; }
+  /// Records that the listed targets are still current at \p Revision.
+  void confirmTargets(std::uint64_t Revision) { TargetsRevision = Revision; }
   /// Returns the configuration and targets that this VM has applied, for its
   /// peers.
   ProxyState state() const;
   /// Sets the hook that is called after a new configuration has become active.
   void onConfig(std::function<void()> Hook) { ConfigHook = std::move(Hook); }
+  /// Sets the hook that is called after the listed targets have changed.
+  void onTargets(std::function<void()> Hook) { TargetsHook = std::move(Hook); }
   /// Sets the function with which groups query peers about their primaries; see
   /// GroupDispatcher::Options. Has no effect on groups that exist already.
   void setQueryPeers(
@@ -174,6 +181,8 @@
   TimePoint NextPathUpdate;
   std::map<std::string, VmEntry> Peers;
   std::uint64_t TargetsRevision = 0;
+  std::uint64_t TargetsHash = 0;
+  std::function<void()> TargetsHook;
   /// Number of updates of the groups and their targets.
   std::uint64_t TargetsUpdates = 0;
   std::function<void()> ConfigHook;
--- a/test/Exchange/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -43,6 +43,21 @@
     Out.Random = [] { return 4; };
     return Out;
   }
+  /// Returns entries of VMs of this VM's domain that come before it in the
+  /// order in which they read the store.
+  static std::vector<VmEntry> listReadersOfTheDomain() {
+    std::vector<VmEntry> Out;
+    for (int I = 0; Out.size() < StoreReaders::Options().ReadersPerDomain;
+         ++I) {
+      VmEntry Entry;
+      Entry.Vm = "reader-" + std::to_string(I);
+      Entry.Region = "r1";
+      Entry.RouterPeer = "127.0.0.1:1";
+      if (hashText(Entry.Vm) < hashText("vm-1"))
+        Out.push_back(Entry);
+    }
+    return Out;
+  }
   /// Lets the peer send a hello; false if it does not become a live peer.
   bool makePeerLive() {
     Peer.sendHello(Service->config().Version);
@@ -84,11 +99,48 @@
   BOOST_TEST((BootClock::now() - Start < std::chrono::milliseconds(300)));
 }
 
+// In a large failure domain most VMs do not read the store, and take targets
+// from the VMs that do.
+BOOST_AUTO_TEST_CASE(targetsAreFetchedByAVmThatDoesNotReadTheStore) {
+  PeerExchangeWorld World;
+  World.Peer.State.Config = *World.Config;
+  World.Peer.State.Targets = World.listedTargets();
+  World.Peer.State.Targets.pop_back();
+  World.Peer.State.TargetsRevision = 90;
+  std::vector<VmEntry> Others = World.listReadersOfTheDomain();
+  World.Peers.contactListed(Others);
+  BOOST_TEST(!World.Peers.mayReadStore(BootClock::now()));
+  World.Peer.sendHelloWithTargets(90, 12345);
+  BOOST_TEST(
+      World.runUntil([&] { return World.Service->targetsRevision() == 90; }));
+  // The peer reads the store again, and nothing has changed.
+  World.Peer.sendHelloWithTargets(95, World.Service->targetsHash());
+  BOOST_TEST(
+      World.runUntil([&] { return World.Service->targetsRevision() == 95; }));
+  BOOST_TEST(World.Peer.Fetches == 1);
+}
+
+// Otherwise it would hear of the change only in a later hello.
+BOOST_AUTO_TEST_CASE(aPeerThatLacksTheStateIsTold) {
+  PeerExchangeWorld World;
+  BOOST_TEST(World.makePeerLive());
+  World.runFor(std::chrono::milliseconds(20));
+  std::size_t Before = World.Peer.received<PeerHello>().size();
+  World.Peer.sendHello(0);
+  BOOST_TEST(World.runUntil(
+      [&] { return World.Peer.received<PeerHello>().size() > Before; }));
+  BOOST_TEST(World.Peer.received<PeerHello>().back().ConfigVersion ==
+             World.Service->config().Version);
+}
+
 // A new configuration reaches all VMs from the store within milliseconds. If
 // each also fetched it from the VM that announced it first, that VM would have
 // to send it to the whole fleet.
 BOOST_AUTO_TEST_CASE(configurationThatTheStoreDeliversIsNotFetched) {
   PeerExchangeWorld World;
+  // A VM that knows that it is alone in its domain reads the store.
+  World.Peers.contactListed({});
+  BOOST_TEST(World.Peers.mayReadStore(BootClock::now()));
   World.Peer.State.Config = *World.Config;
   World.Peer.State.Config.Version = 9;
   World.Peer.sendHello(9);
--- a/test/Exchange/PeerVm.h
+++ b/test/Exchange/PeerVm.h
@@ -42,14 +42,27 @@
   }
   /// Sends a hello that announces \p ConfigVersion.
   void sendHello(std::uint64_t ConfigVersion) {
+    PeerHello Hello = makeHello();
+    Hello.ConfigVersion = ConfigVersion;
+    send(Hello);
+  }
+  /// Sends a hello that announces targets with the hash \p Hash, read at \p
+  /// Revision.
+  void sendHelloWithTargets(std::uint64_t Revision, std::uint64_t Hash) {
+    PeerHello Hello = makeHello();
+    Hello.ConfigVersion = State.Config.Version;
+    Hello.TargetsRevision = Revision;
+    Hello.TargetsHash = Hash;
+    send(Hello);
+  }
+  PeerHello makeHello() const {
     PeerHello Hello;
     Hello.Self = {.Vm = "vm-2",
                   .FailureDomain = "d1",
                   .Region = "r1",
                   .RouterPeer = "127.0.0.1:" + std::to_string(Port),
                   .Incarnation = 1};
-    Hello.ConfigVersion = ConfigVersion;
-    send(Hello);
+    return Hello;
   }
 
   /// Returns all messages of type \p Message received so far, oldest first.
--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -176,3 +176,16 @@
   T.Store.Faults.Refusal = 503;
   BOOST_TEST((T.promote(7) == PromotionOutcome::NotStarted));
 }
+
+// A VM that takes the state from its peers must cost the store nothing.
+BOOST_AUTO_TEST_CASE(aSuspendedWatchMakesNoCallsAndListsAgainWhenResumed) {
+  ClientAndStore T;
+  T.Client.setWatching(false);
+  T.startWatch();
+  TimePoint End = BootClock::now() + 500ms;
+  T.runUntil([&] { return BootClock::now() >= End; });
+  BOOST_TEST(T.Store.Calls.empty());
+  T.write("{}", 0);
+  T.Client.setWatching(true);
+  BOOST_TEST(T.runUntil([&] { return T.Seen.count("n") == 1; }));
+}
