Let one VM of a region ask the other region for leadership proofs

Each VM that reads from a group whose primary is in the other region asks one of its relays there for a newer proof, up to 1.3 times a second, group and VM; these queries grow with the VMs.

Ruled out: configuration and targets (read by 18 VMs now), hellos (one of eight goes to the other region).

Change: PeerExchange asks the VM of its own region that comes first in the order of the group. That one answers with a proof of up to 400 ms, or asks the other region once and answers all that wait. Without a report within 150 ms a VM asks the other region itself for 3 s. Ages are counted from the time of each query, as before.

--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -18,8 +18,6 @@
 namespace internal {
 
 static const Log Logger("peers");
-/// Time after which reports on a query are ignored.
-constexpr Duration QueryTimeout = std::chrono::milliseconds(1000);
 /// Timeout of fetching a peer's state over HTTP.
 constexpr Duration FetchTimeout = std::chrono::milliseconds(1500);
 /// Paths under which a VM serves its state and the entries of all VMs.
@@ -340,10 +338,7 @@
 }
 
 void PeerExchange::sweep(TimePoint Now) {
-  for (auto It = Queries.begin(); It != Queries.end();) {
-    bool IsExpired = Now - It->second.SentAt > internal::QueryTimeout;
-    It = IsExpired ? Queries.erase(It) : std::next(It);
-  }
+  dropExpiredQueries(Now);
   fetchIfDue(Now);
   if (Now < NextHello)
     return;
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -22,6 +22,7 @@
 
 namespace cicadawind {
 
+class GroupDispatcher;
 class HttpClient;
 class HttpServer;
 class ProxyService;
@@ -98,8 +99,10 @@
 
   /// Queries peers about the primary of \p Group. If \p Instance is given, it
   /// is the primary in doubt, and all live voters are asked for their evidence.
-  /// If it is empty, a few peers are asked for a newer leadership proof. Does
-  /// nothing within MinQueryInterval after the same query.
+  /// If it is empty, a few peers are asked for a newer leadership proof; if the
+  /// primary is in another region and reached through relays, one VM of this
+  /// region asks them for all VMs of the region. Does nothing within
+  /// MinQueryInterval after the same query.
   void queryPrimary(const std::string &Group, const std::string &Instance,
                     TimePoint Now);
 
@@ -159,6 +162,24 @@
     TimePoint SentAt;
   };
 
+  /// A query whose report waits for a newer leadership proof.
+  struct PendingReport {
+    boost::asio::ip::udp::endpoint To;
+    PrimaryQuery Query;
+    TimePoint Since;
+  };
+  /// The VM that asks other regions for the leadership proofs of a group on
+  /// behalf of this region.
+  struct Reporter {
+    /// Version of the live peers that Vm was chosen from; empty before that.
+    std::optional<std::uint64_t> LiveVersion;
+    std::string Vm;
+    /// When Vm was first asked without having reported since.
+    std::optional<TimePoint> AskedAt;
+    /// Time until which Vm is not asked, because it did not report.
+    TimePoint SilentUntil;
+  };
+
   using QueryKey = std::pair<std::string, std::string>;
 
   /// Waits for the next datagram, handles it and continues.
@@ -167,6 +188,30 @@
   void handleHello(const PeerHello &Hello, TimePoint Now);
   void handleQuery(const PrimaryQuery &Query, TimePoint Now);
   void handleReport(const PrimaryReport &Report, TimePoint Now);
+  void sendReport(const PendingReport &Waiting, TimePoint Now);
+  /// Sends the reports about \p Group that waited for a newer proof.
+  void sendWaitingReports(const std::string &Group, TimePoint Now);
+  void dropExpiredQueries(TimePoint Now);
+  void sendQuery(const std::string &Group, const std::string &Instance,
+                 const std::vector<VmEntry> &To, TimePoint Now);
+  /// Returns the peers that a query goes to; see queryPrimary().
+  std::vector<VmEntry> chooseQueried(const std::string &Group,
+                                     const std::string &Instance,
+                                     TimePoint Now);
+  /// Returns whether all \p Vms are in other regions.
+  bool isRemote(const std::vector<VmEntry> &Vms) const;
+  /// Returns the live peers that relay to the primary of \p Group; none if VMs
+  /// connect directly.
+  std::vector<VmEntry> relaysToPrimary(const std::string &Group) const;
+  /// Returns whether a report on \p Group has to wait for a newer leadership
+  /// proof from another region.
+  bool needsRemoteProof(const GroupDispatcher &Group, TimePoint Now) const;
+  /// Returns the VM of this region, possibly this one, that comes first in the
+  /// order of \p Group. Costs O(VMs) after a change of the live peers.
+  const std::string &proofReporter(const std::string &Group, TimePoint Now);
+  /// Returns proofReporter(); empty if that is this VM or it does not report.
+  std::optional<VmEntry> reachableReporter(const std::string &Group,
+                                           TimePoint Now);
   void handleNotice(const PromotionNotice &Notice);
   void sendTo(const std::string &Address, const PeerMessage &Message);
   /// Returns a hello that says nothing of other VMs.
@@ -254,6 +299,8 @@
   /// When each query was last sent, by group and instance.
   std::map<QueryKey, TimePoint> LastQueriedAt;
   std::uint64_t LastQueryNumber = 0;
+  std::map<std::string, std::vector<PendingReport>> WaitingReports;
+  std::map<std::string, Reporter> Reporters;
   std::function<void(const PromotionNotice &)> NoticeHook;
   std::function<void(const PeerMessage &, const ReplyFunction &)> LeaseHook;
   VoterList Voters;
--- a/src/Exchange/PeerQueries.cpp
+++ b/src/Exchange/PeerQueries.cpp
@@ -14,27 +14,53 @@
 namespace cicadawind {
 namespace internal {
 
+/// Time after which reports on a query are ignored.
+constexpr Duration QueryTimeout = std::chrono::milliseconds(1000);
 /// Age of the last contact with a primary above which a peer's query makes this
 /// VM probe it.
 constexpr Duration ProbeAfter = std::chrono::milliseconds(100);
+/// Age up to which a leadership proof is passed on to other VMs of the region
+/// without asking for a newer one. About a quarter of the smallest MaxStaleness
+/// in use.
+constexpr Duration SharedProofAge = std::chrono::milliseconds(400);
+/// Time without a report after which this VM no longer asks the VM that reports
+/// for its region, and the time for which it does not.
+constexpr Duration ReporterTimeout = std::chrono::milliseconds(150);
+constexpr Duration SilentReporterPeriod = std::chrono::seconds(3);
+/// Time for which a report to another VM waits for a newer proof.
+constexpr Duration QueryLifetime = std::chrono::milliseconds(500);
 
 } // namespace internal
 
 void PeerExchange::handleQuery(const PrimaryQuery &Query, TimePoint Now) {
+  GroupDispatcher *Group = Service.findGroup(Query.Group);
+  if (Group && !Query.Instance.empty()) {
+    std::optional<Duration> ContactAge =
+        Group->failureDetector().lastContactAge(Query.Instance, Now);
+    if (!ContactAge || *ContactAge > internal::ProbeAfter)
+      Group->probePrimary();
+  }
+  PendingReport Waiting{.To = Sender, .Query = Query, .Since = Now};
+  if (Group && Query.Instance.empty() && needsRemoteProof(*Group, Now)) {
+    WaitingReports[Query.Group].push_back(std::move(Waiting));
+    return queryPrimary(Query.Group, "", Now);
+  }
+  sendReport(Waiting, Now);
+}
+
+void PeerExchange::sendReport(const PendingReport &Waiting, TimePoint Now) {
   PrimaryReport Report;
   Report.From = Opts.Vm;
-  Report.Number = Query.Number;
-  Report.Group = Query.Group;
-  GroupDispatcher *Group = Service.findGroup(Query.Group);
-  if (Group) {
-    if (!Query.Instance.empty()) {
+  Report.Number = Waiting.Query.Number;
+  Report.Group = Waiting.Query.Group;
+  const std::string &Instance = Waiting.Query.Instance;
+  if (GroupDispatcher *Group = Service.findGroup(Report.Group)) {
+    if (!Instance.empty()) {
       std::optional<Duration> ContactAge =
-          Group->failureDetector().lastContactAge(Query.Instance, Now);
+          Group->failureDetector().lastContactAge(Instance, Now);
       if (ContactAge)
         Report.ContactAge = toMillis(*ContactAge);
-      Report.ReachesDirectly = !Group->isUnreachable(Query.Instance);
-      if (!ContactAge || *ContactAge > internal::ProbeAfter)
-        Group->probePrimary();
+      Report.ReachesDirectly = !Group->isUnreachable(Instance);
     }
     const PrimaryTracker &Tracker = Group->tracker();
     std::optional<LeadershipProof> Proof = Tracker.newest();
@@ -49,15 +75,101 @@
   }
   // An error is ignored, since the peer repeats its query if it gets no report.
   boost::system::error_code Ignored;
-  Socket.send_to(boost::asio::buffer(encodePeerMessage(Report)), Sender, 0,
+  Socket.send_to(boost::asio::buffer(encodePeerMessage(Report)), Waiting.To, 0,
                  Ignored);
 }
 
+bool PeerExchange::isRemote(const std::vector<VmEntry> &Vms) const {
+  return !Vms.empty() &&
+         std::none_of(Vms.begin(), Vms.end(), [&](const VmEntry &Each) {
+           return Each.Region == Opts.Region;
+         });
+}
+
+std::vector<VmEntry>
+PeerExchange::relaysToPrimary(const std::string &Group) const {
+  std::vector<VmEntry> Out;
+  for (const std::string &Vm : Service.relaysToPrimary(Group))
+    if (std::optional<VmEntry> Entry = Service.findPeer(Vm))
+      Out.push_back(std::move(*Entry));
+  return Out;
+}
+
+bool PeerExchange::needsRemoteProof(const GroupDispatcher &Group,
+                                    TimePoint Now) const {
+  std::optional<LeadershipProof> Proof = Group.tracker().newest();
+  bool IsFresh = Proof && Now - Proof->RequestedAt < internal::SharedProofAge;
+  return !IsFresh && isRemote(relaysToPrimary(Group.group()));
+}
+
+const std::string &PeerExchange::proofReporter(const std::string &Group,
+                                               TimePoint Now) {
+  const std::vector<VmEntry> &Live = livePeers(Now);
+  Reporter &Cached = Reporters[Group];
+  if (Cached.LiveVersion == livePeersVersion())
+    return Cached.Vm;
+  Cached = {.LiveVersion = livePeersVersion(), .Vm = Opts.Vm};
+  std::uint64_t GroupHash = hashText(Group);
+  std::uint64_t Least = hashCombine(GroupHash, hashText(Opts.Vm));
+  for (const VmEntry &Each : Live) {
+    std::uint64_t Order = hashCombine(GroupHash, hashText(Each.Vm));
+    if (Each.Region != Opts.Region || Order >= Least)
+      continue;
+    Least = Order;
+    Cached.Vm = Each.Vm;
+  }
+  return Cached.Vm;
+}
+
+std::optional<VmEntry> PeerExchange::reachableReporter(const std::string &Group,
+                                                       TimePoint Now) {
+  const std::string &Vm = proofReporter(Group, Now);
+  Reporter &State = Reporters[Group];
+  bool IsSilent =
+      State.AskedAt && Now - *State.AskedAt > internal::ReporterTimeout;
+  if (IsSilent) {
+    State.SilentUntil = Now + internal::SilentReporterPeriod;
+    State.AskedAt.reset();
+  }
+  if (Vm == Opts.Vm || Now < State.SilentUntil)
+    return std::nullopt;
+  std::optional<VmEntry> Entry = Service.findPeer(Vm);
+  if (Entry && !State.AskedAt)
+    State.AskedAt = Now;
+  return Entry;
+}
+
+void PeerExchange::dropExpiredQueries(TimePoint Now) {
+  std::erase_if(Queries, [&](const auto &Each) {
+    return Now - Each.second.SentAt > internal::QueryTimeout;
+  });
+  for (auto &[Group, Waiting] : WaitingReports)
+    std::erase_if(Waiting, [&](const PendingReport &Each) {
+      return Now - Each.Since > internal::QueryLifetime;
+    });
+  std::erase_if(WaitingReports,
+                [](const auto &Each) { return Each.second.empty(); });
+}
+
+void PeerExchange::sendWaitingReports(const std::string &Group, TimePoint Now) {
+  auto It = WaitingReports.find(Group);
+  if (It == WaitingReports.end())
+    return;
+  std::vector<PendingReport> Waiting = std::move(It->second);
+  WaitingReports.erase(It);
+  for (const PendingReport &Each : Waiting)
+    if (Now - Each.Since < internal::QueryLifetime)
+      sendReport(Each, Now);
+}
+
 void PeerExchange::handleReport(const PrimaryReport &Report, TimePoint Now) {
   auto It = Queries.find(Report.Number);
   if (It == Queries.end() || It->second.Group != Report.Group)
     return;
   Fleet.recordContact(Report.From, Now);
+  Reporter &State = Reporters[Report.Group];
+  if (Report.From == State.Vm)
+    State.AskedAt.reset();
   GroupDispatcher *Group = Service.findGroup(Report.Group);
   if (!Group)
     return;
@@ -71,6 +183,7 @@
   if (!Report.Primary.empty())
     Group->recordPeerProof(Report.Primary, Report.LogEnd,
                            Query.SentAt - Report.ProofAge);
+  sendWaitingReports(Report.Group, Now);
 }
 
 void PeerExchange::queryPrimary(const std::string &Group,
@@ -83,6 +196,12 @@
       Now - LastQueried->second < Opts.MinQueryInterval)
     return;
   LastQueriedAt[Key] = Now;
+  sendQuery(Group, Instance, chooseQueried(Group, Instance, Now), Now);
+}
+
+std::vector<VmEntry> PeerExchange::chooseQueried(const std::string &Group,
+                                                 const std::string &Instance,
+                                                 TimePoint Now) {
   // VMs that have evidence of their own; an empty set stands for all VMs.
   std::set<std::string> DirectVms = Instance.empty()
                                         ? Service.relaysToPrimary(Group)
@@ -93,6 +212,10 @@
   for (const std::string &Vm : DirectVms)
     if (std::optional<VmEntry> Entry = Service.findPeer(Vm))
       Peers.push_back(std::move(*Entry));
+  // One VM of the region asks the other region for all of them.
+  if (Instance.empty() && !DirectVms.empty() && isRemote(Peers))
+    if (std::optional<VmEntry> Reporter = reachableReporter(Group, Now))
+      return {*Reporter};
   if (Instance.empty()) {
     // Peers of this region respond sooner and cause no traffic between regions.
     std::stable_partition(Peers.begin(), Peers.end(), [&](const VmEntry &E) {
@@ -104,13 +227,19 @@
   // query number selects it, so that the load is shared.
   if (Instance.empty() && !DirectVms.empty() && !Peers.empty())
     Peers = {Peers[LastQueryNumber % Peers.size()]};
+  return Peers;
+}
+
+void PeerExchange::sendQuery(const std::string &Group,
+                             const std::string &Instance,
+                             const std::vector<VmEntry> &To, TimePoint Now) {
   PrimaryQuery Query;
   Query.From = Opts.Vm;
   Query.Number = ++LastQueryNumber;
   Query.Group = Group;
   Query.Instance = Instance;
   Queries[Query.Number] = {.Group = Group, .Instance = Instance, .SentAt = Now};
-  for (const VmEntry &Entry : Peers)
+  for (const VmEntry &Entry : To)
     sendTo(Entry.RouterPeer, Query);
 }
 
--- a/test/Exchange/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -266,9 +266,10 @@
   BOOST_TEST(Status["groups"][0]["targets"].size() == 3);
 }
 
-/// Lets \p World know 60 VMs, half of them of another region, whose VMs all
-/// have the address of \p RemotePort.
-static void introduceFleet(PeerExchangeWorld &World, std::uint16_t RemotePort) {
+/// Lets \p World know 60 VMs, half of them of another region and of the failure
+/// domain \p RemoteDomain, whose VMs all have the address of \p RemotePort.
+static void introduceFleet(PeerExchangeWorld &World, std::uint16_t RemotePort,
+                           const std::string &RemoteDomain = "d1") {
   // The VMs of a region share one address, so that the hellos to the region can
   // be counted there.
   for (int I = 0; I < 60; ++I) {
@@ -276,7 +277,7 @@
     std::uint16_t Port = IsSameRegion ? World.PeerPort : RemotePort;
     PeerHello Hello;
     Hello.Self = {.Vm = "fleet-" + std::to_string(I),
-                  .FailureDomain = "d1",
+                  .FailureDomain = IsSameRegion ? "d1" : RemoteDomain,
                   .Region = IsSameRegion ? "r1" : "r2",
                   .RouterPeer = "127.0.0.1:" + std::to_string(Port),
                   .Incarnation = 1};
@@ -314,3 +315,79 @@
   BOOST_TEST(World.Peer.received<PeerHello>().size() - SameRegionBefore == 7);
   BOOST_TEST(RemotePeer.received<PeerHello>().size() - RemoteBefore == 1);
 }
+
+namespace {
+
+/// A large fleet whose targets are in another region.
+struct RemoteTargetsWorld : PeerExchangeWorld {
+  RemoteTargetsWorld()
+      : RemotePort(static_cast<std::uint16_t>(Ports.next())),
+        RemotePeer(*this, RemotePort, OwnPort) {
+    introduceFleet(*this, RemotePort, "d9");
+    std::vector<TargetEntry> Targets = listedTargets();
+    for (TargetEntry &Each : Targets)
+      Each.FailureDomain = "d9";
+    Service->applyTargets(Targets, Service->targetsRevision() + 1);
+    BOOST_REQUIRE(
+        runUntil([&] { return !Service->relaysToPrimary("g").empty(); }));
+    // Longer than a proof is passed on without asking for a newer one.
+    runFor(std::chrono::milliseconds(500));
+  }
+  std::size_t queriesToRegion() { return Peer.received<PrimaryQuery>().size(); }
+  std::size_t queriesToOtherRegion() {
+    return RemotePeer.received<PrimaryQuery>().size();
+  }
+
+  std::uint16_t RemotePort;
+  PeerVm RemotePeer;
+};
+
+} // namespace
+
+// If each VM asked the other region for itself, the queries between regions
+// would grow with the fleet.
+BOOST_AUTO_TEST_CASE(oneVmOfTheRegionIsAskedForTheProofOfARemotePrimary) {
+  RemoteTargetsWorld World;
+  std::size_t RegionBefore = World.queriesToRegion();
+  std::size_t RemoteBefore = World.queriesToOtherRegion();
+  World.Peers.queryPrimary("g", "", BootClock::now());
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(World.queriesToRegion() - RegionBefore == 1);
+  BOOST_TEST(World.queriesToOtherRegion() == RemoteBefore);
+  // It does not report, so this VM asks the other region itself.
+  World.runFor(std::chrono::milliseconds(200));
+  World.Peers.queryPrimary("g", "", BootClock::now());
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(World.queriesToRegion() - RegionBefore == 1);
+  BOOST_TEST(World.queriesToOtherRegion() - RemoteBefore == 1);
+}
+
+// A VM that is asked for the region must not pass on an outdated proof, with
+// which the reads would wait for another one.
+BOOST_AUTO_TEST_CASE(aReportWaitsForAFreshProofFromTheOtherRegion) {
+  RemoteTargetsWorld World;
+  PrimaryQuery Query;
+  Query.From = "fleet-1";
+  Query.Number = 77;
+  Query.Group = "g";
+  World.Peer.send(Query);
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(World.Peer.received<PrimaryReport>().empty());
+  std::vector<PrimaryQuery> Asked = World.Peer.received<PrimaryQuery>();
+  BOOST_REQUIRE(!Asked.empty());
+  PrimaryReport Report;
+  Report.From = "fleet-2";
+  Report.Number = Asked.back().Number;
+  Report.Group = "g";
+  Report.Primary = "a";
+  Report.LogEnd = {.WrittenIn = 1, .Index = 5};
+  Report.ProofAge = Millis(20);
+  World.Peer.send(Report);
+  BOOST_TEST(World.runUntil(
+      [&] { return !World.Peer.received<PrimaryReport>().empty(); }));
+  PrimaryReport Passed = World.Peer.received<PrimaryReport>().back();
+  BOOST_TEST(Passed.Number == 77U);
+  BOOST_TEST(Passed.Primary == "a");
+  // The age covers the time that the report took to arrive.
+  BOOST_TEST((Passed.ProofAge >= Millis(70)));
+}
