Keep hellos and states in the failure domain, and send peers only the targets that have changed

While the targets register in the first seconds, each second brings a new list, and every VM fetches all of it, about 130 KB at 297 VMs, from whichever VM of the region announces it.

Ruled out: hellos (about 1 KB each, 8 a second and VM).

Change: TargetHistory remembers at which revision of the store each target changed; a fetch names the version and the revision that the VM has and gets the differences. The receiver compares a hash of the result and asks for the whole list if it differs: a target that changes and changes back between two lists is not noticed. A state announced in the own failure domain is fetched at once, others after 1 s. Five of eight hellos stay in the failure domain.

--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -23,6 +23,10 @@
 /// Paths under which a VM serves its state and the entries of all VMs.
 static const char *const StatePath = "/state";
 static const char *const MembersPath = "/members";
+/// Parameters of a request for the state: the version of the configuration and
+/// the revision of the targets that the requesting VM has.
+static const char *const ConfigParameter = "config";
+static const char *const TargetsParameter = "targets";
 
 } // namespace internal
 
@@ -90,7 +94,7 @@
         if (Request.Path == internal::MembersPath)
           co_return membersResponse();
         bool ForState = Request.Path == internal::StatePath || !RequestHook;
-        co_return ForState ? stateResponse() : RequestHook(Request);
+        co_return ForState ? stateResponse(Request) : RequestHook(Request);
       });
   receiveNext();
   StartedAt = BootClock::now();
@@ -222,8 +226,8 @@
     Newer = Announcement{.Hello = Hello, .Since = Now};
     return;
   }
-  bool IsNear = Hello.Self.Region == Opts.Region;
-  bool WasNear = Newer->Hello.Self.Region == Opts.Region;
+  bool IsNear = Hello.Self.FailureDomain == Opts.FailureDomain;
+  bool WasNear = Newer->Hello.Self.FailureDomain == Opts.FailureDomain;
   if (IsNear || !WasNear)
     Newer->Hello = Hello;
 }
@@ -252,7 +256,7 @@
     Newer.reset();
     return;
   }
-  bool IsNear = Newer->Hello.Self.Region == Opts.Region;
+  bool IsNear = Newer->Hello.Self.FailureDomain == Opts.FailureDomain;
   Duration Delay = IsNear ? Duration::zero() : Opts.RemoteFetchDelay;
   if (readsStore(Now))
     Delay = Opts.StoreDelay;
@@ -404,12 +408,25 @@
   contactListed(valueOf(Entries));
 }
 
-HttpResponse PeerExchange::stateResponse() {
-  StateVersion Current{.Config = Service.config().Version,
-                       .TargetsRevision = Service.targetsRevision()};
-  if (EncodedState.empty() || Current != EncodedVersion) {
-    EncodedState = encodeState(Service.state());
-    EncodedVersion = Current;
+/// Returns the number that \p Request has for \p Key, or 0.
+static std::uint64_t numberOf(const HttpRequest &Request, const char *Key) {
+  auto It = Request.Query.find(Key);
+  return It == Request.Query.end()
+             ? 0
+             : std::strtoull(It->second.c_str(), nullptr, 10);
+}
+
+HttpResponse PeerExchange::stateResponse(const HttpRequest &Request) {
+  StateVersion From{.Config = numberOf(Request, internal::ConfigParameter),
+                    .TargetsRevision =
+                        numberOf(Request, internal::TargetsParameter)};
+  StateVersion To{.Config = Service.config().Version,
+                  .TargetsRevision = Service.targetsRevision()};
+  if (EncodedState.empty() || From != EncodedFrom || To != EncodedTo) {
+    EncodedState =
+        encodeState(Service.stateSince(From.Config, From.TargetsRevision));
+    EncodedFrom = From;
+    EncodedTo = To;
   }
   HttpResponse Response;
   Response.ContentType = "application/cbor";
@@ -429,6 +446,12 @@
   HttpRequest Request;
   Request.Method = "GET";
   Request.Path = internal::StatePath;
+  if (!std::exchange(NeedsWholeState, false)) {
+    Request.Query[internal::ConfigParameter] =
+        std::to_string(Service.config().Version);
+    Request.Query[internal::TargetsParameter] =
+        std::to_string(Service.targetsRevision());
+  }
   HttpResult CallResult =
       co_await Http.call(Address, std::move(Request), internal::FetchTimeout);
   Fetching = false;
@@ -454,7 +477,7 @@
       std::make_shared<ProxyConfig>(std::move(Fetched.Config)));
   bool IsNewer = Fetched.TargetsRevision > Service.targetsRevision();
   if (!readsStore(BootClock::now()) && IsNewer)
-    Service.applyTargets(Fetched.Targets, Fetched.TargetsRevision);
+    NeedsWholeState = !Service.applyTargetsOf(Fetched);
   if (Applied)
     internal::Logger.info("configuration applied from a peer",
                           {{"peer", Vm}, {"version", std::to_string(Version)}});
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -62,7 +62,8 @@
     /// to arrive from there before it fetches it from a peer.
     Duration StoreDelay = std::chrono::milliseconds(500);
     /// Time for which a VM that does not read the store waits for a newer state
-    /// to be announced in its own region before it fetches it from another one.
+    /// to be announced in its own failure domain before it fetches it from
+    /// another one.
     Duration RemoteFetchDelay = std::chrono::milliseconds(1000);
     /// Minimum time between two queries about the same group and primary.
     Duration MinQueryInterval = std::chrono::milliseconds(80);
@@ -241,7 +242,7 @@
   void fetchState(const std::string &Vm, const std::string &Address);
   boost::asio::awaitable<void> fetchAndApplyState(std::string Vm,
                                                   std::string Address);
-  HttpResponse stateResponse();
+  HttpResponse stateResponse(const HttpRequest &Request);
   /// Starts to fetch the entries of all VMs that \p From knows, unless a fetch
   /// is in progress.
   void fetchMembers(const VmEntry &From);
@@ -277,8 +278,8 @@
   bool HasList = false;
   /// Version of the live peers that the service has; empty if it has none.
   std::optional<std::uint64_t> ServiceLiveVersion;
-  /// The state in the form that peers fetch, which many do after a change, and
-  /// what it was made from.
+  /// The last response to a fetch of the state, since many peers fetch the same
+  /// after a change, and the versions that it leads from and to.
   struct StateVersion {
     std::uint64_t Config = 0;
     std::uint64_t TargetsRevision = 0;
@@ -286,7 +287,11 @@
     bool operator==(const StateVersion &) const = default;
   };
   std::string EncodedState;
-  StateVersion EncodedVersion;
+  StateVersion EncodedFrom;
+  StateVersion EncodedTo;
+  /// Whether the next fetch asks for all targets, because the changes that a
+  /// peer sent did not lead to its list.
+  bool NeedsWholeState = false;
   /// The last hello that announced a state which this VM lacks, and when the
   /// first of them arrived.
   struct Announcement {
--- a/src/Links/Links.h
+++ b/src/Links/Links.h
@@ -10,9 +10,11 @@
 #include "Links/PreparedStatement.h"
 #include "Links/RelayLine.h"
 #include "Links/RelayPlan.h"
+#include "Links/TargetChanges.h"
 #include "Links/TargetConnections.h"
 #include "Links/TargetDirectory.h"
 #include "Links/TargetEntry.h"
+#include "Links/TargetHistory.h"
 #include "Links/TargetLink.h"
 
 #endif
--- a/src/Links/TargetDirectory.cpp
+++ b/src/Links/TargetDirectory.cpp
@@ -1,22 +1,6 @@
 #include "Links/TargetDirectory.h"
 
-#include "Core/Random.h"
-
 namespace cicadawind {
-namespace internal {
-
-static std::uint64_t hashOf(const TargetEntry &Entry) {
-  std::uint64_t Out = hashText(Entry.Instance);
-  for (const std::string *Text :
-       {&Entry.Group, &Entry.Address, &Entry.FailureDomain})
-    Out = hashCombine(Out, hashText(*Text));
-  Out = hashCombine(Out, Entry.Slots);
-  Out = hashCombine(Out, Entry.Leaving ? 1 : 0);
-  Out = hashCombine(Out, Entry.ClaimsPrimary ? 1 : 0);
-  return hashCombine(Out, static_cast<std::uint64_t>(Entry.Incarnation));
-}
-
-} // namespace internal
 
 void TargetDirectory::applyList(const std::vector<TargetEntry> &Listed,
                                 TimePoint Now) {
@@ -65,11 +49,4 @@
   return Out;
 }
 
-std::uint64_t TargetDirectory::listedHash() const {
-  std::uint64_t Out = 0;
-  for (const TargetEntry &Entry : listed())
-    Out = hashCombine(Out, internal::hashOf(Entry));
-  return Out;
-}
-
 } // namespace cicadawind
--- a/src/Links/TargetDirectory.h
+++ b/src/Links/TargetDirectory.h
@@ -39,9 +39,6 @@
   std::vector<TargetEntry> ofGroup(const std::string &Group) const;
   /// Returns the targets in the registry's last list.
   std::vector<TargetEntry> listed() const;
-  /// Returns a hash of listed(), which is the same on all VMs with the same
-  /// list.
-  std::uint64_t listedHash() const;
   std::size_t size() const { return Entries.size(); }
 
 private:
--- a/src/Membership/FleetGossip.cpp
+++ b/src/Membership/FleetGossip.cpp
@@ -115,17 +115,27 @@
 }
 
 std::vector<VmEntry> FleetGossip::chooseRecipients(TimePoint Now) const {
-  std::vector<const VmEntry *> Own;
+  std::vector<const VmEntry *> OfDomain;
+  std::vector<const VmEntry *> Nearby;
   std::vector<const VmEntry *> Remote;
-  for (const VmEntry &Entry : livePeers(Now))
-    (Entry.Region == Opts.Region ? Own : Remote).push_back(&Entry);
-  std::size_t RemoteCount = Remote.size();
-  if (Own.size() + Remote.size() > Opts.HelloFanout)
-    RemoteCount = std::min(Opts.RemoteHellos, Remote.size());
-  std::size_t OwnCount = std::min(Opts.HelloFanout - RemoteCount, Own.size());
+  const std::vector<VmEntry> &Live = livePeers(Now);
+  for (const VmEntry &Entry : Live) {
+    bool IsOfDomain = Entry.FailureDomain == Opts.FailureDomain;
+    if (Entry.Region != Opts.Region)
+      Remote.push_back(&Entry);
+    else
+      (IsOfDomain ? OfDomain : Nearby).push_back(&Entry);
+  }
+  bool ReachesAll = Live.size() <= Opts.HelloFanout;
+  std::size_t RemoteCount = ReachesAll ? Remote.size() : Opts.RemoteHellos;
   std::vector<VmEntry> Out;
-  appendRandom(std::move(Own), OwnCount, Out);
   appendRandom(std::move(Remote), RemoteCount, Out);
+  std::size_t Rest = Opts.HelloFanout - Out.size();
+  std::size_t DomainCount = std::min(OfDomain.size(), Rest);
+  if (!ReachesAll && Rest > Opts.NearbyHellos)
+    DomainCount = std::min(DomainCount, Rest - Opts.NearbyHellos);
+  appendRandom(std::move(Nearby), Rest - DomainCount, Out);
+  appendRandom(std::move(OfDomain), Opts.HelloFanout - Out.size(), Out);
   // A VM that does not count as live may only have been cut off, so one of
   // those gets a hello, too.
   appendRandom(findSilent(Now), 1, Out);
--- a/src/Membership/FleetGossip.h
+++ b/src/Membership/FleetGossip.h
@@ -37,9 +37,11 @@
     std::string Region;
     /// Maximum number of hellos sent in a HelloInterval.
     std::size_t HelloFanout = 8;
-    /// Maximum number of those that go to other regions if there are more VMs
-    /// than HelloFanout, since traffic between regions is expensive.
+    /// Maximum number of those that go to other regions, and to other failure
+    /// domains of this region, if there are more VMs than HelloFanout, since
+    /// that traffic is expensive.
     std::size_t RemoteHellos = 1;
+    std::size_t NearbyHellos = 2;
     /// Maximum number of entries in a hello. A hello with that many is not
     /// fragmented.
     std::size_t MaxMentions = 4;
@@ -82,7 +84,7 @@
   void recordSent(const std::string &Vm) { Greeted.insert(Vm); }
 
   /// Returns the VMs that get the hellos of one HelloInterval, or the news that
-  /// this VM has: a random choice, mostly of this region.
+  /// this VM has: a random choice, mostly of this failure domain.
   std::vector<VmEntry> chooseRecipients(TimePoint Now) const;
   /// Returns the changed entries that the next hello contains.
   std::vector<FleetMention> chooseMentions(TimePoint Now);
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -121,9 +121,11 @@
 void ProxyService::applyTargets(const std::vector<TargetEntry> &Listed,
                                 std::uint64_t Revision) {
   TargetsRevision = Revision;
+  History.record(Listed, Revision);
   Directory.applyList(Listed, BootClock::now());
   updateGroups();
-  std::uint64_t Previous = std::exchange(TargetsHash, Directory.listedHash());
+  std::uint64_t Previous =
+      std::exchange(TargetsHash, hashOf(Directory.listed()));
   if (TargetsHash != Previous && TargetsHook)
     TargetsHook();
 }
@@ -321,14 +323,41 @@
   }
 }
 
-ProxyState ProxyService::state() const {
+ProxyState ProxyService::stateSince(std::uint64_t ConfigVersion,
+                                    std::uint64_t TargetsOf) const {
   ProxyState Out;
-  Out.Config = *Config;
-  Out.Targets = Directory.listed();
+  if (Config->Version > ConfigVersion)
+    Out.Config = *Config;
   Out.TargetsRevision = TargetsRevision;
+  Out.TargetsHash = TargetsHash;
+  std::optional<TargetChanges> Changes = History.changesSince(TargetsOf);
+  if (!Changes) {
+    Out.Targets = Directory.listed();
+    return Out;
+  }
+  Out.Base = TargetsOf;
+  Out.Targets = std::move(Changes->Changed);
+  Out.Removed = std::move(Changes->Removed);
   return Out;
 }
 
+bool ProxyService::applyTargetsOf(const ProxyState &State) {
+  if (!State.Base) {
+    applyTargets(State.Targets, State.TargetsRevision);
+    return true;
+  }
+  if (*State.Base != TargetsRevision)
+    return false;
+  std::vector<TargetEntry> Listed = applyChanges(
+      Directory.listed(), {.Changed = State.Targets, .Removed = State.Removed});
+  // A target that changed twice between two lists of the peer is missing in
+  // its changes, although this VM may have the state in between.
+  if (hashOf(Listed) != State.TargetsHash)
+    return false;
+  applyTargets(Listed, State.TargetsRevision);
+  return true;
+}
+
 bool ProxyService::isDrained() const {
   if (!DrainSince)
     return false;
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -7,6 +7,7 @@
 #include "Dispatch/GroupDispatcher.h"
 #include "Links/RelayPlan.h"
 #include "Links/TargetDirectory.h"
+#include "Links/TargetHistory.h"
 #include "Observability/LogRateLimiter.h"
 #include "Proxy/ProxyState.h"
 
@@ -121,7 +122,14 @@
   void confirmTargets(std::uint64_t Revision) { TargetsRevision = Revision; }
   /// Returns the configuration and targets that this VM has applied, for its
   /// peers.
-  ProxyState state() const;
+  /// Returns what this VM has applied and a peer lacks that has the
+  /// configuration \p ConfigVersion and targets of \p TargetsOf; both are 0 for
+  /// one that has nothing.
+  ProxyState stateSince(std::uint64_t ConfigVersion,
+                        std::uint64_t TargetsOf) const;
+  /// Applies the targets of a peer's \p State. Returns false if they are
+  /// changes that do not apply to this VM's targets.
+  bool applyTargetsOf(const ProxyState &State);
   /// Sets the hook that is called after a new configuration has become active.
   void onConfig(std::function<void()> Hook) { ConfigHook = std::move(Hook); }
   /// Sets the hook that is called after the listed targets have changed.
@@ -182,6 +190,7 @@
   std::map<std::string, VmEntry> Peers;
   std::uint64_t TargetsRevision = 0;
   std::uint64_t TargetsHash = 0;
+  TargetHistory History;
   std::function<void()> TargetsHook;
   /// Number of updates of the groups and their targets.
   std::uint64_t TargetsUpdates = 0;
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -63,19 +63,42 @@
   return Out;
 }
 
-static ProxyState stateFrom(const Json &In) {
-  ProxyState Out;
-  Out.Config.Version = In.at("version").get<std::uint64_t>();
+static void addConfig(Json &Out, const ProxyConfig &Config) {
+  Out["routes"] = Json::array();
+  for (const auto &[Name, Route] : Config.Routes)
+    Out["routes"].push_back(toJson(Route));
+  Out["groups"] = Json::object();
+  for (const auto &[Name, Limits] : Config.Groups)
+    Out["groups"][Name] = Limits.MaxConnections;
+  Out["limits"] = toJson(Config.Callers);
+}
+
+static ProxyConfig configFrom(const Json &In) {
+  ProxyConfig Out;
+  Out.Version = In.at("version").get<std::uint64_t>();
+  if (Out.Version == 0)
+    return Out;
   for (const Json &Each : In.at("routes")) {
     RouteConfig Route = routeFrom(Each);
-    Out.Config.Routes[Route.Database] = Route;
+    Out.Routes[Route.Database] = Route;
   }
   for (const auto &[Name, Connections] : In.at("groups").items())
-    Out.Config.Groups[Name].MaxConnections = Connections.get<unsigned>();
-  Out.Config.Callers = limitsFrom(In.at("limits"));
+    Out.Groups[Name].MaxConnections = Connections.get<unsigned>();
+  Out.Callers = limitsFrom(In.at("limits"));
+  return Out;
+}
+
+static ProxyState stateFrom(const Json &In) {
+  ProxyState Out;
+  Out.Config = configFrom(In);
   for (const Json &Each : In.at("targets"))
     Out.Targets.push_back(targetFrom(Each));
   Out.TargetsRevision = In.at("targets_revision").get<std::uint64_t>();
+  Out.TargetsHash = In.value("targets_hash", std::uint64_t{0});
+  if (In.contains("base")) {
+    Out.Base = In["base"].get<std::uint64_t>();
+    Out.Removed = In.at("removed").get<std::vector<std::string>>();
+  }
   return Out;
 }
 
@@ -84,17 +107,17 @@
 std::string encodeState(const ProxyState &State) {
   internal::Json Out;
   Out["version"] = State.Config.Version;
-  Out["routes"] = internal::Json::array();
-  for (const auto &[Name, Route] : State.Config.Routes)
-    Out["routes"].push_back(internal::toJson(Route));
-  Out["groups"] = internal::Json::object();
-  for (const auto &[Name, Limits] : State.Config.Groups)
-    Out["groups"][Name] = Limits.MaxConnections;
-  Out["limits"] = internal::toJson(State.Config.Callers);
   Out["targets"] = internal::Json::array();
   for (const TargetEntry &Entry : State.Targets)
     Out["targets"].push_back(internal::toJson(Entry));
   Out["targets_revision"] = State.TargetsRevision;
+  Out["targets_hash"] = State.TargetsHash;
+  if (State.Base) {
+    Out["base"] = *State.Base;
+    Out["removed"] = State.Removed;
+  }
+  if (State.Config.Version != 0)
+    internal::addConfig(Out, State.Config);
   std::string Bytes;
   internal::Json::to_cbor(Out, Bytes);
   return Bytes;
--- a/test/Exchange/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -37,6 +37,7 @@
   static PeerExchange::Options options(std::uint16_t Port) {
     PeerExchange::Options Out;
     Out.Vm = "vm-1";
+    Out.FailureDomain = "d1";
     Out.Region = "r1";
     Out.Address = "127.0.0.1";
     Out.Port = Port;
@@ -51,6 +52,7 @@
          ++I) {
       VmEntry Entry;
       Entry.Vm = "reader-" + std::to_string(I);
+      Entry.FailureDomain = "d1";
       Entry.Region = "r1";
       Entry.RouterPeer = "127.0.0.1:1";
       if (hashText(Entry.Vm) < hashText("vm-1"))
--- a/test/Membership/FleetGossipTest.cpp
+++ b/test/Membership/FleetGossipTest.cpp
@@ -126,6 +126,33 @@
   }
 }
 
+// Traffic within a failure domain is free, and that between regions the most
+// expensive.
+BOOST_AUTO_TEST_CASE(mostHellosStayInTheFailureDomain) {
+  for (std::size_t Count : {95, 300, 936}) {
+    GossipFleet Fleet(Count);
+    Fleet.readList(0);
+    std::size_t OfDomain = 0;
+    std::size_t OfOtherRegions = 0;
+    const VmEntry &Own = Fleet.Entries[0];
+    std::vector<VmEntry> Chosen = Fleet.Vms[0]->chooseRecipients(Fleet.Now);
+    for (const VmEntry &To : Chosen) {
+      OfDomain += To.FailureDomain == Own.FailureDomain ? 1 : 0;
+      OfOtherRegions += To.Region != Own.Region ? 1 : 0;
+    }
+    BOOST_TEST(Chosen.size() == 8);
+    BOOST_TEST(OfDomain == 5);
+    BOOST_TEST(OfOtherRegions == 1);
+  }
+}
+
+// A domain with few VMs must not leave its VMs with few hellos.
+BOOST_AUTO_TEST_CASE(aSmallDomainSendsAsManyHellos) {
+  GossipFleet Fleet(18);
+  Fleet.readList(0);
+  BOOST_TEST(Fleet.Vms[0]->chooseRecipients(Fleet.Now).size() == 8);
+}
+
 BOOST_AUTO_TEST_CASE(newsOfAVmThatJoinsSpreadsInAFewRounds) {
   for (std::size_t Count : {101, 300, 936}) {
     GossipFleet Fleet(Count);
--- a/test/Proxy/ProxyServiceTest.cpp
+++ b/test/Proxy/ProxyServiceTest.cpp
@@ -80,3 +80,39 @@
   ProxyCaller Caller(World, *World.Starting, "latest");
   BOOST_TEST(Caller.ask("WRITE i1 x").find("COMPLETE") != std::string::npos);
 }
+
+// A VM that takes the targets from its peers gets what has changed. The whole
+// list would cross a small VM's link again for each change.
+BOOST_AUTO_TEST_CASE(aPeerGetsOnlyTheTargetsThatHaveChanged) {
+  ProxyWorld World;
+  ProxyState Whole = World.Service->stateSince(0, 0);
+  BOOST_TEST(Whole.Targets.size() == 3);
+  BOOST_TEST(!Whole.Base.has_value());
+  ProxyService Peer(World.Loop, {.Codec = &World.Codec}, World.Meter);
+  BOOST_TEST(Peer.applyTargetsOf(Whole));
+  World.Group.at("c").Down = true;
+  World.applyListedTargets();
+  ProxyState Changes = World.Service->stateSince(
+      World.Service->config().Version, Peer.targetsRevision());
+  BOOST_TEST(Changes.Config.Version == 0);
+  BOOST_TEST(Changes.Targets.empty());
+  BOOST_TEST(Changes.Removed == std::vector<std::string>{"c"});
+  BOOST_TEST(Peer.applyTargetsOf(Changes));
+  BOOST_TEST(Peer.targetsHash() == World.Service->targetsHash());
+  BOOST_TEST(Peer.targetsRevision() == World.Service->targetsRevision());
+}
+
+BOOST_AUTO_TEST_CASE(changesThatDoNotLeadToThePeersListAreRejected) {
+  ProxyWorld World;
+  ProxyState Whole = World.Service->stateSince(0, 0);
+  ProxyService Peer(World.Loop, {.Codec = &World.Codec}, World.Meter);
+  BOOST_TEST(Peer.applyTargetsOf(Whole));
+  ProxyState Wrong = Whole;
+  Wrong.Targets.clear();
+  Wrong.Base = Whole.TargetsRevision;
+  Wrong.Removed = {"c"};
+  BOOST_TEST(!Peer.applyTargetsOf(Wrong));
+  Wrong.Base = Whole.TargetsRevision + 7;
+  BOOST_TEST(!Peer.applyTargetsOf(Wrong));
+  BOOST_TEST(Peer.targetsHash() == Whole.TargetsHash);
+}
