Do not close a session that was just opened when this VM leaves

Ruled out: the end of the process (a VM that leaves stays for 2.5 s at least).

Change: a session that was opened less than 1 s ago and has sent no request is not closed by a VM that leaves.

--- a/src/Callers/CallerSession.cpp
+++ b/src/Callers/CallerSession.cpp
@@ -15,6 +15,9 @@
 /// Number of received requests that may wait for the active one; the connection
 /// of a caller that sends more is closed.
 constexpr std::size_t MaxInboxRequests = 64;
+/// Time that the first request of a session may take to arrive after the caller
+/// has opened it. Callers are a few milliseconds away; a full link adds more.
+constexpr Duration FirstRequestWait = std::chrono::milliseconds(1000);
 /// Number of attempts of a read, from the first one on, that may take only half
 /// of the time that is left until its deadline, so that another target can
 /// still answer.
@@ -54,6 +57,7 @@
     return rejectMessage({.Id = "", .Reason = "the session is not open"});
   if (Inbox.size() >= internal::MaxInboxRequests)
     return close();
+  HasReceivedRequest = true;
   Inbox.push_back(std::move(std::get<Statement>(Message)));
   processNext();
 }
@@ -273,6 +277,12 @@
   return true;
 }
 
+bool CallerSession::closeToLeave(TimePoint Now) {
+  bool AwaitsFirstRequest =
+      !HasReceivedRequest && Now - LastActivity < internal::FirstRequestWait;
+  return !AwaitsFirstRequest && closeIfIdle();
+}
+
 void CallerSession::endIdleTransaction(const char *Reason) {
   if (Active || !Transaction.isOpen() ||
       Transaction.CurrentStage == CallerTransaction::Stage::Failed)
--- a/src/Callers/CallerSession.h
+++ b/src/Callers/CallerSession.h
@@ -66,6 +66,10 @@
   /// Closes the connection if the session is open and has no request or
   /// transaction. Returns whether it was closed.
   bool closeIfIdle();
+  /// Does the same for a VM that leaves, except for a session that was opened a
+  /// moment ago: its caller is about to send a request, which would get no
+  /// response.
+  bool closeToLeave(TimePoint Now);
   /// Rolls back an open transaction if no request is active. Further requests
   /// are refused until the caller ends the transaction. \p Reason becomes part
   /// of the log line.
@@ -147,6 +151,7 @@
   std::string Database;
   /// Whether the caller has opened the session on its database.
   bool Opened = false;
+  bool HasReceivedRequest = false;
   /// Database that the caller asked for before the first configuration was
   /// active; empty otherwise.
   std::string DatabaseToOpen;
--- a/test/Callers/SessionLifeTest.cpp
+++ b/test/Callers/SessionLifeTest.cpp
@@ -112,3 +112,21 @@
   BOOST_TEST(Text == "READY I -\r\n");
   BOOST_TEST((Fixture.EndCode == boost::asio::error::eof));
 }
+
+// The caller has opened the session and its first request is on the way. If the
+// session were closed now, the request would get no response.
+BOOST_AUTO_TEST_CASE(aSessionThatWasJustOpenedIsNotClosedByAVmThatLeaves) {
+  SessionFixture Fixture;
+  Fixture.send("STARTUP orders u1\r\n");
+  Fixture.Loop.run_for(std::chrono::milliseconds(20));
+  TimePoint Now = BootClock::now();
+  BOOST_TEST(!Fixture.Session->closeToLeave(Now));
+  BOOST_TEST(Fixture.Session->closeToLeave(Now + std::chrono::seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(anIdleSessionThatHasSentRequestsIsClosedByAVmThatLeaves) {
+  SessionFixture Fixture;
+  Fixture.send("STARTUP orders u1\r\nQUERY 1 SET a b\r\n");
+  Fixture.Loop.run_for(std::chrono::milliseconds(20));
+  BOOST_TEST(Fixture.Session->closeToLeave(BootClock::now()));
+}
