--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -3,10 +3,7 @@
 
 #include "Exchange/PeerExchange.h"
 
-#include "Async/AsyncSignal.h"
-#include "Http/HttpClient.h"
 #include "Http/HttpServer.h"
-#include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
 #include "Proxy/ProxyService.h"
 
@@ -18,15 +15,6 @@
 namespace internal {
 
 static const Log Logger("peers");
-/// Timeout of fetching a peer's state over HTTP.
-constexpr Duration FetchTimeout = std::chrono::milliseconds(1500);
-/// Paths under which a VM serves its state and the entries of all VMs.
-static const char *const StatePath = "/state";
-static const char *const MembersPath = "/members";
-/// Parameters of a request for the state: the version of the configuration and
-/// the revision of the targets that the requesting VM has.
-static const char *const ConfigParameter = "config";
-static const char *const TargetsParameter = "targets";
 
 } // namespace internal
 
@@ -91,10 +79,7 @@
   StateServer = std::make_unique<HttpServer>(
       Loop, ServerOpts,
       [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
-        if (Request.Path == internal::MembersPath)
-          co_return membersResponse();
-        bool ForState = Request.Path == internal::StatePath || !RequestHook;
-        co_return ForState ? stateResponse(Request) : RequestHook(Request);
+        co_return respond(Request);
       });
   receiveNext();
   StartedAt = BootClock::now();
@@ -369,118 +354,4 @@
       sendTo(Entry.RouterPeer, Hello);
 }
 
-HttpResponse PeerExchange::membersResponse() const {
-  HttpResponse Response;
-  Response.ContentType = "application/cbor";
-  Response.Body = encodeEntries(Fleet.members().usable());
-  return Response;
-}
-
-void PeerExchange::fetchMembers(const VmEntry &From) {
-  if (std::exchange(FetchingMembers, true))
-    return;
-  spawn(Loop, fetchAndRecordMembers(From));
-}
-
-boost::asio::awaitable<void> PeerExchange::fetchAndRecordMembers(VmEntry From) {
-  HttpRequest Request;
-  Request.Method = "GET";
-  Request.Path = internal::MembersPath;
-  HttpResult CallResult = co_await Http.call(
-      From.RouterPeer, std::move(Request), internal::FetchTimeout);
-  FetchingMembers = false;
-  const HttpResponse *Response = std::get_if<HttpResponse>(&CallResult);
-  if (!Response || Response->Status != 200) {
-    internal::Logger.info("entries of VMs could not be fetched from a peer; "
-                          "retrying after the next hello",
-                          {{"peer", From.Vm}});
-    co_return;
-  }
-  Result<std::vector<VmEntry>> Entries = decodeEntries(Response->Body);
-  if (const Error *E = errorOf(Entries)) {
-    internal::Logger.warning("malformed entries of VMs from a peer ignored",
-                             {{"peer", From.Vm}, {"why", E->Message}});
-    co_return;
-  }
-  internal::Logger.info(
-      "entries of VMs fetched from a peer",
-      {{"peer", From.Vm}, {"count", std::to_string(valueOf(Entries).size())}});
-  contactListed(valueOf(Entries));
-}
-
-/// Returns the number that \p Request has for \p Key, or 0.
-static std::uint64_t numberOf(const HttpRequest &Request, const char *Key) {
-  auto It = Request.Query.find(Key);
-  return It == Request.Query.end()
-             ? 0
-             : std::strtoull(It->second.c_str(), nullptr, 10);
-}
-
-HttpResponse PeerExchange::stateResponse(const HttpRequest &Request) {
-  StateVersion From{.Config = numberOf(Request, internal::ConfigParameter),
-                    .TargetsRevision =
-                        numberOf(Request, internal::TargetsParameter)};
-  StateVersion To{.Config = Service.config().Version,
-                  .TargetsRevision = Service.targetsRevision()};
-  if (EncodedState.empty() || From != EncodedFrom || To != EncodedTo) {
-    EncodedState =
-        encodeState(Service.stateSince(From.Config, From.TargetsRevision));
-    EncodedFrom = From;
-    EncodedTo = To;
-  }
-  HttpResponse Response;
-  Response.ContentType = "application/cbor";
-  Response.Body = EncodedState;
-  return Response;
-}
-
-void PeerExchange::fetchState(const std::string &Vm,
-                              const std::string &Address) {
-  if (std::exchange(Fetching, true))
-    return;
-  spawn(Loop, fetchAndApplyState(Vm, Address));
-}
-
-boost::asio::awaitable<void>
-PeerExchange::fetchAndApplyState(std::string Vm, std::string Address) {
-  HttpRequest Request;
-  Request.Method = "GET";
-  Request.Path = internal::StatePath;
-  if (!std::exchange(NeedsWholeState, false)) {
-    Request.Query[internal::ConfigParameter] =
-        std::to_string(Service.config().Version);
-    Request.Query[internal::TargetsParameter] =
-        std::to_string(Service.targetsRevision());
-  }
-  HttpResult CallResult =
-      co_await Http.call(Address, std::move(Request), internal::FetchTimeout);
-  Fetching = false;
-  const HttpResponse *Response = std::get_if<HttpResponse>(&CallResult);
-  if (!Response || Response->Status != 200) {
-    internal::Logger.info(
-        "state could not be fetched from a peer; retrying after its next "
-        "hello",
-        {{"peer", Vm}});
-    co_return;
-  }
-  Result<ProxyState> State = decodeState(Response->Body);
-  if (const Error *E = errorOf(State)) {
-    internal::Logger.warning(
-        "malformed state from a peer ignored; retrying after its next "
-        "hello",
-        {{"peer", Vm}, {"why", E->Message}});
-    co_return;
-  }
-  ProxyState &Fetched = valueOf(State);
-  std::uint64_t Version = Fetched.Config.Version;
-  bool Applied = Service.applyConfig(
-      std::make_shared<ProxyConfig>(std::move(Fetched.Config)));
-  bool IsNewer = Fetched.TargetsRevision > Service.targetsRevision();
-  if (!readsStore(BootClock::now()) && IsNewer)
-    NeedsWholeState = !Service.applyTargetsOf(Fetched);
-  if (Applied)
-    internal::Logger.info("configuration applied from a peer",
-                          {{"peer", Vm}, {"version", std::to_string(Version)}});
-}
-
 } // namespace cicadawind
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -242,6 +242,8 @@
   void fetchState(const std::string &Vm, const std::string &Address);
   boost::asio::awaitable<void> fetchAndApplyState(std::string Vm,
                                                   std::string Address);
+  /// Responds to an HTTP request of a peer or an operator.
+  HttpResponse respond(const HttpRequest &Request);
   HttpResponse stateResponse(const HttpRequest &Request);
   /// Starts to fetch the entries of all VMs that \p From knows, unless a fetch
   /// is in progress.
