--- a/src/Links/TargetChanges.cpp
+++ b/src/Links/TargetChanges.cpp
@@ -30,6 +30,7 @@
   for (const std::string &Name : Changes.Removed)
     ByName.erase(Name);
   std::vector<TargetEntry> Out;
+  Out.reserve(ByName.size());
   for (const auto &[Name, Entry] : ByName)
     Out.push_back(Entry);
   return Out;
--- a/test/Promotion/PromotionDriverTest.cpp
+++ b/test/Promotion/PromotionDriverTest.cpp
@@ -79,6 +79,7 @@
   /// Lets the store list \p Count other VMs, none of which responds.
   void listSilentVms(int Count) {
     std::vector<VmEntry> Entries;
+    Entries.reserve(static_cast<std::size_t>(Count));
     for (int I = 0; I < Count; ++I)
       Entries.push_back(
           {.Vm = "silent-" + std::to_string(I),
