Replace four checks that could not fail

Ruled out: GroupHistory's check for a write that is twice in the log can fail, so it stays.

Change: at most two connections for one caller or one request after another; each changed byte of a token is refused; the next note must have number 3, so the one before was not added twice.

--- a/test/Callers/CallerSessionTest.cpp
+++ b/test/Callers/CallerSessionTest.cpp
@@ -76,8 +76,9 @@
     BOOST_TEST(Caller.ask("ROLLBACK") == CompletedIdle);
   }
   BOOST_TEST(World.Group.read("a", "i1") == "");
-  // ProxyWorld's targets accept 8 connections.
-  BOOST_TEST(World.instance("a").connections() <= 8);
+  // A caller uses one connection, and another while its last rollback is not
+  // answered yet. The target would accept 8.
+  BOOST_TEST(World.instance("a").connections() <= 2);
 }
 
 BOOST_AUTO_TEST_CASE(aClosedConnectionRollsBackItsTransaction) {
--- a/test/Relays/RelayTest.cpp
+++ b/test/Relays/RelayTest.cpp
@@ -128,8 +128,8 @@
       BOOST_REQUIRE(World.recordsOf(Id).size() == 1);
       BOOST_TEST(World.recordsOf(Id)[0].Values == "lang=" + Value + ";");
     }
-  // ProxyWorld's targets accept 8 connections.
-  BOOST_TEST(World.instance("a").connections() <= 8);
+  // The requests ran one after the other. The target would accept 8.
+  BOOST_TEST(World.instance("a").connections() <= 2);
 }
 
 BOOST_AUTO_TEST_CASE(preparedNamesOfTwoVmsDoNotCollide) {
--- a/test/Sessions/TokenCodecTest.cpp
+++ b/test/Sessions/TokenCodecTest.cpp
@@ -44,11 +44,7 @@
   for (std::size_t I = 0; I < Token.size(); ++I) {
     std::string Changed = Token;
     Changed[I] = Changed[I] == 'x' ? 'y' : 'x';
-    Result<SessionState> Decoded = Codec.decode(Changed);
-    bool Same = !errorOf(Decoded) && valueOf(Decoded) == sampleState();
-    // A change that decodes to the same state would be permitted, such as a
-    // change of the unused bits of a base64 digit.
-    BOOST_TEST((errorOf(Decoded) != nullptr || Same), "byte " << I);
+    BOOST_TEST((errorOf(Codec.decode(Changed)) != nullptr), "byte " << I);
   }
   BOOST_TEST(errorOf(Codec.decode("nonsense")) != nullptr);
   BOOST_TEST(errorOf(Codec.decode(std::string(9000, 'a'))) != nullptr);
--- a/test/System/OperationsTest.cpp
+++ b/test/System/OperationsTest.cpp
@@ -69,9 +69,12 @@
   Json Response = Fleet.operate(
       0, "/v1/notes", noteOf("[[withdraw.vm]]\nname = \"vm-x\"\n", "once"));
   BOOST_TEST(Response["number"] == 2);
-  Json All = Fleet.operate(1, "/v1/notes", nullptr);
   waitForNote(Fleet, 2);
   BOOST_TEST(noteAt(Fleet, 0, false) == 2U);
+  // Had the note been added twice, the next one would be number 4.
+  Json Next = Fleet.operate(
+      1, "/v1/notes", noteOf("[[withdraw.vm]]\nname = \"vm-y\"\n", "next"));
+  BOOST_TEST(Next["number"] == 3);
 }
 
 // A VM that starts while the store is unavailable cannot read the release notes
