--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -299,30 +299,6 @@
   return false;
 }
 
-std::optional<VmEntry>
-GroupDispatcher::fallbackRelayFor(const std::string &Instance,
-                                  TimePoint Now) const {
-  if (Instance != FailureDetector.primary() || !Opts.FindRelay)
-    return std::nullopt;
-  std::optional<std::string> Peer = FailureDetector.relayPeer(Now);
-  return Peer ? Opts.FindRelay(*Peer) : std::nullopt;
-}
-
-void GroupDispatcher::onFailure(const std::string &Instance, TimePoint Since) {
-  TimePoint Now = BootClock::now();
-  // A target that has answered other requests in the meantime is slow, not
-  // unresponsive.
-  std::optional<Duration> ContactAge =
-      FailureDetector.lastContactAge(Instance, Now);
-  if (!ContactAge || *ContactAge >= Now - Since)
-    FailureDetector.recordFailure(Instance, Since);
-  const TargetConnections *Links = find(Instance);
-  InstanceView *View = viewOf(Instance);
-  if (Links && View)
-    View->NotBefore = std::max(View->NotBefore, Links->nextOpen());
-  scheduleDispatch();
-}
-
 void GroupDispatcher::release(const std::shared_ptr<TargetLink> &Link) {
   TargetConnections *Links = find(Link->instance());
   if (!Links)
--- a/src/Exchange/PeerQueries.cpp
+++ b/src/Exchange/PeerQueries.cpp
@@ -214,8 +214,8 @@
       Peers.push_back(std::move(*Entry));
   // One VM of the region asks the other region for all of them.
   if (Instance.empty() && !DirectVms.empty() && isRemote(Peers))
-    if (std::optional<VmEntry> Reporter = reachableReporter(Group, Now))
-      return {*Reporter};
+    if (std::optional<VmEntry> Entry = reachableReporter(Group, Now))
+      return {*Entry};
   if (Instance.empty()) {
     // Peers of this region respond sooner and cause no traffic between regions.
     std::stable_partition(Peers.begin(), Peers.end(), [&](const VmEntry &E) {
