Decide in a policy class which VM of a region asks for leadership proofs

Cause: the choice of the reporter and what happens when it is silent were parts of PeerExchange, so they could be tested with sockets only. Ruled out: StoreReaders for both (readers are per failure domain and read everything, reporters per region and group). Change: ProofReporters, without input or output; the behaviour stays, but that a new reporter is asked although the earlier one was silent. Measured: ProofReportersTest: one of 15, 47, 150 and 468 VMs of a region asks the other one for a group; 60 groups have more than 20 reporters; a silent one is passed over for 3 s.

--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -50,7 +50,9 @@
     : Loop(Loop), Opts(std::move(NewOpts)), Http(Http), Service(Service),
       Fleet(gossipOptions(Opts)),
       Readers(readerOptions(Opts), BootClock::now()), Socket(Loop),
-      Incarnation(newIncarnation()), Voters({.OwnVm = Opts.Vm}) {}
+      Incarnation(newIncarnation()),
+      Reporters({.OwnVm = Opts.Vm, .Region = Opts.Region}),
+      Voters({.OwnVm = Opts.Vm}) {}
 
 PeerExchange::~PeerExchange() { *Alive = false; }
 
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -6,6 +6,7 @@
 #include "Http/HttpMessage.h"
 #include "Leases/VoterList.h"
 #include "Membership/FleetGossip.h"
+#include "Membership/ProofReporters.h"
 #include "Membership/StoreReaders.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -169,17 +170,6 @@
     PrimaryQuery Query;
     TimePoint Since;
   };
-  /// The VM that asks other regions for the leadership proofs of a group on
-  /// behalf of this region.
-  struct Reporter {
-    /// Version of the live peers that Vm was chosen from; empty before that.
-    std::optional<std::uint64_t> LiveVersion;
-    std::string Vm;
-    /// When Vm was first asked without having reported since.
-    std::optional<TimePoint> AskedAt;
-    /// Time until which Vm is not asked, because it did not report.
-    TimePoint SilentUntil;
-  };
 
   using QueryKey = std::pair<std::string, std::string>;
 
@@ -207,12 +197,6 @@
   /// Returns whether a report on \p Group has to wait for a newer leadership
   /// proof from another region.
   bool needsRemoteProof(const GroupDispatcher &Group, TimePoint Now) const;
-  /// Returns the VM of this region, possibly this one, that comes first in the
-  /// order of \p Group. Costs O(VMs) after a change of the live peers.
-  const std::string &proofReporter(const std::string &Group, TimePoint Now);
-  /// Returns proofReporter(); empty if that is this VM or it does not report.
-  std::optional<VmEntry> reachableReporter(const std::string &Group,
-                                           TimePoint Now);
   void handleNotice(const PromotionNotice &Notice);
   void sendTo(const std::string &Address, const PeerMessage &Message);
   /// Returns a hello that says nothing of other VMs.
@@ -307,7 +291,7 @@
   std::map<QueryKey, TimePoint> LastQueriedAt;
   std::uint64_t LastQueryNumber = 0;
   std::map<std::string, std::vector<PendingReport>> WaitingReports;
-  std::map<std::string, Reporter> Reporters;
+  ProofReporters Reporters;
   std::function<void(const PromotionNotice &)> NoticeHook;
   std::function<void(const PeerMessage &, const ReplyFunction &)> LeaseHook;
   VoterList Voters;
--- a/src/Exchange/PeerQueries.cpp
+++ b/src/Exchange/PeerQueries.cpp
@@ -23,10 +23,6 @@
 /// without asking for a newer one. About a quarter of the smallest MaxStaleness
 /// in use.
 constexpr Duration SharedProofAge = std::chrono::milliseconds(400);
-/// Time without a report after which this VM no longer asks the VM that reports
-/// for its region, and the time for which it does not.
-constexpr Duration ReporterTimeout = std::chrono::milliseconds(150);
-constexpr Duration SilentReporterPeriod = std::chrono::seconds(3);
 /// Time for which a report to another VM waits for a newer proof.
 constexpr Duration QueryLifetime = std::chrono::milliseconds(500);
 
@@ -102,43 +98,6 @@
   return !IsFresh && isRemote(relaysToPrimary(Group.group()));
 }
 
-const std::string &PeerExchange::proofReporter(const std::string &Group,
-                                               TimePoint Now) {
-  const std::vector<VmEntry> &Live = livePeers(Now);
-  Reporter &Cached = Reporters[Group];
-  if (Cached.LiveVersion == livePeersVersion())
-    return Cached.Vm;
-  Cached = {.LiveVersion = livePeersVersion(), .Vm = Opts.Vm};
-  std::uint64_t GroupHash = hashText(Group);
-  std::uint64_t Least = hashCombine(GroupHash, hashText(Opts.Vm));
-  for (const VmEntry &Each : Live) {
-    std::uint64_t Order = hashCombine(GroupHash, hashText(Each.Vm));
-    if (Each.Region != Opts.Region || Order >= Least)
-      continue;
-    Least = Order;
-    Cached.Vm = Each.Vm;
-  }
-  return Cached.Vm;
-}
-
-std::optional<VmEntry> PeerExchange::reachableReporter(const std::string &Group,
-                                                       TimePoint Now) {
-  const std::string &Vm = proofReporter(Group, Now);
-  Reporter &State = Reporters[Group];
-  bool IsSilent =
-      State.AskedAt && Now - *State.AskedAt > internal::ReporterTimeout;
-  if (IsSilent) {
-    State.SilentUntil = Now + internal::SilentReporterPeriod;
-    State.AskedAt.reset();
-  }
-  if (Vm == Opts.Vm || Now < State.SilentUntil)
-    return std::nullopt;
-  std::optional<VmEntry> Entry = Service.findPeer(Vm);
-  if (Entry && !State.AskedAt)
-    State.AskedAt = Now;
-  return Entry;
-}
-
 void PeerExchange::dropExpiredQueries(TimePoint Now) {
   std::erase_if(Queries, [&](const auto &Each) {
     return Now - Each.second.SentAt > internal::QueryTimeout;
@@ -167,9 +126,7 @@
   if (It == Queries.end() || It->second.Group != Report.Group)
     return;
   Fleet.recordContact(Report.From, Now);
-  Reporter &State = Reporters[Report.Group];
-  if (Report.From == State.Vm)
-    State.AskedAt.reset();
+  Reporters.recordReport(Report.Group, Report.From);
   GroupDispatcher *Group = Service.findGroup(Report.Group);
   if (!Group)
     return;
@@ -213,9 +170,13 @@
     if (std::optional<VmEntry> Entry = Service.findPeer(Vm))
       Peers.push_back(std::move(*Entry));
   // One VM of the region asks the other region for all of them.
-  if (Instance.empty() && !DirectVms.empty() && isRemote(Peers))
-    if (std::optional<VmEntry> Entry = reachableReporter(Group, Now))
+  if (Instance.empty() && !DirectVms.empty() && isRemote(Peers)) {
+    std::optional<std::string> Vm =
+        Reporters.reporterFor(Group, livePeers(Now), livePeersVersion(), Now);
+    std::optional<VmEntry> Entry = Vm ? Service.findPeer(*Vm) : std::nullopt;
+    if (Entry)
       return {*Entry};
+  }
   if (Instance.empty()) {
     // Peers of this region respond sooner and cause no traffic between regions.
     std::stable_partition(Peers.begin(), Peers.end(), [&](const VmEntry &E) {
--- a/src/Membership/Membership.h
+++ b/src/Membership/Membership.h
@@ -8,6 +8,7 @@
 #include "Membership/FleetGossip.h"
 #include "Membership/FleetMention.h"
 #include "Membership/MemberTable.h"
+#include "Membership/ProofReporters.h"
 #include "Membership/StoreReaders.h"
 #include "Membership/VmEntry.h"
 
