--- a/src/Links/TargetHistory.h
+++ b/src/Links/TargetHistory.h
@@ -18,9 +18,8 @@
 /// Revisions of the store mean the same on all VMs: a list at revision R
 /// contains all changes up to R. A target that changes and changes back between
 /// two lists is not noticed, so the receiver compares hashOf() the result. The
-/// names of removed targets are kept for the
-/// life of the process; there are a few a day. record() and changesSince() cost
-/// O(targets).
+/// names of removed targets are kept for the life of the process; there are a
+/// few a day. record() and changesSince() cost O(targets).
 class TargetHistory {
 public:
   /// Records the whole list as of \p Revision, which never decreases.
