--- a/test/Promotion/LeasedPromotionTest.cpp
+++ b/test/Promotion/LeasedPromotionTest.cpp
@@ -158,16 +158,16 @@
   LeasedFleet Fleet;
   BOOST_REQUIRE(Fleet.waitForLeases("a"));
   LeasedFleet::Vm &Vm = *Fleet.Vms[0];
-  auto leaseOf = [&] {
+  auto LeaseOf = [&] {
     nlohmann::json Status = statusOf(*Vm.Service, *Vm.Peers, BootClock::now());
     return Status["groups"][0]["lease"];
   };
-  nlohmann::json Lease = leaseOf();
+  nlohmann::json Lease = LeaseOf();
   BOOST_REQUIRE(Lease.is_object());
   BOOST_TEST(Lease["held"] == true);
   BOOST_TEST(Lease["remaining_ms"] > 0);
   BOOST_TEST(Lease["blocked"] == false);
   Fleet.openProposal("vm-9", 2);
-  BOOST_TEST(leaseOf()["held"] == false);
-  BOOST_TEST(leaseOf()["blocked"] == true);
+  BOOST_TEST(LeaseOf()["held"] == false);
+  BOOST_TEST(LeaseOf()["blocked"] == true);
 }
