--- /dev/null
+++ b/src/Platform/WatchedKind.h
@@ -0,0 +1,82 @@
+#ifndef CICADAWIND_PLATFORM_WATCHEDKIND_H
+#define CICADAWIND_PLATFORM_WATCHEDKIND_H
+
+#include "Core/Clock.h"
+#include "Platform/ObjectChange.h"
+#include "Platform/StoredObject.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class WatchedKind
+/// \brief A copy of all objects of one kind in the store, and the decision
+/// which call keeps it current.
+///
+/// The kind is listed once and then watched from the revision of the list. It
+/// is listed again if the store no longer has the history that a watch needs.
+/// Each record function tells the outcome of the call that nextCall() returned.
+/// Performs no input or output and reads no clock. Functions cost O(1), those
+/// that record objects O(changes log objects). Not thread safe.
+class WatchedKind {
+public:
+  struct Options {
+    /// Longest time that the store holds a watch without a change.
+    Duration WatchWait = std::chrono::seconds(25);
+    /// Time that the response to a watch may take beyond WatchWait.
+    Duration WatchSlack = std::chrono::seconds(2);
+    /// Timeout of a call that lists a page of objects.
+    Duration ListTimeout = std::chrono::seconds(2);
+    /// Minimum time between a reported change and the next watch.
+    Duration MinInterval = Duration::zero();
+    /// The backoff after a failure doubles from InitialBackoff up to
+    /// MaxBackoff.
+    Duration InitialBackoff = std::chrono::milliseconds(100);
+    Duration MaxBackoff = std::chrono::milliseconds(800);
+  };
+
+  enum class Operation { List, Watch };
+
+  /// A call to the store.
+  struct Call {
+    Operation Kind = Operation::List;
+    /// Time to wait before the call.
+    Duration Delay = Duration::zero();
+    /// Only for a watch: the revision after which changes are wanted, and the
+    /// time for which the store may hold it.
+    std::uint64_t Since = 0;
+    Duration Wait = Duration::zero();
+    Duration Timeout = Duration::zero();
+  };
+
+  explicit WatchedKind(Options Opts);
+
+  /// Returns the next call to make.
+  Call nextCall() const;
+
+  /// Records a complete list of the kind as of \p Revision.
+  void recordList(ObjectsByName Listed, std::uint64_t Revision);
+  /// Records the changes up to \p Revision. Returns whether there are any.
+  bool recordChanges(std::vector<ObjectChange> Changes, std::uint64_t Revision);
+  /// Records that the call failed or was refused.
+  void recordFailure();
+  /// Records that the copy cannot be continued; the kind is listed next.
+  void recordGap();
+
+  const ObjectsByName &objects() const { return Objects; }
+  std::uint64_t revision() const { return Revision; }
+
+private:
+  Options Opts;
+  ObjectsByName Objects;
+  std::uint64_t Revision = 0;
+  /// Whether Objects can be continued by a watch.
+  bool IsListed = false;
+  Duration Delay = Duration::zero();
+  Duration Backoff;
+};
+
+} // namespace cicadawind
+
+#endif
