Decide in a class of its own which call keeps a watched kind current

HttpObjectStore::watchLoop mixed the calls with the decision whether to list, to watch or to back off, so that a test of the decision needed sockets and real time. WatchedKind takes the outcome of each call and returns the next one; times and order of the calls are as before.

--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -21,7 +21,8 @@
   ClientAndStore()
       : Store(Loop, "127.0.0.1", 0), Http(Loop, HttpClient::Options{}),
         Address("127.0.0.1:" + std::to_string(Store.port())),
-        Client(Loop, Http, {.Address = Address, .WatchWait = 300ms}, Meter),
+        Client(Loop, Http,
+               {.Address = Address, .Watching = {.WatchWait = 300ms}}, Meter),
         Promotions(Http, Address, Meter) {
     Log::start("test", LogLevel::Error);
   }
