Bound the time for which a watch may stay unanswered

Cause: an unanswered watch counted as 'nothing has changed'. The store may hold a watch for 25 s, the client waited 2 s longer, and nothing else shows that a connection is dead. Class: a belief without a bound on its age.

Evidence: all VMs, which all read the store there, log 'store lost' 27.3 s after their last response and take the new version 0.1 s later; nothing is logged at the fault. That rules out VMs that rely on the wrong reader (hypothesis 2: all are late) and discarded changes (hypothesis 3: no version goes back).

Change: the store holds a watch for 2 s, and the response may take 0.7 s longer, so a copy is at most 2.7 s older than it seems, before a new connection is tried. Keep-alive probes were weighed: they cost no call, but show nothing if something on the way still acknowledges them, and no test without the right to drop packets can prove them.

--- a/src/Platform/WatchedKind.h
+++ b/src/Platform/WatchedKind.h
@@ -22,10 +22,12 @@
 class WatchedKind {
 public:
   struct Options {
-    /// Longest time that the store holds a watch without a change.
-    Duration WatchWait = std::chrono::seconds(25);
+    /// Longest time that the store holds a watch without a change. Together
+    /// with WatchSlack it bounds the age of the copy: a connection may go
+    /// silent without a sign, and only a missing response shows that.
+    Duration WatchWait = std::chrono::seconds(2);
     /// Time that the response to a watch may take beyond WatchWait.
-    Duration WatchSlack = std::chrono::seconds(2);
+    Duration WatchSlack = std::chrono::milliseconds(700);
     /// Timeout of a call that lists a page of objects.
     Duration ListTimeout = std::chrono::seconds(2);
     /// Minimum time between a reported change and the next watch.
