Close the idle connections to an address whose call has timed out

What callers would see: after all connections of a VM went silent, the list that follows a lost watch, the claim of a fencing token or a fetch from a peer could each wait for its whole timeout on the next idle connection, one after the other, so a change of the configuration or a promotion is late.

Cause: the same class as the unanswered watch: an idle connection counted as usable because the kernel had heard nothing of its end.

Change: a timeout closes the idle connections to that address, as they may share its cause. Test: HttpClientTest, failed before (the second call timed out, too), passes.

--- a/src/Http/HttpClient.cpp
+++ b/src/Http/HttpClient.cpp
@@ -65,6 +65,9 @@
   if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result)) {
     Bytes += Link->lastCallBytes();
     releaseIdle(std::move(Link));
+  } else if (std::get<HttpFailure>(Result).TimedOut) {
+    // What made this connection silent may have done the same to the others.
+    Idle.erase(Address);
   }
   co_return Result;
 }
--- a/src/Http/HttpClient.h
+++ b/src/Http/HttpClient.h
@@ -25,7 +25,8 @@
 /// concurrent calls.
 ///
 /// Idle connections are reused, the most recently used one first. Those that
-/// were idle for IdleTimeout are closed by the next call to their address. The
+/// were idle for IdleTimeout are closed by the next call to their address, and
+/// all idle ones when a call to their address has timed out. The
 /// client never retries a call; that decision is left to the code that makes
 /// the call. Runs on the thread of the event loop.
 class HttpClient {
