--- a/src/Http/HttpConnection.cpp
+++ b/src/Http/HttpConnection.cpp
@@ -112,6 +112,9 @@
     HttpResponse Response;
     Response.Status = static_cast<int>(Answer.result_int());
     Response.Body = std::move(Answer.body());
+    for (const auto &Field : Answer)
+      Response.Headers[headerKey(std::string(Field.name_string()))] =
+          std::string(Field.value());
     co_return Response;
   }
 
--- a/src/Http/HttpMessage.h
+++ b/src/Http/HttpMessage.h
@@ -1,6 +1,8 @@
 #ifndef CICADAWIND_HTTP_HTTPMESSAGE_H
 #define CICADAWIND_HTTP_HTTPMESSAGE_H
 
+#include <algorithm>
+#include <cctype>
 #include <map>
 #include <string>
 
@@ -9,6 +11,13 @@
 /// Header fields by name. The names of received fields are in lower case.
 using HttpHeaders = std::map<std::string, std::string>;
 
+/// Returns \p Name as it is stored in HttpHeaders of received messages.
+inline std::string headerKey(std::string Name) {
+  std::transform(Name.begin(), Name.end(), Name.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Name;
+}
+
 /// \class HttpRequest
 /// \brief An HTTP request that was received or is to be sent.
 struct HttpRequest {
@@ -35,10 +44,16 @@
 struct HttpResponse {
   int Status = 200;
   std::string Body;
-  /// ContentType and Headers are used only in responses to be sent.
-  /// HttpConnection does not set them in the responses that it receives.
+  /// Used only in responses to be sent.
   std::string ContentType = "application/json";
   HttpHeaders Headers = {};
+
+  /// Returns the value of the header field \p Name, given in lower case, or an
+  /// empty string if there is none.
+  std::string header(const std::string &Name) const {
+    auto It = Headers.find(Name);
+    return It == Headers.end() ? std::string() : It->second;
+  }
 };
 
 } // namespace cicadawind
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -9,8 +9,6 @@
 #include <boost/asio.hpp>
 #include <restinio/all.hpp>
 
-#include <algorithm>
-#include <cctype>
 #include <map>
 #include <stdexcept>
 
@@ -102,12 +100,6 @@
       TrackedSocket;
 };
 
-static std::string lowerCase(std::string Text) {
-  std::transform(Text.begin(), Text.end(), Text.begin(),
-                 [](unsigned char C) { return std::tolower(C); });
-  return Text;
-}
-
 static HttpRequest toRequest(const restinio::request_handle_t &Incoming) {
   HttpRequest Request;
   const auto &Header = Incoming->header();
@@ -116,7 +108,7 @@
   Request.Peer = Incoming->remote_endpoint().address().to_string();
   Request.Body = Incoming->body();
   Header.for_each_field([&](const auto &Field) {
-    Request.Headers[lowerCase(Field.name())] = Field.value();
+    Request.Headers[headerKey(Field.name())] = Field.value();
   });
   auto Query = restinio::try_parse_query<
       restinio::parse_query_traits::javascript_compatible>(Header.query());
