Reproduce a change that is missed when a restored store reuses revisions

WatchWorld can now restore the store: its revisions go back and are given out again, and the operator writes again what was lost. A watch that continues from a revision of before, after the store has passed it again, is told only what came later.

--- a/test/Platform/WatchWorld.cpp
+++ b/test/Platform/WatchWorld.cpp
@@ -12,10 +12,43 @@
 void WatchWorld::change() {
   if (IsDown)
     return;
+  write();
+  Confirmations.push_back({.Number = Number, .At = Now});
+}
+
+void WatchWorld::changeOther() {
+  ++Revision;
+  keepSnapshot();
+}
+
+void WatchWorld::write() {
   ++Number;
   NumberRevision = ++Revision;
   History.push_back({.Revision = Revision, .Number = Number});
-  Confirmations.push_back({.Number = Number, .At = Now});
+  keepSnapshot();
+}
+
+void WatchWorld::keepSnapshot() {
+  Snapshots.push_back({.At = Now,
+                       .Revision = Revision,
+                       .Number = Number,
+                       .NumberRevision = NumberRevision});
+}
+
+void WatchWorld::restore(Duration Age) {
+  std::uint64_t LastNumber = Number;
+  while (Snapshots.size() > 1 && Snapshots.back().At > Now - Age)
+    Snapshots.pop_back();
+  if (!Snapshots.empty()) {
+    Revision = Snapshots.back().Revision;
+    Number = Snapshots.back().Number;
+    NumberRevision = Snapshots.back().NumberRevision;
+  }
+  std::erase_if(History,
+                [&](const Event &Each) { return Each.Revision > Revision; });
+  while (Number < LastNumber)
+    write();
+  DisturbedAt = Now;
 }
 
 void WatchWorld::silenceConnection() {
--- a/test/Platform/WatchWorld.h
+++ b/test/Platform/WatchWorld.h
@@ -22,7 +22,7 @@
   /// The operator writes the next number, unless the store is down.
   void change();
   /// Another kind changes.
-  void changeOther() { ++Revision; }
+  void changeOther();
   /// The open connection goes silent; new ones work.
   void silenceConnection();
   /// The store breaks off its calls and refuses new ones.
@@ -30,6 +30,9 @@
   void endOutage();
   /// The store drops its history.
   void dropHistory();
+  /// The store returns to its state of \p Age ago, and the operator writes
+  /// again what was lost.
+  void restore(Duration Age);
 
   /// Advances the time by \p Length.
   void step(Duration Length);
@@ -48,6 +51,13 @@
     std::uint64_t Revision = 0;
     std::uint64_t Number = 0;
   };
+  /// State of the store since \c At.
+  struct Snapshot {
+    TimePoint At;
+    std::uint64_t Revision = 0;
+    std::uint64_t Number = 0;
+    std::uint64_t NumberRevision = 0;
+  };
   struct Confirmation {
     std::uint64_t Number = 0;
     TimePoint At;
@@ -57,6 +67,9 @@
     TimePoint StartedAt;
   };
 
+  /// Writes the next number.
+  void write();
+  void keepSnapshot();
   /// Starts the call that is due.
   void startCall();
   /// Ends the running call if its outcome is known by now.
@@ -77,6 +90,7 @@
   std::uint64_t Number = 0;
   std::uint64_t NumberRevision = 0;
   std::vector<Event> History;
+  std::vector<Snapshot> Snapshots;
   std::uint64_t OldestKept = 0;
   bool IsDown = false;
   std::vector<Confirmation> Confirmations;
--- a/test/Platform/WatchedKindTest.cpp
+++ b/test/Platform/WatchedKindTest.cpp
@@ -31,9 +31,14 @@
   return true;
 }
 
+void changeOthers(WatchWorld &World, std::uint64_t Count) {
+  for (std::uint64_t I = 0; I < Count; ++I)
+    World.changeOther();
+}
+
 /// Injects a random event into \p World.
 void disturb(WatchWorld &World, std::mt19937_64 &Random) {
-  switch (Random() % 8) {
+  switch (Random() % 10) {
   case 0:
     World.silenceConnection();
     break;
@@ -44,7 +49,16 @@
     World.dropHistory();
     break;
   case 3:
-    World.changeOther();
+    World.beginOutage();
+    runInTime(World, Millis(Random() % 2000));
+    World.restore(Millis(Random() % 10000));
+    World.endOutage();
+    World.change();
+    changeOthers(World, Random() % 30);
+    break;
+  case 4:
+  case 5:
+    changeOthers(World, Random() % 30);
     break;
   default:
     World.change();
@@ -64,6 +78,22 @@
   BOOST_TEST(World.seen() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(aChangeIsNotMissedWhenARestoredStoreReusesRevisions) {
+  WatchWorld World({});
+  World.change();
+  BOOST_TEST(runInTime(World, 2s));
+  changeOthers(World, 10);
+  BOOST_TEST(runInTime(World, 3s));
+  World.beginOutage();
+  BOOST_TEST(runInTime(World, 1s));
+  World.restore(6s);
+  World.endOutage();
+  World.change();
+  changeOthers(World, 20);
+  BOOST_TEST(runInTime(World, 10s));
+  BOOST_TEST(World.seen() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(changesAreInForceInTimeUnderMixedDisturbances) {
   std::uint64_t First = test::numberFlag("seed", 1);
   std::uint64_t Count = test::numberFlag("schedules", 300);
