Tell revisions of a restored store from those of before

What callers could see: after the store came back from an older copy, a change of the configuration or of a target that it confirmed then was never applied by a VM that came back late, without any error.

Cause: revisions were compared as plain numbers, although the store gives them out again after a restore. A watch from revision R of before, once the store has passed R again, is told only what comes after R; between VMs, the targets of a VM that had not read the restored store counted as the newer ones until its revision had passed the old one. Class: an order between values of two histories.

Change: StoreRevision is an era and a number within it, packed into one integer, so that every comparison of revisions, in VMs and between them, holds across restores.

--- a/src/Platform/ObjectWatcher.h
+++ b/src/Platform/ObjectWatcher.h
@@ -21,7 +21,8 @@
 class ObjectWatcher {
 public:
   /// Called after each listing of the kind and after each change, with all
-  /// objects of the kind and the store's revision at which they were read.
+  /// objects of the kind and the store's revision at which they were read,
+  /// packed as in StoreRevision.
   using ChangeHook =
       std::function<void(const ObjectsByName &, std::uint64_t Revision)>;
   /// Called whenever the store becomes reachable or unreachable.
--- a/src/Platform/Platform.h
+++ b/src/Platform/Platform.h
@@ -9,6 +9,7 @@
 #include "Platform/ObjectWatcher.h"
 #include "Platform/PlatformClient.h"
 #include "Platform/PromotionService.h"
+#include "Platform/StoreRevision.h"
 #include "Platform/StoredObject.h"
 #include "Platform/VmList.h"
 #include "Platform/WatchedKind.h"
--- a/src/Platform/StoredObject.h
+++ b/src/Platform/StoredObject.h
@@ -10,7 +10,8 @@
 /// \class StoredObject
 /// \brief Value and version of an object in the platform's store.
 ///
-/// The version is 0 if the object does not exist.
+/// The version is 0 if the object does not exist, and packed as in
+/// StoreRevision otherwise.
 struct StoredObject {
   std::string Value;
   std::uint64_t Version = 0;
--- a/src/Platform/WatchedKind.cpp
+++ b/src/Platform/WatchedKind.cpp
@@ -1,5 +1,7 @@
 #include "Platform/WatchedKind.h"
 
+#include "Platform/StoreRevision.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -15,17 +17,19 @@
   if (!IsListed)
     return {
         .Kind = Operation::List, .Delay = Delay, .Timeout = Opts.ListTimeout};
+  Duration Wait = HasFailed ? Opts.ProbeWait : Opts.WatchWait;
   return {.Kind = Operation::Watch,
           .Delay = Delay,
           .Since = Revision,
-          .Wait = Opts.WatchWait,
-          .Timeout = Opts.WatchWait + Opts.WatchSlack};
+          .Wait = Wait,
+          .Timeout = Wait + Opts.WatchSlack};
 }
 
 void WatchedKind::recordList(ObjectsByName Listed, std::uint64_t NewRevision) {
   Objects = std::move(Listed);
   Revision = NewRevision;
   IsListed = true;
+  HasFailed = false;
   Delay = Duration::zero();
   Backoff = Opts.InitialBackoff;
 }
@@ -33,18 +37,25 @@
 bool WatchedKind::recordChanges(std::vector<ObjectChange> Changes,
                                 std::uint64_t NewRevision) {
   assert(IsListed && "changes apply to a list");
+  if (StoreRevision::unpack(NewRevision).Era !=
+      StoreRevision::unpack(Revision).Era) {
+    recordGap();
+    return false;
+  }
   for (ObjectChange &Each : Changes)
     if (Each.Removed)
       Objects.erase(Each.Name);
     else
       Objects[Each.Name] = std::move(Each.Object);
   Revision = NewRevision;
+  HasFailed = false;
   Delay = Changes.empty() ? Duration::zero() : Opts.MinInterval;
   Backoff = Opts.InitialBackoff;
   return !Changes.empty();
 }
 
 void WatchedKind::recordFailure() {
+  HasFailed = true;
   Delay = Backoff;
   Backoff = std::min(2 * Backoff, Opts.MaxBackoff);
 }
--- a/src/Platform/WatchedKind.h
+++ b/src/Platform/WatchedKind.h
@@ -15,7 +15,10 @@
 /// which call keeps it current.
 ///
 /// The kind is listed once and then watched from the revision of the list. It
-/// is listed again if the store no longer has the history that a watch needs.
+/// is listed again if the store no longer has the history that a watch needs,
+/// or if it has come back from an older copy since: its history is another one
+/// then, even if it has a revision with the number that the watch names.
+/// Revisions are packed as in StoreRevision.
 /// Each record function tells the outcome of the call that nextCall() returned.
 /// Performs no input or output and reads no clock. Functions cost O(1), those
 /// that record objects O(changes log objects). Not thread safe.
@@ -26,7 +29,10 @@
     /// with WatchSlack it bounds the age of the copy: a connection may go
     /// silent without a sign, and only a missing response shows that.
     Duration WatchWait = std::chrono::seconds(2);
-    /// Time that the response to a watch may take beyond WatchWait.
+    /// The same for a watch after a failure, whose response shows at once
+    /// whether the store is back, and of which era it is.
+    Duration ProbeWait = std::chrono::milliseconds(1);
+    /// Time that the response to a watch may take beyond the wait.
     Duration WatchSlack = std::chrono::milliseconds(700);
     /// Timeout of a call that lists a page of objects.
     Duration ListTimeout = std::chrono::seconds(2);
@@ -59,7 +65,9 @@
 
   /// Records a complete list of the kind as of \p Revision.
   void recordList(ObjectsByName Listed, std::uint64_t Revision);
-  /// Records the changes up to \p Revision. Returns whether there are any.
+  /// Records the changes up to \p Revision. Returns whether there are any. If
+  /// \p Revision is of another era than the copy, they are not applied, and the
+  /// kind is listed next.
   bool recordChanges(std::vector<ObjectChange> Changes, std::uint64_t Revision);
   /// Records that the call failed or was refused.
   void recordFailure();
@@ -75,6 +83,8 @@
   std::uint64_t Revision = 0;
   /// Whether Objects can be continued by a watch.
   bool IsListed = false;
+  /// Whether the last call failed.
+  bool HasFailed = false;
   Duration Delay = Duration::zero();
   Duration Backoff;
 };
--- a/test/Emulator/EmulatedStore.cpp
+++ b/test/Emulator/EmulatedStore.cpp
@@ -68,8 +68,27 @@
   Changed.notifyAll();
 }
 
+void EmulatedStore::keepCopy() {
+  Kept = {.Objects = Objects, .History = History, .Revision = Revision};
+}
+
+void EmulatedStore::restoreCopy() {
+  Objects = Kept.Objects;
+  History = Kept.History;
+  Revision = Kept.Revision;
+  ++Era;
+  Changed.notifyAll();
+}
+
 boost::asio::awaitable<HttpResponse>
 EmulatedStore::handle(HttpRequest Request, fakes::ResponseAction &Action) {
+  HttpResponse Response = co_await execute(std::move(Request), Action);
+  Response.Headers["Store-Era"] = std::to_string(Era);
+  co_return Response;
+}
+
+boost::asio::awaitable<HttpResponse>
+EmulatedStore::execute(HttpRequest Request, fakes::ResponseAction &Action) {
   if (Request.Path.starts_with("/admin") && Admin)
     co_return answer(200, Admin(Request));
   if (Faults.Outage) {
@@ -134,7 +153,7 @@
   TimePoint End =
       BootClock::now() + Millis(std::stoll(Request.Query.at("waitMs")));
   while (true) {
-    if (Since + 1 < OldestKept)
+    if (Since + 1 < OldestKept || Since > Revision)
       co_return answer(410, json::object());
     json Events = json::array();
     for (const Event &Each : History)
--- a/test/Emulator/EmulatedStore.h
+++ b/test/Emulator/EmulatedStore.h
@@ -50,6 +50,10 @@
   /// Drops the history of changes, so that watches from earlier revisions get
   /// the status 410.
   void compact();
+  /// Keeps a copy of all objects, to which restoreCopy() returns: what was
+  /// written since is lost, revisions go back and a new era begins.
+  void keepCopy();
+  void restoreCopy();
 
   void onPromote(PromoteHook Hook) { Promote = std::move(Hook); }
   void onAdmin(AdminHook Hook) { Admin = std::move(Hook); }
@@ -67,8 +71,11 @@
     nlohmann::json Object;
   };
 
+  /// Responds to a call and names the era in the response.
   boost::asio::awaitable<HttpResponse> handle(HttpRequest Request,
                                               fakes::ResponseAction &Action);
+  boost::asio::awaitable<HttpResponse> execute(HttpRequest Request,
+                                               fakes::ResponseAction &Action);
   boost::asio::awaitable<HttpResponse> get(const HttpRequest &Request,
                                            std::string Kind, std::string Name);
   boost::asio::awaitable<HttpResponse> watch(const HttpRequest &Request,
@@ -85,6 +92,14 @@
   std::uint64_t Revision = 100;
   /// Oldest revision from which History is complete.
   std::uint64_t OldestKept = 0;
+  /// Objects and revision at the last keepCopy().
+  struct Copy {
+    std::map<ObjectKey, nlohmann::json> Objects;
+    std::vector<Event> History;
+    std::uint64_t Revision = 0;
+  };
+  Copy Kept;
+  std::uint64_t Era = 1;
   std::map<std::string, std::uint64_t> HighestToken;
   PromoteHook Promote;
   AdminHook Admin;
--- a/test/Fakes/FakeHttpServer.cpp
+++ b/test/Fakes/FakeHttpServer.cpp
@@ -100,6 +100,8 @@
     http::response<http::string_body> Out(
         static_cast<http::status>(Response.Status), 11);
     Out.set(http::field::content_type, "application/json");
+    for (const auto &[Name, Value] : Response.Headers)
+      Out.set(Name, Value);
     Out.body() = Response.Body;
     Out.prepare_payload();
     if (!Truncated) {
--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -152,6 +152,34 @@
   BOOST_TEST(T.Reached);
 }
 
+BOOST_AUTO_TEST_CASE(aChangeIsNotMissedByAWatchFromBeforeARestore) {
+  ClientAndStore T;
+  T.Store.put("k", "a", 1);
+  T.Store.keepCopy();
+  T.Store.put("k", "b", 1);
+  T.Store.put("k", "c", 1);
+  T.startWatch();
+  BOOST_TEST(T.runUntil([&] { return T.Seen.size() == 3; }));
+  T.Store.Faults.Outage = true;
+  T.Store.restoreCopy();
+  BOOST_TEST(T.runUntil([&] { return !T.Reached; }));
+  T.Store.put("k", "a", 2);
+  for (int I = 0; I < 5; ++I)
+    T.Store.put("other", "z", I);
+  T.Store.Faults.Outage = false;
+  BOOST_TEST(T.runUntil([&] { return T.Seen["a"].Value == "2"; }));
+  BOOST_TEST(T.Seen.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(revisionsOfARestoredStoreAreHigherThanThoseOfBefore) {
+  ClientAndStore T;
+  T.Store.keepCopy();
+  WriteResult Before = T.write(R"({"x":1})", 0);
+  T.Store.restoreCopy();
+  WriteResult After = T.write(R"({"x":2})", 0);
+  BOOST_TEST(After.Version > Before.Version);
+}
+
 // A watch counts as one call, so a store without changes must not be polled.
 BOOST_AUTO_TEST_CASE(watchesWithoutChangesCostOneCallPerWait) {
   ClientAndStore T;
--- a/test/Platform/WatchWorld.cpp
+++ b/test/Platform/WatchWorld.cpp
@@ -1,5 +1,7 @@
 #include "Platform/WatchWorld.h"
 
+#include "Platform/StoreRevision.h"
+
 #include <string>
 #include <utility>
 
@@ -35,7 +37,12 @@
                        .NumberRevision = NumberRevision});
 }
 
+std::uint64_t WatchWorld::revision() const {
+  return StoreRevision{.Era = Era, .Number = Revision}.pack();
+}
+
 void WatchWorld::restore(Duration Age) {
+  ++Era;
   std::uint64_t LastNumber = Number;
   while (Snapshots.size() > 1 && Snapshots.back().At > Now - Age)
     Snapshots.pop_back();
@@ -117,26 +124,27 @@
   if (Number != 0)
     Objects[ObjectName] = {.Value = std::to_string(Number),
                            .Version = NumberRevision};
-  Copy.recordList(std::move(Objects), Revision);
+  Copy.recordList(std::move(Objects), revision());
   Running.reset();
 }
 
 void WatchWorld::finishWatch() {
   const WatchedKind::Call &Request = Running->Request;
-  if (Request.Since > Revision || Request.Since + 1 < OldestKept) {
+  std::uint64_t Since = StoreRevision::unpack(Request.Since).Number;
+  if (Since > Revision || Since + 1 < OldestKept) {
     Copy.recordGap();
     Running.reset();
     return;
   }
   std::vector<ObjectChange> Changes;
   for (const Event &Each : History)
-    if (Each.Revision > Request.Since)
+    if (Each.Revision > Since)
       Changes.push_back({.Name = ObjectName,
                          .Object = {.Value = std::to_string(Each.Number),
                                     .Version = Each.Revision}});
   if (Changes.empty() && Now - Running->StartedAt < Request.Wait)
     return;
-  Copy.recordChanges(std::move(Changes), Revision);
+  Copy.recordChanges(std::move(Changes), revision());
   Running.reset();
 }
 
--- a/test/Platform/WatchWorld.h
+++ b/test/Platform/WatchWorld.h
@@ -70,6 +70,8 @@
   /// Writes the next number.
   void write();
   void keepSnapshot();
+  /// Returns the revision that responses name.
+  std::uint64_t revision() const;
   /// Starts the call that is due.
   void startCall();
   /// Ends the running call if its outcome is known by now.
@@ -86,6 +88,7 @@
   bool IsConnectionSilent = false;
   std::uint64_t Calls = 0;
 
+  std::uint64_t Era = 1;
   std::uint64_t Revision = 100;
   std::uint64_t Number = 0;
   std::uint64_t NumberRevision = 0;
