Put the store's era into fencing tokens

What callers could see: two VMs promoted with the same fencing token, so a primary that had been replaced could come back by a late order.

Cause: tokens are claimed by counting in an object of the store. When the store comes back from an older copy it has lost the latest claims, and the next VM gets a token that was used. A conditional update does not help: the versions are given out again, too.

Change: the store keeps the count, the token is the era of the accepted write and the count, packed so that a later era is higher. A claim whose object was read in another era is not used. Token numbers in notices, promises and orders are compared as before.

--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -5,6 +5,7 @@
 
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
+#include "Platform/StoreRevision.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,12 +13,15 @@
 namespace internal {
 
 static const Log Logger("promotion");
-/// Kind of the objects in the store that hold the last fencing token of each
-/// group.
+/// Kind of the objects in the store that count the claims for each group.
 static const char *const TokensKind = "cicadawind-promotions";
 
-/// Returns the last token that \p Object records; 0 if it records none.
-static std::uint64_t tokenFrom(const StoredObject &Object) {
+/// Number of bits of a token below the era. Tokens of the first two million
+/// eras are exact even where they are read as floating-point numbers.
+constexpr unsigned CountBits = 32;
+
+/// Returns the number of claims that \p Object records; 0 if it records none.
+static std::uint64_t claimsIn(const StoredObject &Object) {
   nlohmann::json Json = nlohmann::json::parse(Object.Value, nullptr, false);
   if (!Json.is_object() || !Json.contains("token") ||
       !Json["token"].is_number_unsigned())
@@ -72,6 +76,20 @@
   co_return co_await claim(Group, Instance);
 }
 
+/// Returns the token of the claim number \p Count, which replaced \p Before and
+/// got the version \p Written.
+static Result<std::uint64_t> tokenOf(const StoredObject &Before,
+                                     std::uint64_t Written,
+                                     std::uint64_t Count) {
+  std::uint64_t Era = StoreRevision::unpack(Written).Era;
+  // In a later era the object that was replaced may be another one with the
+  // same version, so another VM may have the same count.
+  if (Before.exists() && StoreRevision::unpack(Before.Version).Era != Era)
+    return Error{.Code = ErrorCode::Conflict,
+                 .Message = "the store came back from an older copy"};
+  return Era << internal::CountBits | Count;
+}
+
 boost::asio::awaitable<Result<std::uint64_t>>
 PromotionTokens::claim(std::string Group, std::string Instance) {
   Result<StoredObject> Stored =
@@ -79,14 +97,14 @@
   if (const Error *E = errorOf(Stored))
     co_return *E;
   const StoredObject &Current = valueOf(Stored);
-  std::uint64_t Token = internal::tokenFrom(Current) + 1;
+  std::uint64_t Count = internal::claimsIn(Current) + 1;
   nlohmann::json Value{
-      {"token", Token}, {"holder", Opts.Vm}, {"target", Instance}};
+      {"token", Count}, {"holder", Opts.Vm}, {"target", Instance}};
   WriteResult Written =
       co_await Store.write(internal::TokensKind, Group, Value.dump(),
                            Current.Version, Opts.StoreTimeout);
   if (Written.Outcome == WriteOutcome::Accepted)
-    co_return Token;
+    co_return tokenOf(Current, Written.Version, Count);
   // If the store does not reply, it is unknown whether the claim was written,
   // so this token is not used. The next attempt reads the last token again.
   bool IsConflict = Written.Outcome == WriteOutcome::Conflict;
--- a/src/Promotion/PromotionTokens.h
+++ b/src/Promotion/PromotionTokens.h
@@ -18,8 +18,11 @@
 /// \class PromotionTokens
 /// \brief Claims the fencing tokens of promotions in the platform's store.
 ///
-/// A token is claimed by a conditional update of the group's object, so that no
-/// two orders carry the same one. A token may be claimed in advance, so that a
+/// A token is claimed by a conditional update of the group's object, which
+/// counts the claims, so that no two orders carry the same one. If the store
+/// comes back from an older copy, it has lost the latest claims. So a token is
+/// the store's era and the count, packed so that a later era is higher. A token
+/// may be claimed in advance, so that a
 /// promotion needs no store. Runs on the loop's thread.
 class PromotionTokens {
 public:
--- a/test/Fakes/MemoryStore.h
+++ b/test/Fakes/MemoryStore.h
@@ -3,6 +3,7 @@
 
 #include "Async/AsyncSignal.h"
 #include "Platform/ObjectStore.h"
+#include "Platform/StoreRevision.h"
 
 #include <map>
 #include <string>
@@ -20,12 +21,14 @@
   int LoseAnswers = 0;
   /// Number of upcoming writes that do not take effect and get no response.
   int LoseRequests = 0;
+  /// Number of upcoming writes before which restoreCopy() takes place.
+  int RestoresBeforeWrite = 0;
 
   boost::asio::awaitable<Result<StoredObject>>
   read(std::string Kind, std::string Name, Duration) override {
     if (Outage)
       co_return unavailable();
-    co_return Objects[Kind + "/" + Name];
+    co_return current(Kind + "/" + Name);
   }
 
   boost::asio::awaitable<Result<StoredObject>> watch(std::string Kind,
@@ -38,7 +41,7 @@
       co_await Changed.wait(End - BootClock::now());
     if (Outage)
       co_return unavailable();
-    co_return Objects[Key];
+    co_return current(Key);
   }
 
   boost::asio::awaitable<WriteResult> write(std::string Kind, std::string Name,
@@ -52,11 +55,19 @@
       --LoseRequests;
       co_return WriteResult{.Outcome = WriteOutcome::Unknown};
     }
+    if (RestoresBeforeWrite > 0) {
+      --RestoresBeforeWrite;
+      restoreCopy();
+    }
     StoredObject &Object = Objects[Kind + "/" + Name];
-    if (Object.Version != Expected)
+    // The store compares the numbers alone, also across a restore.
+    if (StoreRevision::unpack(Object.Version).Number !=
+        StoreRevision::unpack(Expected).Number)
       co_return WriteResult{.Outcome = WriteOutcome::Conflict};
     Object.Value = std::move(Value);
-    ++Object.Version;
+    StoreRevision Next = StoreRevision::unpack(Object.Version);
+    Object.Version =
+        StoreRevision{.Era = Era, .Number = Next.Number + 1}.pack();
     Changed.notifyAll();
     if (LoseAnswers > 0) {
       --LoseAnswers;
@@ -66,13 +77,34 @@
                           .Version = Object.Version};
   }
 
+  /// Keeps a copy of all objects, to which restoreCopy() returns: what was
+  /// written since is lost, versions go back and a new era begins.
+  void keepCopy() { Copy = Objects; }
+  void restoreCopy() {
+    Objects = Copy;
+    ++Era;
+  }
+
 private:
+  /// Returns the object with the version that a response names.
+  StoredObject current(const std::string &Key) {
+    StoredObject Out = Objects[Key];
+    if (Out.exists())
+      Out.Version =
+          StoreRevision{.Era = Era,
+                        .Number = StoreRevision::unpack(Out.Version).Number}
+              .pack();
+    return Out;
+  }
+
   static Error unavailable() {
     return Error{.Code = ErrorCode::StoreUnavailable,
                  .Message = "the store is unavailable"};
   }
 
   std::map<std::string, StoredObject> Objects;
+  std::map<std::string, StoredObject> Copy;
+  std::uint64_t Era = 0;
   AsyncSignal Changed;
 };
 
