Register a VM again when the store has lost its entry

What callers could see: nothing at once. A VM that starts after a restore reads a list without the VMs that registered after the copy was made. If the seeds are down as well, it takes itself for the whole fleet: it takes all connections of the targets, and counts too few voters.

Cause: the entry was written once, at the start, as if the store lost nothing. Class: what was acknowledged counts as kept in every later era; found by going through all that VMs write (entries, token counts).

Change: the entry keeps the era in which it was accepted. When a VM hears of a revision of a later era, from the store or from a peer, it writes its entry again; one to three calls a VM and restore, with the retries of the start.

Test: VmRegistrationTest aVmIsListedAgainAfterTheStoreLostItsEntry, failed without the renewal; anEntryIsNotWrittenAgainInTheSameEra guards its cost.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -256,6 +256,7 @@
   Service.sweep(Now);
   Peers.sweep(Now);
   Opts.Listings->setWatching(Peers.mayReadStore(Now));
+  Registration.renewIfRestored(Loop, Service.targetsRevision());
   Promotions.sweep(Now);
   // Sessions that this VM relays for other VMs also finish their requests and
   // transactions before it stops, unless the time for the drain has passed.
--- a/src/Exchange/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -9,6 +9,7 @@
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/ObjectWatcher.h"
+#include "Platform/StoreRevision.h"
 
 namespace cicadawind {
 namespace internal {
@@ -23,20 +24,26 @@
                                ObjectWatcher &Watcher, PeerExchange &Peers)
     : Opts(Opts), Store(Store), Watcher(Watcher), Peers(Peers) {}
 
-boost::asio::awaitable<bool> VmRegistration::writeEntry() {
+void VmRegistration::recordWrite(const WriteResult &Written) {
+  if (Written.Outcome == WriteOutcome::Accepted)
+    EntryEra = StoreRevision::unpack(Written.Version).Era;
+}
+
+boost::asio::awaitable<void> VmRegistration::writeEntry() {
   VmEntry Self = Peers.self();
   std::string Value = toJson(Self).dump();
-  WriteResult Written = co_await Store.write(internal::VmsKind, Self.Vm, Value,
+  WriteResult Created = co_await Store.write(internal::VmsKind, Self.Vm, Value,
                                              0, Opts.CallTimeout);
-  if (Written.Outcome != WriteOutcome::Conflict)
-    co_return Written.Outcome == WriteOutcome::Accepted;
+  recordWrite(Created);
+  if (Created.Outcome != WriteOutcome::Conflict)
+    co_return;
   Result<StoredObject> Existing =
       co_await Store.read(internal::VmsKind, Self.Vm, Opts.CallTimeout);
   if (errorOf(Existing))
-    co_return false;
-  Written = co_await Store.write(internal::VmsKind, Self.Vm, Value,
-                                 valueOf(Existing).Version, Opts.CallTimeout);
-  co_return Written.Outcome == WriteOutcome::Accepted;
+    co_return;
+  recordWrite(co_await Store.write(internal::VmsKind, Self.Vm, Value,
+                                   valueOf(Existing).Version,
+                                   Opts.CallTimeout));
 }
 
 boost::asio::awaitable<bool> VmRegistration::contactListed() {
@@ -57,17 +64,25 @@
 }
 
 boost::asio::awaitable<void> VmRegistration::run() {
-  bool Registered = false;
-  bool Contacted = false;
-  while (!Registered || !Contacted) {
-    if (!Registered)
-      Registered = co_await writeEntry();
+  Running = true;
+  while (!EntryEra || !Contacted) {
+    if (!EntryEra)
+      co_await writeEntry();
     if (!Contacted)
       Contacted = co_await contactListed();
-    if (!Registered || !Contacted)
+    if (!EntryEra || !Contacted)
       co_await sleepFor(Opts.RetryBackoff);
   }
+  Running = false;
   internal::Logger.info("registered", {{"vm", Peers.self().Vm}});
 }
 
+void VmRegistration::renewIfRestored(boost::asio::io_context &Loop,
+                                     std::uint64_t Revision) {
+  if (Running || !EntryEra || StoreRevision::unpack(Revision).Era <= *EntryEra)
+    return;
+  EntryEra.reset();
+  spawn(Loop, run());
+}
+
 } // namespace cicadawind
--- a/src/Exchange/VmRegistration.h
+++ b/src/Exchange/VmRegistration.h
@@ -5,20 +5,30 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+#include <optional>
+
+namespace boost::asio {
+class io_context;
+}
+
 namespace cicadawind {
 
+struct WriteResult;
 class ObjectWatcher;
 class ObjectStore;
 class PeerExchange;
 
 /// \class VmRegistration
-/// \brief Writes this VM's entry to the store at its start and contacts the VMs
-/// that the store lists.
+/// \brief Keeps this VM's entry in the store and contacts the VMs that the
+/// store lists.
 ///
 /// The store's list lets VMs find each other if none of the seeds exists any
 /// more. Later on they learn of each other through hellos, so the list is read
-/// only once. If no call fails, writing the entry costs one to three calls to
-/// the store, and listing costs one call for each page.
+/// only once. The entry is written at the start, and again when the store has
+/// come back from an older copy, which may lack it. If no call fails, writing
+/// the entry costs one to three calls to the store, and listing costs one call
+/// for each page.
 class VmRegistration {
 public:
   struct Options {
@@ -35,11 +45,15 @@
   /// Repeats its calls until the store has accepted the entry and returned the
   /// list.
   boost::asio::awaitable<void> run();
+  /// Writes the entry again if \p Revision, the latest revision of the store
+  /// that this VM has heard of, is of a later era than the entry.
+  void renewIfRestored(boost::asio::io_context &Loop, std::uint64_t Revision);
 
 private:
-  /// Writes this VM's entry, or replaces the one of an earlier start; false if
-  /// the store did not accept it.
-  boost::asio::awaitable<bool> writeEntry();
+  /// Writes this VM's entry, or replaces the one that exists, and sets EntryEra
+  /// if the store accepted it.
+  boost::asio::awaitable<void> writeEntry();
+  void recordWrite(const WriteResult &Written);
   /// Sends a hello to each listed VM; false if the list could not be read.
   boost::asio::awaitable<bool> contactListed();
 
@@ -47,6 +61,10 @@
   ObjectStore &Store;
   ObjectWatcher &Watcher;
   PeerExchange &Peers;
+  bool Running = false;
+  bool Contacted = false;
+  /// Era in which the store accepted the entry; empty before that.
+  std::optional<std::uint64_t> EntryEra;
 };
 
 } // namespace cicadawind
--- a/test/Emulator/EmulatedStore.h
+++ b/test/Emulator/EmulatedStore.h
@@ -47,6 +47,9 @@
   void put(const std::string &Kind, const std::string &Name,
            nlohmann::json Spec);
   void remove(const std::string &Kind, const std::string &Name);
+  bool contains(const std::string &Kind, const std::string &Name) const {
+    return Objects.count({Kind, Name}) != 0;
+  }
   /// Drops the history of changes, so that watches from earlier revisions get
   /// the status 410.
   void compact();
--- /dev/null
+++ b/test/Exchange/VmRegistrationTest.cpp
@@ -0,0 +1,72 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE VmRegistration
+#include <boost/test/unit_test.hpp>
+
+#include "Async/AsyncSignal.h"
+#include "Emulator/EmulatedStore.h"
+#include "Exchange/PeerExchange.h"
+#include "Exchange/VmRegistration.h"
+#include "Http/HttpClient.h"
+#include "HttpObjectStore.h"
+#include "Platform/StoreRevision.h"
+#include "Proxy/ProxyWorld.h"
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+
+namespace {
+
+/// A VM that registers in an emulated store.
+struct RegistrationWorld : ProxyWorld {
+  RegistrationWorld()
+      : Store(Loop, "127.0.0.1", 0), Http(Loop, HttpClient::Options{}),
+        Client(Loop, Http,
+               {.Address = "127.0.0.1:" + std::to_string(Store.port())}, Meter),
+        Peers(Loop, peerOptions(), Http, *Service),
+        Registration({}, Client, Client, Peers) {}
+
+  static PeerExchange::Options peerOptions() {
+    PeerExchange::Options Out;
+    Out.Vm = "vm-1";
+    Out.Address = "127.0.0.1";
+    Out.Random = [] { return 4; };
+    return Out;
+  }
+  bool isRegistered() const { return Store.contains("cicadawind-vms", "vm-1"); }
+
+  emulator::EmulatedStore Store;
+  HttpClient Http;
+  platform::HttpObjectStore Client;
+  PeerExchange Peers;
+  VmRegistration Registration;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aVmIsListedAgainAfterTheStoreLostItsEntry) {
+  RegistrationWorld World;
+  World.Store.keepCopy();
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  World.Store.restoreCopy();
+  BOOST_TEST(!World.isRegistered());
+  std::uint64_t Restored = StoreRevision{.Era = 2, .Number = 90}.pack();
+  BOOST_TEST(World.runUntil([&] {
+    World.Registration.renewIfRestored(World.Loop, Restored);
+    return World.isRegistered();
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(anEntryIsNotWrittenAgainInTheSameEra) {
+  RegistrationWorld World;
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  World.runFor(std::chrono::milliseconds(50));
+  std::uint64_t Writes = World.Store.Calls["write"];
+  World.Registration.renewIfRestored(
+      World.Loop, StoreRevision{.Era = 1, .Number = 5000}.pack());
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(World.Store.Calls["write"] == Writes);
+}
