Keep a target that has left as leaving when an older list shows it as ready

What callers could see: after the store came back from an older copy, VMs sent new requests to targets that were about to exit or had exited, because the copy still listed them as ready, until the targets had written again.

Cause: the latest list counted as the latest state. A restored store lists an earlier one.

Change: a target that leaves does not change its mind, so in one incarnation it stays leaving. A target that starts again has another incarnation and gets work; without incarnations nothing changes. TargetHistory records the list as applied, so that peers get the same one.

Test: TargetDirectoryTest aTargetThatHasLeftGetsNoWorkWhenAnOlderListShows- ItAsReady failed before (leaving and gone); aTargetThatStartsAgainAfterItHas- LeftGetsWork guards the other side.

--- a/src/Links/TargetDirectory.cpp
+++ b/src/Links/TargetDirectory.cpp
@@ -17,11 +17,25 @@
       It->second.MissingSince = Now;
     ++It;
   }
-  for (const auto &[Name, Entry] : ByName)
-    Entries[Name] = TrackedEntry{.Entry = *Entry};
+  for (const auto &[Name, Entry] : ByName) {
+    TargetEntry &Known = Entries[Name].Entry;
+    Known = *Entry;
+    Known.Leaving = recordLeaving(Known);
+    Entries[Name].MissingSince.reset();
+  }
   expire(Now);
 }
 
+bool TargetDirectory::recordLeaving(const TargetEntry &Entry) {
+  // Without an incarnation a target that has started again looks the same.
+  if (Entry.Incarnation == 0)
+    return Entry.Leaving;
+  if (Entry.Leaving)
+    LeftIncarnations[Entry.Instance] = Entry.Incarnation;
+  auto Left = LeftIncarnations.find(Entry.Instance);
+  return Left != LeftIncarnations.end() && Left->second == Entry.Incarnation;
+}
+
 bool TargetDirectory::expire(TimePoint Now) {
   std::size_t Before = Entries.size();
   for (auto It = Entries.begin(); It != Entries.end();) {
--- a/src/Links/TargetDirectory.h
+++ b/src/Links/TargetDirectory.h
@@ -4,6 +4,7 @@
 #include "Core/Clock.h"
 #include "Links/TargetEntry.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +19,9 @@
 /// The registry drops entries of live targets while it is unavailable and lists
 /// them again soon after. An entry that disappears is therefore kept for
 /// MissingRetention. The entry of a target that was leaving is removed at once.
+/// A registry that comes back from an older copy lists targets that have left
+/// as if they stayed; since a target that leaves does not change its mind, it
+/// counts as leaving until it starts again.
 /// For N entries, applyList takes O(N log N), other functions at most O(N).
 class TargetDirectory {
 public:
@@ -48,9 +52,16 @@
     std::optional<TimePoint> MissingSince;
   };
 
+  /// Returns whether the target of \p Entry leaves or has been leaving since
+  /// its start.
+  bool recordLeaving(const TargetEntry &Entry);
+
   Options Opts;
   /// By instance.
   std::map<std::string, TrackedEntry> Entries;
+  /// The incarnation in which a target was last leaving, by instance. Kept for
+  /// the life of the process.
+  std::map<std::string, std::int64_t> LeftIncarnations;
 };
 
 } // namespace cicadawind
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -121,8 +121,8 @@
 void ProxyService::applyTargets(const std::vector<TargetEntry> &Listed,
                                 std::uint64_t Revision) {
   TargetsRevision = Revision;
-  History.record(Listed, Revision);
   Directory.applyList(Listed, BootClock::now());
+  History.record(Directory.listed(), Revision);
   updateGroups();
   std::uint64_t Previous =
       std::exchange(TargetsHash, hashOf(Directory.listed()));
--- a/test/Links/TargetDirectoryTest.cpp
+++ b/test/Links/TargetDirectoryTest.cpp
@@ -41,3 +41,33 @@
   Directory.applyList({entry("a")}, Start + 1s);
   BOOST_TEST(Directory.ofGroup("g").size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(
+    aTargetThatHasLeftGetsNoWorkWhenAnOlderListShowsItAsReady) {
+  TargetEntry Ready = entry("b");
+  Ready.Incarnation = 5;
+  TargetEntry Leaving = Ready;
+  Leaving.Leaving = true;
+  for (bool IsGone : {false, true}) {
+    TargetDirectory Directory{TargetDirectory::Options{}};
+    Directory.applyList({Ready}, Start);
+    Directory.applyList({Leaving}, Start + 1s);
+    if (IsGone)
+      Directory.applyList({}, Start + 2s);
+    Directory.applyList({Ready}, Start + 3s);
+    BOOST_TEST(Directory.ofGroup("g").at(0).Leaving);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(aTargetThatStartsAgainAfterItHasLeftGetsWork) {
+  for (std::int64_t Next : {std::int64_t{6}, std::int64_t{0}}) {
+    TargetDirectory Directory{TargetDirectory::Options{}};
+    TargetEntry Entry = entry("b", true);
+    Entry.Incarnation = Next == 0 ? 0 : 5;
+    Directory.applyList({Entry}, Start);
+    Entry.Leaving = false;
+    Entry.Incarnation = Next;
+    Directory.applyList({Entry}, Start + 1s);
+    BOOST_TEST(!Directory.ofGroup("g").at(0).Leaving);
+  }
+}
