Refuse revisions that do not fit instead of aborting, and show the era in the status

A revision beyond 48 bits would have ended the process by an assertion, and an era beyond 16 bits as well. An era now has 24 bits and a number 40; an answer that exceeds them is malformed (HttpObjectStoreTest revisionsThatDoNotFitAreRefusedAsMalformed checks the new bound; it was not run on the code before). The status shows era and number of the targets' revision apart.

--- a/src/Daemons/ProxyStatus.cpp
+++ b/src/Daemons/ProxyStatus.cpp
@@ -5,6 +5,7 @@
 
 #include "Exchange/PeerExchange.h"
 #include "Leases/PrimaryLease.h"
+#include "Platform/StoreRevision.h"
 #include "Proxy/ProxyService.h"
 
 #include <nlohmann/json.hpp>
@@ -71,13 +72,15 @@
   internal::Json Groups = internal::Json::array();
   for (const auto &[Name, Group] : Service.groups())
     Groups.push_back(internal::groupStatus(*Group, Now));
+  StoreRevision Targets = StoreRevision::unpack(Service.targetsRevision());
   return {{"vm", Self.Vm},
           {"failure_domain", Self.FailureDomain},
           {"ready", Service.isReady()},
           {"leaving", Service.isDraining()},
           {"sessions", Service.sessions()},
           {"config_version", Service.config().Version},
-          {"targets_revision", Service.targetsRevision()},
+          {"targets_era", Targets.Era},
+          {"targets_revision", Targets.Number},
           {"peers", std::move(LivePeers)},
           {"groups", std::move(Groups)}};
 }
--- a/src/Exchange/VmRegistration.h
+++ b/src/Exchange/VmRegistration.h
@@ -53,6 +53,7 @@
   /// Writes this VM's entry, or replaces the one that exists, and sets EntryEra
   /// if the store accepted it.
   boost::asio::awaitable<void> writeEntry();
+  /// Sets EntryEra if the store accepted the write.
   void recordWrite(const WriteResult &Written);
   /// Sends a hello to each listed VM; false if the list could not be read.
   boost::asio::awaitable<bool> contactListed();
--- a/src/Http/HttpClient.cpp
+++ b/src/Http/HttpClient.cpp
@@ -62,7 +62,7 @@
     co_return HttpFailure{.TimedOut = true,
                           .Message = "no time left to call " + Address};
   HttpResult Result = co_await Link->call(std::move(Request), Remaining);
-  if (const HttpResponse *Response = std::get_if<HttpResponse>(&Result)) {
+  if (std::holds_alternative<HttpResponse>(Result)) {
     Bytes += Link->lastCallBytes();
     releaseIdle(std::move(Link));
   } else if (std::get<HttpFailure>(Result).TimedOut) {
--- a/src/Platform/StoreRevision.h
+++ b/src/Platform/StoreRevision.h
@@ -15,7 +15,9 @@
 /// Both are packed into one integer, whose order is that of (Era, Number).
 /// Revisions and versions of objects are passed in this form everywhere.
 struct StoreRevision {
-  static constexpr unsigned NumberBits = 48;
+  static constexpr unsigned EraBits = 24;
+  /// Enough for ten years of 3,000 changes a second.
+  static constexpr unsigned NumberBits = 40;
 
   std::uint64_t Era = 0;
   std::uint64_t Number = 0;
@@ -24,8 +26,12 @@
     return {.Era = Packed >> NumberBits,
             .Number = Packed & ((std::uint64_t{1} << NumberBits) - 1)};
   }
+  /// Returns whether the revision can be packed.
+  constexpr bool isValid() const {
+    return Era >> EraBits == 0 && Number >> NumberBits == 0;
+  }
   constexpr std::uint64_t pack() const {
-    assert(Number >> NumberBits == 0 && "the number takes 48 bits at most");
+    assert(isValid() && "the parts must fit their bits");
     return Era << NumberBits | Number;
   }
 };
--- a/test/Emulator/EmulatedStore.h
+++ b/test/Emulator/EmulatedStore.h
@@ -53,6 +53,7 @@
   /// Drops the history of changes, so that watches from earlier revisions get
   /// the status 410.
   void compact();
+  void setRevision(std::uint64_t Next) { Revision = Next; }
   /// Keeps a copy of all objects, to which restoreCopy() returns: what was
   /// written since is lost, revisions go back and a new era begins.
   void keepCopy();
--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -180,6 +180,14 @@
   BOOST_TEST(After.Version > Before.Version);
 }
 
+BOOST_AUTO_TEST_CASE(revisionsThatDoNotFitAreRefusedAsMalformed) {
+  ClientAndStore T;
+  T.Store.setRevision(std::uint64_t{1} << 40);
+  T.Store.put("k", "n", 1);
+  BOOST_TEST(errorOf(T.read()));
+  BOOST_TEST(errorOf(test::runOn(T.Loop, T.Client.listAll("k"))));
+}
+
 // A watch counts as one call, so a store without changes must not be polled.
 BOOST_AUTO_TEST_CASE(watchesWithoutChangesCostOneCallPerWait) {
   ClientAndStore T;
