--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Emulator/EmulatedStore.h"
+#include "Fakes/FakeHttpServer.h"
 #include "Http/HttpClient.h"
 #include "HttpObjectStore.h"
 #include "HttpPromotionClient.h"
@@ -226,3 +227,33 @@
   T.Client.setWatching(true);
   BOOST_TEST(T.runUntil([&] { return T.Seen.count("n") == 1; }));
 }
+
+// Another writer may store any JSON. Serializing one object whose lists are
+// nested 200,000 levels deep exhausted the stack, and the process ended again
+// after each restart.
+BOOST_AUTO_TEST_CASE(aDeeplyNestedObjectHidesNoOtherAndEndsNoProcess) {
+  constexpr std::size_t Depth = 200000;
+  const std::string Items =
+      R"([{"meta":{"name":"deep","revision":4},"spec":{"service":)" +
+      std::string(Depth, '[') + std::string(Depth, ']') +
+      R"(}},{"meta":{"name":"plain","revision":5},"spec":{"x":1}}])";
+  boost::asio::io_context Loop;
+  fakes::FakeHttpServer Store(
+      Loop, "127.0.0.1", 0,
+      [&](HttpRequest, std::uint64_t,
+          fakes::ResponseAction &) -> boost::asio::awaitable<HttpResponse> {
+        HttpResponse Response;
+        Response.Body = R"({"currentRev":5,"items":)" + Items + "}";
+        co_return Response;
+      },
+      [](std::uint64_t) {});
+  HttpClient Http(Loop, HttpClient::Options{});
+  Metrics Meter;
+  platform::HttpObjectStore Client(
+      Loop, Http, {.Address = "127.0.0.1:" + std::to_string(Store.port())},
+      Meter);
+  Result<ObjectsByName> Listed = test::runOn(Loop, Client.listAll("servers"));
+  BOOST_REQUIRE(!errorOf(Listed));
+  BOOST_TEST(valueOf(Listed).size() == 2U);
+  BOOST_TEST(valueOf(Listed)["plain"].Value == R"({"x":1})");
+}
