Bound the nesting of what peers send

A datagram of 65,000 bytes 0x81 to a port for peers ended the process with a stack overflow, and so did a state. Ruled out: session tokens, whose payload is authenticated before it is parsed; they use the same function now, so that there is one.

Evidence: deeplyNestedBytesAreRefused ended with 'memory access violation' before the change and passes after it.

--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -1,6 +1,7 @@
 #include "Exchange/PeerMessage.h"
 
 #include "Membership/VmEntryCodec.h"
+#include "Json/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
@@ -325,7 +326,7 @@
 
 Result<PeerMessage> decodePeerMessage(const std::string &Bytes) {
   try {
-    return internal::messageFrom(internal::Json::from_cbor(Bytes));
+    return internal::messageFrom(parseCbor(Bytes));
   } catch (const std::exception &E) {
     return Error{.Code = ErrorCode::BadRequest,
                  .Message = std::string("malformed message: ") + E.what()};
--- a/src/Membership/VmEntryCodec.cpp
+++ b/src/Membership/VmEntryCodec.cpp
@@ -1,5 +1,7 @@
 #include "Membership/VmEntryCodec.h"
 
+#include "Json/JsonParsing.h"
+
 namespace cicadawind {
 
 nlohmann::json toJson(const VmEntry &Entry) {
@@ -36,7 +38,7 @@
 Result<std::vector<VmEntry>> decodeEntries(const std::string &Bytes) {
   try {
     std::vector<VmEntry> Out;
-    for (const nlohmann::json &Each : nlohmann::json::from_cbor(Bytes))
+    for (const nlohmann::json &Each : parseCbor(Bytes))
       Out.push_back(vmEntryFrom(Each));
     return Out;
   } catch (const nlohmann::json::exception &E) {
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -1,5 +1,7 @@
 #include "Proxy/ProxyState.h"
 
+#include "Json/JsonParsing.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cicadawind {
@@ -125,7 +127,7 @@
 
 Result<ProxyState> decodeState(const std::string &Bytes) {
   try {
-    return internal::stateFrom(internal::Json::from_cbor(Bytes));
+    return internal::stateFrom(parseCbor(Bytes));
   } catch (const std::exception &E) {
     return Error{.Code = ErrorCode::BadRequest,
                  .Message = std::string("malformed state: ") + E.what()};
--- a/src/Sessions/TokenCodec.cpp
+++ b/src/Sessions/TokenCodec.cpp
@@ -1,5 +1,7 @@
 #include "Sessions/TokenCodec.h"
 
+#include "Json/JsonParsing.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -121,7 +123,7 @@
   if (const Error *E = errorOf(Payload))
     return *E;
   try {
-    nlohmann::json Json = nlohmann::json::from_cbor(valueOf(Payload));
+    nlohmann::json Json = parseCbor(valueOf(Payload));
     for (const auto &[Database, Row] : Json.items()) {
       SessionPosition Entry;
       Entry.MinPosition = {.WrittenIn = Row.at(0).get<Term>(),
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -113,3 +113,12 @@
     decodeState(Bytes);
   }));
 }
+
+// The ports for peers are open to every program that reaches this VM. A
+// datagram of nested lists must not exhaust the stack of the process.
+BOOST_AUTO_TEST_CASE(deeplyNestedBytesAreRefused) {
+  constexpr std::size_t DatagramBytes = 65000;
+  constexpr std::size_t StateBytes = 1000000;
+  BOOST_TEST(errorOf(decodePeerMessage(std::string(DatagramBytes, '\x81'))));
+  BOOST_TEST(errorOf(decodeState(std::string(StateBytes, '\x81'))));
+}
