Do not throw for the address of a peer that has reset its connection

Cause: RESTinio's acceptor asks the accepted socket for its peer's address. The call throws if the peer has reset the connection: in a noexcept function, which aborts, or where the exception is caught and the place of the connection is not given back. Ruled out: a wait for a request on the reset connections; the port does not answer again after that time limit.

Change: TrackedSocket::remote_endpoint() returns an unspecified address then, and lowest_layer() leads RESTinio to it. Evidence: connectionsThatAreResetBeforeTheAcceptDoNoHarm failed before the change and passes after it.

--- a/src/Http/TrackedSocket.h
+++ b/src/Http/TrackedSocket.h
@@ -13,7 +13,7 @@
 
 /// \class TrackedSocket
 /// \brief A TCP socket that notifies PartialMessageTracker when bytes arrive
-/// and when it closes.
+/// and when it closes, and whose peer may have disconnected.
 ///
 /// Replaces the plain socket in RESTinio's traits.
 class TrackedSocket : public boost::asio::ip::tcp::socket {
@@ -25,6 +25,21 @@
   TrackedSocket(TrackedSocket &&) = default;
   TrackedSocket &operator=(TrackedSocket &&) = delete;
 
+  // RESTinio asks this object for the peer's address instead of its base.
+  TrackedSocket &
+  lowest_layer() { // NOLINT(readability-identifier-naming): the socket's name
+    return *this;
+  }
+  /// Returns the peer's address; an unspecified one if the peer has reset the
+  /// connection. The base throws then, and RESTinio's acceptor, which calls
+  /// this function, would end the process or lose a place for a connection.
+  endpoint_type
+  remote_endpoint() // NOLINT(readability-identifier-naming): the socket's name
+      const {
+    boost::system::error_code Ignored;
+    return Base::remote_endpoint(Ignored);
+  }
+
   template <class Buffers, class Handler>
   void
   async_read_some( // NOLINT(readability-identifier-naming): the stream's name
