Count the connections of an HTTP server without losing places

Same cause as the resets, on a related path: RESTinio's limiter counts an accept before the connection exists and takes the count back only when one is created. A connection that is refused by its peer's address used up a place for good.

Change: HttpServer refuses connections beyond MaxConnections by its own count of open connections, and RESTinio's limiter is off. Such connections are now closed at once instead of waiting in the backlog, so their peer knows.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -30,6 +30,7 @@
 
 /// Open connections, counted by the address of the peer.
 struct PeerConnections {
+  std::size_t Max = 0;
   std::size_t MaxPerPeer = 0;
   std::map<std::uint64_t, std::string> ById;
   std::map<std::string, std::size_t> Count;
@@ -71,7 +72,9 @@
   std::shared_ptr<PeerConnections> Peers;
 };
 
-/// Refuses connections of peers that already have MaxPerPeer of them.
+/// Refuses connections beyond Max in all or MaxPerPeer of one peer. RESTinio's
+/// own limiter is not used, because a connection that is refused, or that fails
+/// before it is set up, uses up one of its places for good.
 class PeerLimiter {
 public:
   explicit PeerLimiter(std::shared_ptr<PeerConnections> Peers)
@@ -80,7 +83,8 @@
   restinio::ip_blocker::inspection_result_t
   inspect(const restinio::ip_blocker::incoming_info_t &Info) noexcept {
     auto It = Peers->Count.find(Info.remote_endpoint().address().to_string());
-    bool Full = It != Peers->Count.end() && It->second >= Peers->MaxPerPeer;
+    bool Full = Peers->ById.size() >= Peers->Max ||
+                (It != Peers->Count.end() && It->second >= Peers->MaxPerPeer);
     return Full ? restinio::ip_blocker::deny() : restinio::ip_blocker::allow();
   }
 
@@ -93,9 +97,6 @@
   using connection_state_listener_t = // NOLINT(readability-identifier-naming)
       ConnectionListener;
   using ip_blocker_t = PeerLimiter; // NOLINT(readability-identifier-naming)
-  static constexpr bool
-      use_connection_count_limiter = // NOLINT(readability-identifier-naming)
-      true;
   using stream_socket_t = // NOLINT(readability-identifier-naming)
       TrackedSocket;
 };
@@ -160,6 +161,7 @@
         Peers(std::make_shared<internal::PeerConnections>()),
         PartialMessages(boost::asio::use_service<PartialMessageTracker>(Loop)),
         OverdueTimer(Loop) {
+    Peers->Max = Opts.MaxConnections;
     Peers->MaxPerPeer = Opts.MaxConnectionsPerPeer;
     Listener = std::make_unique<Server>(
         restinio::external_io_context(Loop),
@@ -190,7 +192,6 @@
     S.address(Opts.Address)
         .port(Opts.Port)
         .protocol(restinio::asio_ns::ip::tcp::v4())
-        .max_parallel_connections(Opts.MaxConnections)
         .read_next_http_message_timelimit(Opts.IdleTimeout)
         .handle_request_timeout(Opts.HandlerTimeout)
         .write_http_response_timelimit(std::chrono::seconds(30))
--- a/src/Http/HttpServer.h
+++ b/src/Http/HttpServer.h
@@ -26,7 +26,8 @@
 ///
 /// A request whose body is larger than MaxBodyBytes gets the status 413, and
 /// one whose handler throws gets the status 500. Connections beyond
-/// MaxConnectionsPerPeer from one address are closed when they are accepted.
+/// MaxConnections, or beyond MaxConnectionsPerPeer from one address, are closed
+/// when they are accepted.
 /// Runs on the thread of the event loop only.
 class HttpServer {
 public:
--- a/test/Http/HttpServerTest.cpp
+++ b/test/Http/HttpServerTest.cpp
@@ -30,11 +30,21 @@
                }),
         Http(Loop, HttpClient::Options{}) {}
 
-  Tcp::socket connect() {
+  Tcp::socket connect() { return connectFrom("127.0.0.1"); }
+  Tcp::socket connectFrom(const std::string &Address) {
     Tcp::socket Socket(Loop);
+    Socket.open(Tcp::v4());
+    Socket.bind({boost::asio::ip::make_address(Address), 0});
     Socket.connect({boost::asio::ip::address_v4::loopback(), Server.port()});
     return Socket;
   }
+  /// Sends a request on \p Socket and returns whether a response arrives.
+  bool answersOn(Tcp::socket &Socket) {
+    boost::asio::write(Socket, boost::asio::buffer(std::string(
+                                   "GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    runFor(50ms);
+    return Socket.available() > 0;
+  }
   /// Opens a connection and resets it before the server has accepted it.
   void connectAndReset() {
     Tcp::socket Socket = connect();
@@ -74,3 +84,35 @@
   }
   BOOST_TEST(World.answers());
 }
+
+// A connection that is refused must give its place back.
+BOOST_AUTO_TEST_CASE(refusedConnectionsUseUpNoPlaces) {
+  ServerWorld World(
+      {.MaxConnectionsPerPeer = 1, .MaxConnections = MaxConnections});
+  Tcp::socket Held = World.connect();
+  World.runFor(20ms);
+  for (std::size_t I = 0; I < 2 * MaxConnections; ++I) {
+    Tcp::socket Refused = World.connect();
+    World.runFor(5ms);
+  }
+  Tcp::socket Other = World.connectFrom("127.0.0.2");
+  BOOST_TEST(World.answersOn(Other));
+}
+
+BOOST_AUTO_TEST_CASE(connectionsBeyondTheLimitAreClosedAtOnce) {
+  ServerWorld World({.MaxConnections = MaxConnections});
+  std::vector<Tcp::socket> Held;
+  for (std::size_t I = 0; I < MaxConnections; ++I)
+    Held.push_back(World.connect());
+  World.runFor(50ms);
+  Tcp::socket Refused = World.connect();
+  World.runFor(50ms);
+  Refused.non_blocking(true);
+  char Byte = 0;
+  boost::system::error_code Code;
+  Refused.read_some(boost::asio::buffer(&Byte, 1), Code);
+  BOOST_TEST((Code && Code != boost::asio::error::would_block));
+  Held.clear();
+  World.runFor(50ms);
+  BOOST_TEST(World.answers());
+}
