Open the listener of an HTTP server again after an accept has failed

Cause, on a path related to the resets: RESTinio's acceptor does not accept again after an accept with an error, so one moment without a free descriptor leaves readiness, operators or metrics deaf for good. Ruled out: a repetition in RESTinio's own code; its handler ignores the error and offers no hook.

Change: every 250 ms HttpServer looks whether connections wait and none was accepted; if so twice in a row, it logs that and opens the listener again.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -5,8 +5,10 @@
 
 #include "Http/PartialMessageTracker.h"
 #include "Http/TrackedSocket.h"
+#include "Observability/Log.h"
 
 #include <boost/asio.hpp>
+#include <poll.h>
 #include <restinio/all.hpp>
 
 #include <map>
@@ -17,6 +19,8 @@
 
 namespace asio = boost::asio;
 
+static const Log Logger("http");
+
 /// Size of the largest body that RESTinio reads. It is larger than any
 /// MaxBodyBytes in use, so that a body beyond MaxBodyBytes gets a response with
 /// the status 413 instead of a closed connection.
@@ -25,13 +29,16 @@
 constexpr std::uint64_t MaxHeaderNameBytes = 256;
 constexpr std::uint64_t MaxHeaderValueBytes = std::size_t{16} * 1024;
 constexpr std::size_t MaxHeaderCount = 64;
-/// Time between two checks for messages that are incomplete for too long.
-constexpr Duration OverdueCheckInterval = std::chrono::milliseconds(250);
+/// Time between two checks of the listener and for messages that are incomplete
+/// for too long.
+constexpr Duration CheckInterval = std::chrono::milliseconds(250);
 
 /// Open connections, counted by the address of the peer.
 struct PeerConnections {
   std::size_t Max = 0;
   std::size_t MaxPerPeer = 0;
+  /// Number of connections that were accepted, refused ones included.
+  std::uint64_t Accepted = 0;
   std::map<std::uint64_t, std::string> ById;
   std::map<std::string, std::size_t> Count;
 };
@@ -82,6 +89,7 @@
 
   restinio::ip_blocker::inspection_result_t
   inspect(const restinio::ip_blocker::incoming_info_t &Info) noexcept {
+    ++Peers->Accepted;
     auto It = Peers->Count.find(Info.remote_endpoint().address().to_string());
     bool Full = Peers->ById.size() >= Peers->Max ||
                 (It != Peers->Count.end() && It->second >= Peers->MaxPerPeer);
@@ -97,10 +105,24 @@
   using connection_state_listener_t = // NOLINT(readability-identifier-naming)
       ConnectionListener;
   using ip_blocker_t = PeerLimiter; // NOLINT(readability-identifier-naming)
-  using stream_socket_t = // NOLINT(readability-identifier-naming)
+  using stream_socket_t =           // NOLINT(readability-identifier-naming)
       TrackedSocket;
 };
 
+static std::string messageOf(std::exception_ptr Failure) {
+  try {
+    std::rethrow_exception(Failure);
+  } catch (const std::exception &E) {
+    return E.what();
+  }
+}
+
+/// Returns whether a connection waits to be accepted on \p Listener.
+static bool hasWaitingConnection(int Listener) {
+  pollfd Poll{.fd = Listener, .events = POLLIN, .revents = 0};
+  return poll(&Poll, 1, 0) > 0 && (Poll.revents & POLLIN) != 0;
+}
+
 static HttpRequest toRequest(const restinio::request_handle_t &Incoming) {
   HttpRequest Request;
   const auto &Header = Incoming->header();
@@ -160,7 +182,7 @@
       : Loop(Loop), Opts(std::move(NewOpts)), Handler(std::move(NewHandler)),
         Peers(std::make_shared<internal::PeerConnections>()),
         PartialMessages(boost::asio::use_service<PartialMessageTracker>(Loop)),
-        OverdueTimer(Loop) {
+        CheckTimer(Loop) {
     Peers->Max = Opts.MaxConnections;
     Peers->MaxPerPeer = Opts.MaxConnectionsPerPeer;
     Listener = std::make_unique<Server>(
@@ -175,7 +197,7 @@
       Loop.run_one();
     if (OpenError)
       std::rethrow_exception(OpenError);
-    scheduleOverdueCheck();
+    scheduleCheck();
   }
 
   std::uint16_t port() const { return Port; }
@@ -183,7 +205,7 @@
   void stop() {
     if (std::exchange(Stopped, true))
       return;
-    OverdueTimer.cancel();
+    CheckTimer.cancel();
     Listener->close_async([] {}, [](std::exception_ptr) {});
   }
 
@@ -213,8 +235,10 @@
                 .max_field_value_size(internal::MaxHeaderValueBytes)
                 .max_field_count(internal::MaxHeaderCount)
                 .max_body_size(internal::MaxReadBodyBytes))
-        .acceptor_post_bind_hook(
-            [this](auto &Acceptor) { Port = Acceptor.local_endpoint().port(); })
+        .acceptor_post_bind_hook([this](auto &Acceptor) {
+          Port = Acceptor.local_endpoint().port();
+          ListenerHandle = Acceptor.native_handle();
+        })
         .request_handler([this](restinio::request_handle_t Incoming) {
           PartialMessages.recordComplete(Port, Incoming->remote_endpoint());
           boost::asio::co_spawn(Loop, serve(std::move(Incoming)),
@@ -223,16 +247,51 @@
         });
   }
 
-  void scheduleOverdueCheck() {
-    OverdueTimer.expires_after(internal::OverdueCheckInterval);
-    OverdueTimer.async_wait([this](const boost::system::error_code &Code) {
+  void scheduleCheck() {
+    CheckTimer.expires_after(internal::CheckInterval);
+    CheckTimer.async_wait([this](const boost::system::error_code &Code) {
       if (Code)
         return;
       PartialMessages.closeOverdue(Port, Opts.MessageTimeout);
-      scheduleOverdueCheck();
+      checkListener();
+      scheduleCheck();
     });
   }
 
+  /// Opens the listener again if RESTinio does not accept: it stops for good
+  /// when an accept fails, for instance because no descriptor is free.
+  void checkListener() {
+    if (ListenerHandle < 0)
+      return openListener();
+    bool IsWaiting = internal::hasWaitingConnection(ListenerHandle);
+    bool HasAccepted =
+        std::exchange(AcceptedBefore, Peers->Accepted) != Peers->Accepted;
+    bool IsStalled = IsWaiting && !HasAccepted;
+    if (!std::exchange(WasStalled, IsStalled) || !IsStalled)
+      return;
+    internal::Logger.warning("connections wait and none is accepted; opening "
+                             "the listener again",
+                             {{"port", std::to_string(Port)}});
+    WasStalled = false;
+    ListenerHandle = -1;
+    // The listener counts as closed even if closing its descriptor fails.
+    Listener->close_async([this] { openListener(); },
+                          [this](std::exception_ptr) { openListener(); });
+  }
+
+  /// Opens the listener on the port that it had; the next check tries again if
+  /// that fails.
+  void openListener() {
+    if (Stopped)
+      return;
+    Listener->open_async([] {},
+                         [](std::exception_ptr E) {
+                           internal::Logger.error(
+                               "cannot open the listener again",
+                               {{"why", internal::messageOf(E)}});
+                         });
+  }
+
   boost::asio::awaitable<void> serve(restinio::request_handle_t Incoming) {
     HttpRequest Request = internal::toRequest(Incoming);
     HttpResponse Response;
@@ -260,10 +319,16 @@
   HttpHandler Handler;
   std::shared_ptr<internal::PeerConnections> Peers;
   PartialMessageTracker &PartialMessages;
-  boost::asio::steady_timer OverdueTimer;
+  boost::asio::steady_timer CheckTimer;
   std::unique_ptr<Server> Listener;
   std::exception_ptr OpenError;
   std::uint16_t Port = 0;
+  /// Descriptor of the listener; negative while it is being opened again.
+  int ListenerHandle = -1;
+  /// Number of accepted connections at the last check.
+  std::uint64_t AcceptedBefore = 0;
+  /// Whether connections waited at the last check and none was accepted.
+  bool WasStalled = false;
   bool Stopped = false;
 };
 
--- a/test/Http/HttpServerTest.cpp
+++ b/test/Http/HttpServerTest.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE HttpServer
 #include <boost/test/unit_test.hpp>
 
+#include "DescriptorShortage.h"
 #include "Http/HttpClient.h"
 #include "Http/HttpServer.h"
 #include "LoopRunner.h"
@@ -14,6 +15,7 @@
 #include <vector>
 
 using namespace cicadawind;
+using test::DescriptorShortage;
 using namespace std::chrono_literals;
 using Tcp = boost::asio::ip::tcp;
 
@@ -116,3 +118,21 @@
   World.runFor(50ms);
   BOOST_TEST(World.answers());
 }
+
+// RESTinio stops to accept for good after an accept has failed.
+BOOST_AUTO_TEST_CASE(aServerAcceptsAgainAfterDescriptorsHadRunOut) {
+  std::uint16_t Port = 0;
+  {
+    boost::asio::io_context Loop;
+    Tcp::acceptor Free(Loop, {boost::asio::ip::address_v4::loopback(), 0});
+    Port = Free.local_endpoint().port();
+  }
+  ServerWorld World({.Port = Port});
+  {
+    Tcp::socket Waiting = World.connect();
+    DescriptorShortage Shortage;
+    World.runFor(50ms);
+  }
+  World.runFor(1s);
+  BOOST_TEST(World.answers());
+}
