Run no request that could be cut by the end of a planned stop

Cause: the process stops at the end of its drain whatever its sessions are doing, and ran every request that came until then. Besides, the loop could stop before the last responses were written. Ruled out: sessions closed with an unread request; the requests that count were at an instance.

Change: DrainSchedule, in virtual time: in the second half of the grace time a request is run only if its timeout ends before the drain does; others are refused as not run at once and their sessions closed.

--- a/src/Callers/CallerRequests.cpp
+++ b/src/Callers/CallerRequests.cpp
@@ -62,6 +62,8 @@
     }
     return respondLocally(Request, &Failure);
   }
+  if (!Owner->MayRun(Now + Route.StatementTimeout))
+    return refuseLeaving(Request);
   Active.emplace();
   Active->Request = std::move(Request);
   Active->Since = Now;
--- a/src/Callers/CallerSession.cpp
+++ b/src/Callers/CallerSession.cpp
@@ -204,6 +204,8 @@
                     .Message = "the database was withdrawn"};
     return respondLocally(Request, &Failure);
   }
+  if (!Owner->MayRun(BootClock::now() + Found->StatementTimeout))
+    return refuseLeaving(Request);
   Route = *Found;
   Transaction.CurrentStage = CallerTransaction::Stage::BeginPending;
   Transaction.ReadOnly = Request.Kind == StatementKind::BeginReadOnly;
@@ -211,6 +213,20 @@
   respondLocally(Request, nullptr);
 }
 
+void CallerSession::refuseLeaving(const Statement &Request) {
+  Error Failure{.Code = ErrorCode::Overloaded,
+                .Message = "this VM stops before the request could end"};
+  if (Transaction.isOpen()) {
+    Failure.Code = ErrorCode::TransactionEnded;
+    releaseLink(true);
+    Transaction.CurrentStage = CallerTransaction::Stage::Failed;
+  }
+  if (Request.Kind == StatementKind::Commit)
+    Transaction = CallerTransaction();
+  respondLocally(Request, &Failure);
+  closeIfIdle();
+}
+
 void CallerSession::rollBack(const Statement &Request) {
   if (!Transaction.isOpen()) {
     Error Failure{.Code = ErrorCode::BadRequest,
--- a/src/Callers/CallerSession.h
+++ b/src/Callers/CallerSession.h
@@ -44,6 +44,11 @@
     std::function<const ProxyConfig &()> Config;
     /// Returns the dispatcher of a group, or null if there is none.
     std::function<GroupDispatcher *(const std::string &Group)> Group;
+    /// Returns whether a request whose timeout ends at \p Deadline may be run;
+    /// not while this VM leaves and may stop before that.
+    std::function<bool(TimePoint Deadline)> MayRun = [](TimePoint) {
+      return true;
+    };
     /// Logs and counts a finished request, a refused session, a malformed
     /// message or the end of an idle transaction. Not called for requests that
     /// the session completes successfully without a target.
@@ -94,6 +99,10 @@
   void handle(Statement Request);
   void handleInFailedTransaction(const Statement &Request);
   void beginTransaction(const Statement &Request);
+  /// Refuses a request that may not be run because this VM leaves, and ends its
+  /// transaction. Closes the session if it is idle then, so that the caller
+  /// continues at another VM.
+  void refuseLeaving(const Statement &Request);
   void rollBack(const Statement &Request);
   void handleLocally(const Statement &Request);
   void runOnTarget(Statement Request);
--- /dev/null
+++ b/src/Proxy/DrainSchedule.h
@@ -0,0 +1,45 @@
+#ifndef CICADAWIND_PROXY_DRAINSCHEDULE_H
+#define CICADAWIND_PROXY_DRAINSCHEDULE_H
+
+#include "Core/Clock.h"
+
+namespace cicadawind {
+
+/// \class DrainSchedule
+/// \brief The phases of a VM's planned stop, from the request to stop until the
+/// process ends.
+///
+/// In the first half of the grace time every request is run. Later, a request
+/// is run only if its timeout ends before the drain does, so that no request
+/// is at a target when the process ends.
+class DrainSchedule {
+public:
+  /// Begins at \p Start; the platform ends the process \p Grace later.
+  DrainSchedule(TimePoint Start, Duration Grace);
+
+  /// Time at which the process stops, whatever its sessions are doing. It is
+  /// before the end of the grace time, so that what is open can be closed.
+  TimePoint end() const { return End; }
+  bool isFirstHalf(TimePoint Now) const { return Now < HalfTime; }
+  /// Returns whether idle transactions are rolled back.
+  bool endsTransactions(TimePoint Now) const {
+    return Now - Start >= (End - Start) / 2;
+  }
+  /// Returns whether a request that begins at \p Now and ends by \p Deadline
+  /// may be run.
+  bool mayRun(TimePoint Now, TimePoint Deadline) const {
+    return isFirstHalf(Now) || Deadline <= End;
+  }
+  /// Returns whether the load balancer has had time to notice that this VM
+  /// leaves; until then it sends callers here.
+  bool hasBalancerNoticed(TimePoint Now) const;
+
+private:
+  TimePoint Start;
+  TimePoint HalfTime;
+  TimePoint End;
+};
+
+} // namespace cicadawind
+
+#endif
--- a/src/Proxy/Proxy.h
+++ b/src/Proxy/Proxy.h
@@ -3,6 +3,7 @@
 #ifndef CICADAWIND_PROXY_PROXY_H
 #define CICADAWIND_PROXY_PROXY_H
 
+#include "Proxy/DrainSchedule.h"
 #include "Proxy/ProxyService.h"
 #include "Proxy/ProxyState.h"
 
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -23,11 +23,6 @@
 constexpr std::size_t MaxClosedPerSweep = 2;
 /// Minimum time between two updates of all paths.
 constexpr Duration PathUpdateInterval = std::chrono::milliseconds(100);
-/// Time that the load balancer takes to notice that this VM is draining.
-constexpr Duration BalancerNoticeTime = std::chrono::milliseconds(2500);
-/// The drain ends before the grace time does, by the grace time divided by this
-/// number. That leaves time to close what is still open.
-constexpr unsigned DrainMarginDivisor = 12;
 
 static std::string describe(const std::optional<ConnectionCount> &Connections) {
   if (!Connections)
@@ -56,6 +51,7 @@
   Host->Codec = Opts.Codec;
   Host->Config = [this]() -> const ProxyConfig & { return *Config; };
   Host->Group = [this](const std::string &Name) { return findGroup(Name); };
+  Host->MayRun = [this](TimePoint Deadline) { return mayRun(Deadline); };
   Host->Report = [this](const RequestReport &Report) { recordRequest(Report); };
   Host->Ended = [this](const std::shared_ptr<CallerSession> &Session) {
     Sessions.erase(Session);
@@ -296,16 +292,15 @@
     Session->sweep(Now);
   for (auto &[Name, Group] : Groups)
     Group->sweep(Now);
-  if (DrainSince)
+  if (Drain)
     sweepDrain(Now);
   logSuppressedLines(Now);
 }
 
 void ProxyService::beginDrain(Duration Grace) {
-  if (DrainSince)
+  if (Drain)
     return;
-  DrainSince = BootClock::now();
-  DrainEnd = *DrainSince + Grace - Grace / internal::DrainMarginDivisor;
+  Drain.emplace(BootClock::now(), Grace);
   internal::Logger.info("leaving",
                         {{"sessions", std::to_string(Sessions.size())}});
 }
@@ -313,14 +308,20 @@
 void ProxyService::sweepDrain(TimePoint Now) {
   std::vector<std::shared_ptr<CallerSession>> Current(Sessions.begin(),
                                                       Sessions.end());
-  bool HalfPassed = Now - *DrainSince >= (DrainEnd - *DrainSince) / 2;
   std::size_t Closed = 0;
   for (const std::shared_ptr<CallerSession> &Session : Current) {
-    if (HalfPassed && Session->hasTransaction())
+    if (Drain->endsTransactions(Now) && Session->hasTransaction())
       Session->endIdleTransaction("this VM leaves");
     if (Closed < internal::MaxClosedPerSweep && Session->closeIfUnused(Now))
       ++Closed;
   }
+  bool IsOver = Drain->hasBalancerNoticed(Now) &&
+                (Sessions.empty() || Now >= Drain->end());
+  IsDrained = std::exchange(IsDrainOver, IsOver) && IsOver;
+}
+
+bool ProxyService::mayRun(TimePoint Deadline) const {
+  return !Drain || Drain->mayRun(BootClock::now(), Deadline);
 }
 
 ProxyState ProxyService::stateSince(std::uint64_t ConfigVersion,
@@ -358,18 +359,8 @@
   return true;
 }
 
-bool ProxyService::isDrained() const {
-  if (!DrainSince)
-    return false;
-  TimePoint Now = BootClock::now();
-  // The load balancer sends callers here until it has noticed the drain.
-  if (Now - *DrainSince < internal::BalancerNoticeTime)
-    return false;
-  return Sessions.empty() || Now >= DrainEnd;
-}
-
 bool ProxyService::isReady() const {
-  if (DrainSince || Config->Version == 0)
+  if (Drain || Config->Version == 0)
     return false;
   return Directory.size() != 0;
 }
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -9,6 +9,7 @@
 #include "Links/TargetDirectory.h"
 #include "Links/TargetHistory.h"
 #include "Observability/LogRateLimiter.h"
+#include "Proxy/DrainSchedule.h"
 #include "Proxy/ProxyState.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -30,7 +31,8 @@
 ///
 /// Applies configurations and the registry's list of targets, accepts callers,
 /// and drains before this VM leaves: sessions are closed as they become idle,
-/// and idle transactions are rolled back once half of the drain has passed.
+/// idle transactions are rolled back once half of the drain has passed, and
+/// requests that could not be answered before the end are refused.
 /// Runs on the loop's thread.
 class ProxyService {
 public:
@@ -95,13 +97,14 @@
   /// Begins to drain, so that this VM can stop within \p Grace. Has no effect
   /// while it drains already.
   void beginDrain(Duration Grace);
-  bool isDraining() const { return DrainSince.has_value(); }
+  bool isDraining() const { return Drain.has_value(); }
   /// Returns whether the drain is complete: the balancer has had time to stop
-  /// sending callers, and no session is left or the drain has expired.
-  bool isDrained() const;
+  /// sending callers, no session is left or the drain has expired, and the loop
+  /// has run since then, so that the last responses are sent.
+  bool isDrained() const { return IsDrained; }
   /// Returns whether the time for the drain has passed.
   bool isDrainExpired(TimePoint Now) const {
-    return DrainSince && Now >= DrainEnd;
+    return Drain && Now >= Drain->end();
   }
   /// Returns whether callers can be served: a configuration is active, targets
   /// are known, and this VM is not draining.
@@ -172,6 +175,8 @@
   /// active configuration does not.
   void closeSessionsOfRemovedDatabases(const ProxyConfig &Previous);
   void sweepDrain(TimePoint Now);
+  /// Returns whether a request that ends by \p Deadline may be run.
+  bool mayRun(TimePoint Deadline) const;
 
   boost::asio::io_context &Loop;
   Options Opts;
@@ -196,8 +201,10 @@
   std::uint64_t TargetsUpdates = 0;
   std::function<void()> ConfigHook;
   LogRateLimiter RequestLogLimiter;
-  std::optional<TimePoint> DrainSince;
-  TimePoint DrainEnd;
+  std::optional<DrainSchedule> Drain;
+  /// Whether nothing was left to wait for at the last sweep of the drain.
+  bool IsDrainOver = false;
+  bool IsDrained = false;
 };
 
 } // namespace cicadawind
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -152,19 +152,33 @@
   std::vector<std::string> Lines;
   World.runUntil([&] {
     readSome();
-    std::size_t End = Received.find("\r\n");
-    while (End != std::string::npos) {
-      Lines.push_back(Received.substr(0, End));
-      Received.erase(0, End + 2);
-      if (Lines.back().starts_with("READY"))
+    for (std::string Line; takeLine(Line);) {
+      Lines.push_back(Line);
+      if (Line.starts_with("READY"))
         return true;
-      End = Received.find("\r\n");
     }
     return ConnectionEnded;
   });
   return Lines;
 }
 
+bool ProxyCaller::takeLine(std::string &Line) {
+  std::size_t End = Received.find("\r\n");
+  if (End == std::string::npos)
+    return false;
+  Line = Received.substr(0, End);
+  Received.erase(0, End + 2);
+  return true;
+}
+
+std::vector<std::string> ProxyCaller::takeReceived() {
+  readSome();
+  std::vector<std::string> Lines;
+  for (std::string Line; takeLine(Line);)
+    Lines.push_back(Line);
+  return Lines;
+}
+
 std::string ProxyCaller::ask(const std::string &Text) {
   static int LastNumber = 0;
   LastId = "q" + std::to_string(++LastNumber);
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -84,6 +84,8 @@
   /// Returns the lines received up to and including the next READY, without
   /// line ends; fewer if the connection ends or 5 s pass first.
   std::vector<std::string> receive();
+  /// Returns the lines that have arrived, without running the loop.
+  std::vector<std::string> takeReceived();
   /// Sends a request under a new id and returns the lines of its response,
   /// joined by " | ".
   std::string ask(const std::string &Text);
@@ -94,6 +96,8 @@
 
 private:
   void readSome();
+  /// Takes the next complete line out of Received; false if there is none.
+  bool takeLine(std::string &Line);
 
   ProxyWorld &World;
   boost::asio::ip::tcp::socket Socket;
