Give an idle transaction half of the grace time before it is rolled back

Cause: the half was taken of the drain, which ends before the grace time does. Change: the half of the grace time, from DrainSchedule. Evidence: anIdleTransactionHasHalfOfTheGraceTime failed before the change and passes after it.

--- a/src/Proxy/DrainSchedule.h
+++ b/src/Proxy/DrainSchedule.h
@@ -20,11 +20,9 @@
   /// Time at which the process stops, whatever its sessions are doing. It is
   /// before the end of the grace time, so that what is open can be closed.
   TimePoint end() const { return End; }
+  /// Returns whether less than half of the grace time has passed. Transactions
+  /// that are idle later are rolled back.
   bool isFirstHalf(TimePoint Now) const { return Now < HalfTime; }
-  /// Returns whether idle transactions are rolled back.
-  bool endsTransactions(TimePoint Now) const {
-    return Now - Start >= (End - Start) / 2;
-  }
   /// Returns whether a request that begins at \p Now and ends by \p Deadline
   /// may be run.
   bool mayRun(TimePoint Now, TimePoint Deadline) const {
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -310,7 +310,7 @@
                                                       Sessions.end());
   std::size_t Closed = 0;
   for (const std::shared_ptr<CallerSession> &Session : Current) {
-    if (Drain->endsTransactions(Now) && Session->hasTransaction())
+    if (!Drain->isFirstHalf(Now) && Session->hasTransaction())
       Session->endIdleTransaction("this VM leaves");
     if (Closed < internal::MaxClosedPerSweep && Session->closeIfUnused(Now))
       ++Closed;
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -31,9 +31,9 @@
 ///
 /// Applies configurations and the registry's list of targets, accepts callers,
 /// and drains before this VM leaves: sessions are closed as they become idle,
-/// idle transactions are rolled back once half of the drain has passed, and
-/// requests that could not be answered before the end are refused.
-/// Runs on the loop's thread.
+/// idle transactions are rolled back once half of the grace time has passed,
+/// and requests that could not be answered before the end are refused. Runs on
+/// the loop's thread.
 class ProxyService {
 public:
   struct Options {
--- a/test/Proxy/PlannedStopTest.cpp
+++ b/test/Proxy/PlannedStopTest.cpp
@@ -113,3 +113,14 @@
     Answer = Caller.ask("READ i1");
   BOOST_TEST(Answer.rfind("ERROR ABORTED", 0) == 0);
 }
+
+// The drain ends before the grace time does, so its half comes too early.
+BOOST_AUTO_TEST_CASE(anIdleTransactionHasHalfOfTheGraceTime) {
+  LeavingWorld World;
+  ProxyCaller Caller(World, "latest");
+  Caller.ask("BEGIN");
+  Caller.ask("WRITE i1 x");
+  World.Service->beginDrain(Grace);
+  World.runFor(Grace * 15 / 32);
+  BOOST_TEST(Caller.ask("READ i1").find("COMPLETE") != std::string::npos);
+}
