Wait after a failed accept instead of accepting in a loop

Cause: acceptNext() accepts again at once after an error; without a free descriptor the accept fails at once and the connection still waits. The relays' listener did the same without a log line. The limit on sessions came from the settings only, although the limit of the process may be lower.

Change: TcpListener, for both, waits 100 ms after a failure and logs the first one of a series. The limit on sessions follows the lower of both limits.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -11,7 +11,9 @@
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
@@ -25,7 +27,6 @@
 /// peers and the store, and for files. The others are for callers. If fewer
 /// than twice this number are available, half of them are for callers.
 constexpr std::size_t ReservedDescriptors = 700;
-constexpr int ListenBacklog = 1024;
 /// Interval at which the settings file's modification time is checked, since
 /// the file may change without a SIGHUP.
 constexpr Duration SettingsCheckInterval = std::chrono::seconds(2);
@@ -57,6 +58,18 @@
   return Out;
 }
 
+/// Returns the number of sessions for which there are descriptors, if the
+/// settings permit \p MaxDescriptors. The limit of the process itself may be
+/// lower.
+static std::size_t maxSessions(std::size_t MaxDescriptors) {
+  rlimit Limit = {};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) == 0)
+    MaxDescriptors = std::min<std::size_t>(MaxDescriptors, Limit.rlim_cur);
+  if (MaxDescriptors > 2 * ReservedDescriptors)
+    return MaxDescriptors - ReservedDescriptors;
+  return MaxDescriptors / 2;
+}
+
 static ProxyService::Options
 serviceOptions(const ProxyDaemon::Options &Daemon) {
   const ProxySettings &Settings = Daemon.Settings;
@@ -78,10 +91,7 @@
       return std::make_unique<LeasedPrimaryGuard>(Opts, StartedAt);
     };
   }
-  if (Settings.MaxDescriptors > 2 * ReservedDescriptors)
-    Out.MaxSessions = Settings.MaxDescriptors - ReservedDescriptors;
-  else
-    Out.MaxSessions = Settings.MaxDescriptors / 2;
+  Out.MaxSessions = maxSessions(Settings.MaxDescriptors);
   return Out;
 }
 
@@ -136,7 +146,13 @@
                                        const std::string &Instance) {
                                   return Service.acceptRelay(Group, Instance);
                                 }}}),
-      Acceptor(Loop), Signals(Loop) {
+      Callers(Loop,
+              {.Endpoint = internal::endpointOf(Opts.Settings.CallerAddress),
+               .OnConnection =
+                   [this](boost::asio::ip::tcp::socket Socket) {
+                     Service.accept(std::move(Socket));
+                   }}),
+      Signals(Loop) {
   Peers.onRequest([this](const HttpRequest &Request) {
     return handleOperatorRequest(Request);
   });
@@ -161,31 +177,6 @@
 
 ProxyDaemon::~ProxyDaemon() = default;
 
-void ProxyDaemon::listenForCallers() {
-  boost::asio::ip::tcp::endpoint Endpoint =
-      internal::endpointOf(Opts.Settings.CallerAddress);
-  Acceptor.open(Endpoint.protocol());
-  Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-  Acceptor.bind(Endpoint);
-  Acceptor.listen(internal::ListenBacklog);
-  acceptNext();
-}
-
-void ProxyDaemon::acceptNext() {
-  Acceptor.async_accept([this](const boost::system::error_code &Code,
-                               boost::asio::ip::tcp::socket Socket) {
-    if (Code == boost::asio::error::operation_aborted)
-      return;
-    if (Code)
-      internal::Logger.warning("cannot accept a caller's connection; waiting "
-                               "for the next one",
-                               {{"why", Code.message()}});
-    else
-      Service.accept(std::move(Socket));
-    acceptNext();
-  });
-}
-
 void ProxyDaemon::listenForSignals() {
   Signals.add(SIGTERM);
   Signals.add(SIGINT);
@@ -295,7 +286,7 @@
   Peers.start();
   Relay.start();
   spawn(Loop, Registration.run());
-  listenForCallers();
+  Callers.listen();
   listenForSignals();
   SweepTimer = timers().every(internal::SweepInterval,
                               [this](TimePoint Now) { sweep(Now); });
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -5,6 +5,7 @@
 #include "Exchange/PeerExchange.h"
 #include "Exchange/VmRegistration.h"
 #include "Http/HttpServer.h"
+#include "Net/TcpListener.h"
 #include "Observability/Metrics.h"
 #include "Promotion/PromotionDriver.h"
 #include "Proxy/ProxyService.h"
@@ -12,7 +13,6 @@
 #include "Settings/ProxySettings.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <filesystem>
@@ -58,8 +58,6 @@
   void run();
 
 private:
-  void listenForCallers();
-  void acceptNext();
   void beginPlannedStop();
   void checkSettings();
   void reloadSettings();
@@ -76,7 +74,7 @@
   PromotionDriver Promotions;
   VmRegistration Registration;
   RelayService Relay;
-  boost::asio::ip::tcp::acceptor Acceptor;
+  TcpListener Callers;
   boost::asio::signal_set Signals;
   std::unique_ptr<HttpServer> ReadinessServer;
   std::unique_ptr<HttpServer> OperatorServer;
--- a/src/Net/Net.h
+++ b/src/Net/Net.h
@@ -4,5 +4,6 @@
 #define CICADAWIND_NET_NET_H
 
 #include "Net/LineStream.h"
+#include "Net/TcpListener.h"
 
 #endif
--- a/src/Relays/RelayService.h
+++ b/src/Relays/RelayService.h
@@ -1,6 +1,7 @@
 #ifndef CICADAWIND_RELAYS_RELAYSERVICE_H
 #define CICADAWIND_RELAYS_RELAYSERVICE_H
 
+#include "Net/TcpListener.h"
 #include "Relays/RelaySession.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -34,20 +35,20 @@
   RelayService(const RelayService &) = delete;
   RelayService &operator=(const RelayService &) = delete;
 
-  /// Starts to listen. Throws if the port is in use.
+  /// Starts to listen. Throws if the port is in use; may be called again then.
   void start();
-  std::uint16_t port() const;
+  std::uint16_t port() const { return Listener.port(); }
   std::size_t sessions() const { return Sessions.size(); }
   /// Returns the number of sessions for which RelaySession::isBusy() holds.
   std::size_t busySessions() const;
 
 private:
-  void acceptNext();
+  void accept(boost::asio::ip::tcp::socket Socket);
 
   Options Opts;
-  boost::asio::ip::tcp::acceptor Acceptor;
   std::shared_ptr<RelaySession::Host> Host;
   std::set<std::shared_ptr<RelaySession>> Sessions;
+  TcpListener Listener;
   /// False once the service is destroyed; shared with pending handlers.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
