Wait for ports that are in use instead of ending at the start

Cause: each port was bound once, and a failure ended the process. Ruled out: a port left in TIME_WAIT; all listeners set SO_REUSEADDR.

The parts that open ports may be started again after a failure.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Daemons/ProxyDaemon.h"
 
 #include "Async/AsyncSignal.h"
+#include "Daemons/PortOpener.h"
 #include "Daemons/ProxyStatus.h"
 #include "Leases/LeasedPrimaryGuard.h"
 #include "Observability/Log.h"
@@ -256,38 +257,56 @@
     Loop.stop();
 }
 
+std::unique_ptr<HttpServer> ProxyDaemon::serveHttp(const std::string &Address,
+                                                   HttpHandler Handler) {
+  return std::make_unique<HttpServer>(Loop, internal::serverOptions(Address),
+                                      std::move(Handler));
+}
+
+bool ProxyDaemon::openPorts() {
+  HttpHandler Readiness =
+      [this](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
+    HttpResponse Response;
+    Response.Status = Service.isReady() ? 200 : 503;
+    co_return Response;
+  };
+  HttpHandler Operators =
+      [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+    co_return handleOperatorRequest(Request);
+  };
+  const ProxySettings &Settings = Opts.Settings;
+  PortOpener Opener(Loop,
+                    {.IsStopping = [this] { return Service.isDraining(); }});
+  bool AreOpen = Opener.open("peers", [&] { Peers.start(); }) &&
+                 Opener.open("relays", [&] { Relay.start(); }) &&
+                 Opener.open("callers", [&] { Callers.listen(); }) &&
+                 Opener.open("readiness", [&] {
+                   ReadinessServer =
+                       serveHttp(Settings.ReadinessAddress, Readiness);
+                 });
+  if (AreOpen && !Settings.OperatorAddress.empty())
+    AreOpen = Opener.open("operators", [&] {
+      OperatorServer = serveHttp(Settings.OperatorAddress, Operators);
+    });
+  if (AreOpen && !Settings.Metrics.empty())
+    AreOpen = Opener.open("metrics", [&] {
+      MetricsServer = serveHttp(Settings.Metrics, Operators);
+    });
+  return AreOpen;
+}
+
 void ProxyDaemon::run() {
   std::signal(SIGPIPE, SIG_IGN);
-  ReadinessServer = std::make_unique<HttpServer>(
-      Loop, internal::serverOptions(Opts.Settings.ReadinessAddress),
-      [this](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
-        HttpResponse Response;
-        Response.Status = Service.isReady() ? 200 : 503;
-        co_return Response;
-      });
-  if (!Opts.Settings.OperatorAddress.empty())
-    OperatorServer = std::make_unique<HttpServer>(
-        Loop, internal::serverOptions(Opts.Settings.OperatorAddress),
-        [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
-          co_return handleOperatorRequest(Request);
-        });
-  if (!Opts.Settings.Metrics.empty())
-    MetricsServer = std::make_unique<HttpServer>(
-        Loop, internal::serverOptions(Opts.Settings.Metrics),
-        [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
-          co_return handleOperatorRequest(Request);
-        });
+  listenForSignals();
+  if (!openPorts())
+    return internal::Logger.info("stopped before all ports were open");
   // The settings were read from the file before, so a failure is not expected.
   std::error_code Ignored;
   SettingsModifiedAt =
       std::filesystem::last_write_time(Opts.SettingsPath, Ignored);
   SettingsCheckTimer = timers().every(internal::SettingsCheckInterval,
                                       [this](TimePoint) { checkSettings(); });
-  Peers.start();
-  Relay.start();
   spawn(Loop, Registration.run());
-  Callers.listen();
-  listenForSignals();
   SweepTimer = timers().every(internal::SweepInterval,
                               [this](TimePoint Now) { sweep(Now); });
   internal::Logger.info("serving",
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -58,6 +58,11 @@
   void run();
 
 private:
+  /// Opens all ports, and waits for those that are in use. Returns false if a
+  /// stop is requested meanwhile; throws if one cannot be opened.
+  bool openPorts();
+  std::unique_ptr<HttpServer> serveHttp(const std::string &Address,
+                                        HttpHandler Handler);
   void beginPlannedStop();
   void checkSettings();
   void reloadSettings();
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -71,9 +71,8 @@
 void PeerExchange::start() {
   boost::asio::ip::udp::endpoint Own(
       boost::asio::ip::make_address(Opts.Address), Opts.Port);
-  Socket.open(Own.protocol());
-  Socket.bind(Own);
-  Socket.non_blocking(true);
+  boost::asio::ip::udp::socket Bound(Loop, Own);
+  Bound.non_blocking(true);
   HttpServer::Options ServerOpts;
   ServerOpts.Address = Opts.Address;
   ServerOpts.Port = Opts.Port;
@@ -83,6 +82,7 @@
       [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
         co_return respond(Request);
       });
+  Socket = std::move(Bound);
   receiveNext();
   StartedAt = BootClock::now();
   sendHelloToSeeds(StartedAt);
