Hold signals until their handlers are installed

Cause: the default action of SIGHUP ends a process that has not installed its handler, which happened last, after all ports were open.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Daemons/ProxyDaemon.h"
 
 #include "Async/AsyncSignal.h"
+#include "Daemons/HeldSignals.h"
 #include "Daemons/PortOpener.h"
 #include "Daemons/ProxyStatus.h"
 #include "Leases/LeasedPrimaryGuard.h"
@@ -298,6 +299,7 @@
 void ProxyDaemon::run() {
   std::signal(SIGPIPE, SIG_IGN);
   listenForSignals();
+  releaseSignals();
   if (!openPorts())
     return internal::Logger.info("stopped before all ports were open");
   // The settings were read from the file before, so a failure is not expected.
--- a/test/System/ProxyProcessTest.cpp
+++ b/test/System/ProxyProcessTest.cpp
@@ -81,6 +81,20 @@
   BOOST_TEST(!Proxy.ended());
 }
 
+// The platform may announce new settings while the process is starting. The
+// signal ended a process that had not installed its handler yet.
+BOOST_AUTO_TEST_CASE(aSignalDuringTheStartIsHandledAfterIt) {
+  ProxyProcess Proxy(options());
+  Proxy.withholdSettings();
+  Proxy.start();
+  Proxy.waitForSettingsToBeRead();
+  Proxy.signal(SIGHUP);
+  std::this_thread::sleep_for(50ms);
+  BOOST_REQUIRE(!Proxy.ended());
+  Proxy.provideSettings();
+  BOOST_TEST(Proxy.waitForAnswer());
+}
+
 BOOST_AUTO_TEST_CASE(aProcessThatIsToldToStopDuringTheStartEndsNormally) {
   ProxyProcess Proxy(options());
   int Holder = listenOn(Proxy.readiness());
