--- a/test/System/ProxyProcessTest.cpp
+++ b/test/System/ProxyProcessTest.cpp
@@ -60,6 +60,16 @@
 
 } // namespace
 
+// The platform names the settings file in the environment, and each process on
+// a shared machine has a file of its own.
+BOOST_AUTO_TEST_CASE(theSettingsFileMayBeNamedByTheEnvironment) {
+  ProxyProcess::Options Opts = options();
+  Opts.NamedByEnvironment = true;
+  ProxyProcess Proxy(Opts);
+  Proxy.start();
+  BOOST_TEST(Proxy.waitForAnswer());
+}
+
 // Resets that arrive before the accept ended the process or deafened a port.
 BOOST_AUTO_TEST_CASE(resetsLeaveEveryPortServing) {
   constexpr int Resets = 100;
