Accept fractions and missing values in the platform's settings

Cause: the reader took whole numbers only, and the template wrote a key without a value for a field that is missing.

--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -16,6 +16,9 @@
 constexpr std::int64_t MinLeaseMs = 300;
 constexpr std::int64_t MaxLeaseMs = 2500;
 
+constexpr Millis MinGracePeriod = std::chrono::seconds(1);
+constexpr Millis MaxGracePeriod = std::chrono::hours(1);
+
 static void checkEndpoint(SettingsReader &Reader, const char *Section,
                           const char *Key, const std::string &Text) {
   if (Text.empty())
@@ -134,7 +137,7 @@
   internal::readPeers(Reader, Out);
   Out.StoreAddress = internal::endpoint(Reader, "platform", "store");
   Out.PromotionAddress = internal::endpoint(Reader, "platform", "orders");
-  Out.PlatformFences = Reader.boolean("platform", "fencing_enforced");
+  Out.PlatformFences = Reader.booleanOr("platform", "fencing_enforced", false);
   Out.LeaseLength =
       Millis(Reader.numberOr("leases", "lease_ms", Out.LeaseLength.count(),
                              internal::MinLeaseMs, internal::MaxLeaseMs));
@@ -142,7 +145,8 @@
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
   Out.TerminationGracePeriod =
-      std::chrono::seconds(Reader.numberOr("limits", "grace_s", 6, 1, 3600));
+      Reader.secondsOr("limits", "grace_s", Out.TerminationGracePeriod,
+                       internal::MinGracePeriod, internal::MaxGracePeriod);
   Reader.reportUnknown();
   if (!Errors.empty())
     return Errors.error();
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -49,8 +49,8 @@
   std::string PromotionAddress;
   /// Whether the platform refuses promotions with an outdated fencing token and
   /// stops a primary that was replaced. If not, VMs use a primary only under a
-  /// lease.
-  bool PlatformFences = true;
+  /// lease, which is safe in either case.
+  bool PlatformFences = false;
   /// Length of the lease on using a primary; unused if PlatformFences.
   Millis LeaseLength = Millis(1000);
 
@@ -59,7 +59,7 @@
   std::size_t MaxDescriptors = 0;
   /// Time between the request to stop and the moment when the platform kills
   /// the process.
-  std::chrono::seconds TerminationGracePeriod = std::chrono::seconds(6);
+  Millis TerminationGracePeriod = std::chrono::seconds(6);
 
   /// Keys of the settings that differ, separated by spaces.
   struct Changes {
--- a/src/Settings/SettingsReader.cpp
+++ b/src/Settings/SettingsReader.cpp
@@ -65,7 +65,9 @@
     addError(Section, Key, "is missing");
     return Min;
   }
-  std::optional<std::int64_t> Value = Node->value_exact<std::int64_t>();
+  // toml++ converts a number to another type only if nothing is lost.
+  std::optional<std::int64_t> Value =
+      Node->is_number() ? Node->value<std::int64_t>() : std::nullopt;
   if (Value && *Value >= Min && *Value <= Max)
     return *Value;
   addError(Section, Key,
@@ -74,13 +76,29 @@
   return Min;
 }
 
-bool SettingsReader::boolean(const std::string &Section,
-                             const std::string &Key) {
+Millis SettingsReader::secondsOr(const std::string &Section,
+                                 const std::string &Key, Millis Fallback,
+                                 Millis Min, Millis Max) {
+  using Seconds = std::chrono::duration<double>;
   const toml::node *Node = find(Section, Key);
-  if (!Node) {
-    addError(Section, Key, "is missing");
-    return false;
-  }
+  if (!Node)
+    return Fallback;
+  std::optional<double> Value =
+      Node->is_number() ? Node->value<double>() : std::nullopt;
+  // A value that is not a number fails both comparisons.
+  if (Value && *Value >= Seconds(Min).count() && *Value <= Seconds(Max).count())
+    return std::chrono::duration_cast<Millis>(Seconds(*Value));
+  addError(Section, Key,
+           "must be a number from " + std::to_string(Seconds(Min).count()) +
+               " to " + std::to_string(Seconds(Max).count()));
+  return Min;
+}
+
+bool SettingsReader::booleanOr(const std::string &Section,
+                               const std::string &Key, bool Fallback) {
+  const toml::node *Node = find(Section, Key);
+  if (!Node)
+    return Fallback;
   std::optional<bool> Value = Node->value_exact<bool>();
   if (!Value)
     addError(Section, Key, "must be true or false");
--- a/src/Settings/SettingsReader.h
+++ b/src/Settings/SettingsReader.h
@@ -1,6 +1,7 @@
 #ifndef CICADAWIND_SETTINGS_SETTINGSREADER_H
 #define CICADAWIND_SETTINGS_SETTINGSREADER_H
 
+#include "Core/Clock.h"
 #include "Core/ErrorList.h"
 
 #include <toml++/toml.h>
@@ -40,13 +41,21 @@
                         std::int64_t Fallback, std::int64_t Min,
                         std::int64_t Max);
 
-  /// Reads a required integer from \p Min to \p Max; returns \p Min after an
-  /// error.
+  /// Reads a required integer from \p Min to \p Max, which may be written as a
+  /// fraction such as 5.0; returns \p Min after an error.
   std::int64_t number(const std::string &Section, const std::string &Key,
                       std::int64_t Min, std::int64_t Max);
 
-  /// Reads a required boolean; returns false after an error.
-  bool boolean(const std::string &Section, const std::string &Key);
+  /// Reads an optional time from \p Min to \p Max, which is written as a number
+  /// of seconds and may be a fraction; returns \p Fallback if the key is
+  /// missing and \p Min after an error.
+  Millis secondsOr(const std::string &Section, const std::string &Key,
+                   Millis Fallback, Millis Min, Millis Max);
+
+  /// Reads an optional boolean; returns \p Fallback if the key is missing and
+  /// false after an error.
+  bool booleanOr(const std::string &Section, const std::string &Key,
+                 bool Fallback);
 
   /// Reads an optional list of strings; returns the strings that it holds.
   std::vector<std::string> texts(const std::string &Section,
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -49,7 +49,7 @@
   BOOST_TEST(Parsed.Regions.at("queretaro") == "bajio");
   BOOST_TEST(Parsed.PeerPort == 7440);
   BOOST_TEST(Parsed.RelayPort == 7441);
-  BOOST_TEST(Parsed.TerminationGracePeriod.count() == 6);
+  BOOST_TEST(Parsed.TerminationGracePeriod.count() == 6000);
 }
 
 BOOST_AUTO_TEST_CASE(eachErrorIsReportedWithItsLine) {
@@ -99,3 +99,42 @@
   New = ProxySettings::parse(with("10.1.0.8:8784", "10.1.0.8:1"), "s.toml");
   BOOST_TEST(valueOf(Old).changesTo(valueOf(New)).AtRestart == "callers");
 }
+
+// The platform's figures may be fractions.
+BOOST_AUTO_TEST_CASE(figuresMayBeFractions) {
+  auto Parse = [](const std::string &Old, const std::string &New) {
+    Result<ProxySettings> Read =
+        ProxySettings::parse(with(Old, New), "settings.toml");
+    BOOST_TEST_CONTEXT(New) { BOOST_REQUIRE(!errorOf(Read)); }
+    return valueOf(Read);
+  };
+  BOOST_TEST(
+      Parse("grace_s = 6", "grace_s = 5.5").TerminationGracePeriod.count() ==
+      5500);
+  BOOST_TEST(Parse("max_descriptors = 4300", "max_descriptors = 4300.0")
+                 .MaxDescriptors == 4300);
+  BOOST_TEST(Parse("first_port = 7440", "first_port = 7440.0").PeerPort ==
+             7440);
+  for (const char *Each : {"grace_s = nan", "grace_s = inf", "grace_s = -0.5",
+                           "grace_s = 1e300", "grace_s = 0.2"})
+    BOOST_TEST(errorOf(
+        ProxySettings::parse(with("grace_s = 6", Each), "settings.toml")));
+  BOOST_TEST(errorOf(ProxySettings::parse(
+      with("first_port = 7440", "first_port = 7440.5"), "settings.toml")));
+}
+
+// The platform leaves out settings that it does not have.
+BOOST_AUTO_TEST_CASE(settingsThatMayBeMissingHaveDefaults) {
+  std::string Text = ValidSettings;
+  for (const char *Each :
+       {"operators = \"10.1.0.8:8782\"\n", "max_descriptors = 4300\n",
+        "grace_s = 6\n", "fencing_enforced = true\n",
+        "regions = [\"oaxaca=centro-sur\",\"queretaro=bajio\"]\n"})
+    Text.replace(Text.find(Each), std::string(Each).size(), "");
+  Result<ProxySettings> Read = ProxySettings::parse(Text, "settings.toml");
+  BOOST_REQUIRE(!errorOf(Read));
+  BOOST_TEST(valueOf(Read).MaxDescriptors == 4096);
+  BOOST_TEST(valueOf(Read).TerminationGracePeriod.count() == 6000);
+  // A lease is safe with and without fencing.
+  BOOST_TEST(!valueOf(Read).PlatformFences);
+}
