Bound the log lines about refused sessions, and log handlers that fail

Cause, on paths related to the descriptors that ran out: each session beyond the limit wrote a line of its own, and an exception in an HTTP handler became a response with status 500 without a line. Change: one line a second and a counter for refused sessions; a line for each request that could not be answered.

--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -294,6 +294,7 @@
 
   boost::asio::awaitable<void> serve(restinio::request_handle_t Incoming) {
     HttpRequest Request = internal::toRequest(Incoming);
+    std::string Path = Request.Path;
     HttpResponse Response;
     if (Request.Body.size() > Opts.MaxBodyBytes) {
       Response.Status = 413;
@@ -304,7 +305,9 @@
     }
     try {
       Response = co_await Handler(std::move(Request));
-    } catch (const std::exception &) {
+    } catch (const std::exception &E) {
+      internal::Logger.error("cannot answer a request",
+                             {{"path", Path}, {"why", E.what()}});
       // The handler may have had effects before it threw, so the verdict has to
       // be "may_have_run".
       Response.Status = 500;
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -18,6 +18,7 @@
 /// about those that were served, and about others, which matter more.
 constexpr unsigned ServedLinesPerSecond = 1;
 constexpr unsigned UnservedLinesPerSecond = 100;
+constexpr unsigned RefusedSessionLinesPerSecond = 1;
 /// Maximum number of sessions closed in one sweep of a drain, so that not all
 /// callers reconnect at the same time.
 constexpr std::size_t MaxClosedPerSweep = 2;
@@ -223,7 +224,13 @@
 
 void ProxyService::accept(boost::asio::ip::tcp::socket Socket) {
   if (Sessions.size() >= Opts.MaxSessions) {
-    internal::Logger.warning("session refused", {{"why", "too many sessions"}});
+    Meter.count("sessions_refused_total");
+    if (RequestLogLimiter.allow("session refused",
+                                internal::RefusedSessionLinesPerSecond,
+                                BootClock::now()))
+      internal::Logger.warning("session refused",
+                               {{"why", "too many sessions"},
+                                {"most", std::to_string(Opts.MaxSessions)}});
     return;
   }
   LineStream::Options StreamOpts;
