--- a/test/System/ProxyProcess.cpp
+++ b/test/System/ProxyProcess.cpp
@@ -47,7 +47,7 @@
   FirstPeerPort = Ports.next();
   while (Ports.next() != FirstPeerPort + 1)
     FirstPeerPort = Ports.next();
-  std::ofstream(settingsPath()) << settings();
+  restoreSettings();
 }
 
 ProxyProcess::~ProxyProcess() {
@@ -80,6 +80,14 @@
   return Out.str();
 }
 
+void ProxyProcess::truncateSettings() const {
+  std::filesystem::resize_file(settingsPath(), settings().size() / 2);
+}
+
+void ProxyProcess::restoreSettings() const {
+  std::ofstream(settingsPath()) << settings();
+}
+
 void ProxyProcess::withholdSettings() {
   std::filesystem::remove(settingsPath());
   if (mkfifo(settingsPath().c_str(), 0600) != 0)
--- a/test/System/ProxyProcess.h
+++ b/test/System/ProxyProcess.h
@@ -33,6 +33,9 @@
   ProxyProcess(const ProxyProcess &) = delete;
   ProxyProcess &operator=(const ProxyProcess &) = delete;
 
+  /// Cuts the settings file in half.
+  void truncateSettings() const;
+  void restoreSettings() const;
   /// Makes the process wait for its settings once it reads them. Called before
   /// start().
   void withholdSettings();
--- a/test/System/ProxyProcessTest.cpp
+++ b/test/System/ProxyProcessTest.cpp
@@ -91,6 +91,26 @@
   BOOST_TEST(!Proxy.ended());
 }
 
+// The platform may be writing the file when the process starts.
+BOOST_AUTO_TEST_CASE(settingsThatAreIncompleteAtTheStartAreReadAgain) {
+  ProxyProcess Proxy(options());
+  Proxy.truncateSettings();
+  Proxy.start();
+  std::this_thread::sleep_for(300ms);
+  BOOST_REQUIRE(!Proxy.ended());
+  Proxy.restoreSettings();
+  BOOST_TEST(Proxy.waitForAnswer());
+}
+
+BOOST_AUTO_TEST_CASE(settingsThatStayInvalidEndTheProcess) {
+  ProxyProcess Proxy(options());
+  Proxy.truncateSettings();
+  Proxy.start();
+  BOOST_REQUIRE(Proxy.waitForEnd());
+  BOOST_TEST(WIFEXITED(*Proxy.ended()));
+  BOOST_TEST(WEXITSTATUS(*Proxy.ended()) == 2);
+}
+
 // The platform may announce new settings while the process is starting. The
 // signal ended a process that had not installed its handler yet.
 BOOST_AUTO_TEST_CASE(aSignalDuringTheStartIsHandledAfterIt) {
