--- a/src/Daemons/DaemonRuntime.cpp
+++ b/src/Daemons/DaemonRuntime.cpp
@@ -3,9 +3,9 @@
 
 #include "Daemons/DaemonRuntime.h"
 
+#include "Json/JsonParsing.h"
 #include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
-#include "Json/JsonParsing.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -1,7 +1,7 @@
 #include "Exchange/PeerMessage.h"
 
-#include "Membership/VmEntryCodec.h"
 #include "Json/JsonParsing.h"
+#include "Membership/VmEntryCodec.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Exchange/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -5,12 +5,12 @@
 
 #include "Async/AsyncSignal.h"
 #include "Exchange/PeerExchange.h"
+#include "Json/JsonParsing.h"
 #include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/ObjectWatcher.h"
 #include "Platform/StoreRevision.h"
-#include "Json/JsonParsing.h"
 
 namespace cicadawind {
 namespace internal {
--- a/src/Platform/PlatformClient.cpp
+++ b/src/Platform/PlatformClient.cpp
@@ -4,8 +4,8 @@
 #include "Platform/PlatformClient.h"
 
 #include "Http/HttpClient.h"
-#include "Membership/VmEntryCodec.h"
 #include "Json/JsonParsing.h"
+#include "Membership/VmEntryCodec.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -3,10 +3,10 @@
 
 #include "Promotion/PromotionTokens.h"
 
+#include "Json/JsonParsing.h"
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/StoreRevision.h"
-#include "Json/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Router/RouterTransactions.cpp
+++ b/src/Router/RouterTransactions.cpp
@@ -4,9 +4,9 @@
 #include "Router/RouterService.h"
 
 #include "Http/HttpClient.h"
+#include "Json/JsonParsing.h"
 #include "Observability/Metrics.h"
 #include "ReleaseNotes/ConfigHistory.h"
-#include "Json/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Targets/HttpDatabaseGroup.cpp
+++ b/src/Targets/HttpDatabaseGroup.cpp
@@ -4,9 +4,9 @@
 #include "Targets/HttpDatabaseGroup.h"
 
 #include "Http/HttpClient.h"
+#include "Json/JsonParsing.h"
 #include "Targets/HttpTargetConnection.h"
 #include "Targets/ReportCodec.h"
-#include "Json/JsonParsing.h"
 
 namespace cicadawind {
 
--- a/src/Wire/ExecuteCodec.cpp
+++ b/src/Wire/ExecuteCodec.cpp
@@ -1,6 +1,6 @@
 #include "Wire/ExecuteRequest.h"
-#include "Wire/ExecuteResponse.h"
 #include "Json/JsonParsing.h"
+#include "Wire/ExecuteResponse.h"
 
 #include <nlohmann/json.hpp>
 
--- a/test/System/ProxyProcessTest.cpp
+++ b/test/System/ProxyProcessTest.cpp
@@ -36,7 +36,9 @@
 int connectTo(int Port) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   sockaddr_in Address = loopback(Port);
-  connect(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+  // The call returns before the connection is made.
+  static_cast<void>(
+      connect(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address));
   return Socket;
 }
 
@@ -166,6 +168,7 @@
   Proxy.start();
   BOOST_REQUIRE(Proxy.waitForAnswer());
   std::vector<int> Sockets;
+  Sockets.reserve(Connections);
   for (int I = 0; I < Connections; ++I)
     Sockets.push_back(connectTo(Proxy.callers()));
   std::this_thread::sleep_for(1s);
