Check endpoints in one place, and their port too

Cause: two settings readers held the same check, and neither looked at the port, so that '10.1.0.8:ready' passed the check and ended the start with 'stoi' instead of the line and key. Change: SettingsReader::checkEndpoint(). Evidence: eachErrorIsReportedWithItsLine failed for such a port before.

--- a/src/Settings/DaemonSettings.cpp
+++ b/src/Settings/DaemonSettings.cpp
@@ -41,15 +41,6 @@
   return *Text;
 }
 
-static void checkEndpoint(SettingsReader &Reader, const std::string &Section,
-                          const std::string &Key, const std::string &Text) {
-  std::size_t Colon = Text.rfind(':');
-  boost::system::error_code Code;
-  boost::asio::ip::make_address(Text.substr(0, Colon), Code);
-  if (!Text.empty() && (Colon == std::string::npos || Code))
-    Reader.addError(Section, Key, "must be 'ip:port'");
-}
-
 static void readKeys(SettingsReader &Reader, DaemonSettings &Out) {
   std::vector<std::string> Files = Reader.texts("keys", "session_key_files");
   if (Files.empty())
@@ -107,10 +98,10 @@
                     "must be one of debug, info, warning, error");
   internal::readListen(Reader, Out);
   Out.Platform = Reader.text("platform", "address");
-  internal::checkEndpoint(Reader, "platform", "address", Out.Platform);
+  Reader.checkEndpoint("platform", "address", Out.Platform);
   Out.Seeds = Reader.texts("peers", "seeds");
   for (const std::string &Seed : Out.Seeds)
-    internal::checkEndpoint(Reader, "peers", "seeds", Seed);
+    Reader.checkEndpoint("peers", "seeds", Seed);
   internal::readKeys(Reader, Out);
   Out.MaxBodyBytes = static_cast<std::size_t>(
       Reader.numberOr("limits", "max_body_bytes", std::int64_t{256} * 1024,
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -2,8 +2,6 @@
 
 #include "Settings/SettingsReader.h"
 
-#include <boost/asio/ip/address.hpp>
-
 #include <fstream>
 #include <sstream>
 
@@ -19,21 +17,10 @@
 constexpr Millis MinGracePeriod = std::chrono::seconds(1);
 constexpr Millis MaxGracePeriod = std::chrono::hours(1);
 
-static void checkEndpoint(SettingsReader &Reader, const char *Section,
-                          const char *Key, const std::string &Text) {
-  if (Text.empty())
-    return;
-  std::size_t Colon = Text.rfind(':');
-  boost::system::error_code Code;
-  boost::asio::ip::make_address(Text.substr(0, Colon), Code);
-  if (Colon == std::string::npos || Code)
-    Reader.addError(Section, Key, "must be 'ip:port'");
-}
-
 static std::string endpoint(SettingsReader &Reader, const char *Section,
                             const char *Key) {
   std::string Text = Reader.text(Section, Key);
-  checkEndpoint(Reader, Section, Key, Text);
+  Reader.checkEndpoint(Section, Key, Text);
   return Text;
 }
 
@@ -64,7 +51,7 @@
   Out.RelayPort = static_cast<std::uint16_t>(Out.PeerPort + 1);
   Out.Seeds = Reader.texts("peers", "seeds");
   for (const std::string &Seed : Out.Seeds)
-    checkEndpoint(Reader, "peers", "seeds", Seed);
+    Reader.checkEndpoint("peers", "seeds", Seed);
 }
 
 } // namespace internal
@@ -131,9 +118,9 @@
   Out.CallerAddress = internal::endpoint(Reader, "listen", "callers");
   Out.ReadinessAddress = internal::endpoint(Reader, "listen", "readiness");
   Out.OperatorAddress = Reader.textOr("listen", "operators", "");
-  internal::checkEndpoint(Reader, "listen", "operators", Out.OperatorAddress);
+  Reader.checkEndpoint("listen", "operators", Out.OperatorAddress);
   Out.Metrics = Reader.textOr("listen", "metrics", "");
-  internal::checkEndpoint(Reader, "listen", "metrics", Out.Metrics);
+  Reader.checkEndpoint("listen", "metrics", Out.Metrics);
   internal::readPeers(Reader, Out);
   Out.StoreAddress = internal::endpoint(Reader, "platform", "store");
   Out.PromotionAddress = internal::endpoint(Reader, "platform", "orders");
--- a/src/Settings/SettingsReader.cpp
+++ b/src/Settings/SettingsReader.cpp
@@ -1,8 +1,20 @@
 #include "Settings/SettingsReader.h"
 
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
 namespace cicadawind {
 namespace internal {
 
+/// Returns whether \p Text is the number of a port.
+static bool isPort(const std::string &Text) {
+  std::uint16_t Port = 0;
+  const char *End = Text.data() + Text.size();
+  auto Parsed = std::from_chars(Text.data(), End, Port);
+  return Parsed.ec == std::errc() && Parsed.ptr == End && Port != 0;
+}
+
 const toml::node *SettingsReader::find(const std::string &Section,
                                        const std::string &Key) {
   ReadKeys[Section].insert(Key);
@@ -18,6 +30,18 @@
   return 1;
 }
 
+void SettingsReader::checkEndpoint(const std::string &Section,
+                                   const std::string &Key,
+                                   const std::string &Text) {
+  if (Text.empty())
+    return;
+  std::size_t Colon = Text.rfind(':');
+  boost::system::error_code Code;
+  boost::asio::ip::make_address(Text.substr(0, Colon), Code);
+  if (Colon == std::string::npos || Code || !isPort(Text.substr(Colon + 1)))
+    addError(Section, Key, "must be 'ip:port'");
+}
+
 void SettingsReader::addError(const std::string &Section,
                               const std::string &Key,
                               const std::string &Reason) {
--- a/src/Settings/SettingsReader.h
+++ b/src/Settings/SettingsReader.h
@@ -61,6 +61,10 @@
   std::vector<std::string> texts(const std::string &Section,
                                  const std::string &Key);
 
+  /// Adds an error unless \p Text is empty or an endpoint "ip:port".
+  void checkEndpoint(const std::string &Section, const std::string &Key,
+                     const std::string &Text);
+
   /// Adds a validation error at the line of \p Section.\p Key.
   void addError(const std::string &Section, const std::string &Key,
                 const std::string &Reason);
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -64,6 +64,8 @@
       {"oaxaca=centro-sur", "oaxaca", "daemon.regions"},
       {"10.1.0.8:8784", "10.1.0.8", "listen.callers"},
       {"10.1.0.8:9464", "here", "listen.metrics"},
+      {"10.1.0.8:8785", "10.1.0.8:ready", "listen.readiness"},
+      {"10.1.0.8:8785", "10.1.0.8:70000", "listen.readiness"},
       {"last_port = 7455", "last_port = 7440", "peers.last_port"},
       {"first_port = 7440", "first_port = 99999", "peers.first_port"},
       {"store = ", "shop = ", "platform.store"},
