Call the module of parsers Documents

Cause: clang-format sorts includes of a folder Json among those of libraries, and clang-tidy asks for the opposite order, so no order satisfies both. Change: the folder's name and the includes; no behaviour. Evidence: clang-format and llvm-include-order are clean on the files.

--- a/src/Cli/OperatorClient.cpp
+++ b/src/Cli/OperatorClient.cpp
@@ -3,8 +3,8 @@
 
 #include "Cli/OperatorClient.h"
 
+#include "Documents/JsonParsing.h"
 #include "Http/HttpClient.h"
-#include "Json/JsonParsing.h"
 
 #include <boost/asio.hpp>
 
--- a/src/Cli/RequestExplanation.cpp
+++ b/src/Cli/RequestExplanation.cpp
@@ -1,6 +1,6 @@
 #include "Cli/RequestExplanation.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/src/Daemons/DaemonRuntime.cpp
+++ b/src/Daemons/DaemonRuntime.cpp
@@ -3,7 +3,7 @@
 
 #include "Daemons/DaemonRuntime.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 #include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
 
--- a/src/Json/DepthLimitedBuilder.cpp
+++ b/src/Documents/DepthLimitedBuilder.cpp
@@ -1,4 +1,4 @@
-#include "Json/DepthLimitedBuilder.h"
+#include "Documents/DepthLimitedBuilder.h"
 
 namespace cicadawind::internal {
 
--- a/src/Json/DepthLimitedBuilder.h
+++ b/src/Documents/DepthLimitedBuilder.h
@@ -1,7 +1,7 @@
-#ifndef CICADAWIND_JSON_DEPTHLIMITEDBUILDER_H
-#define CICADAWIND_JSON_DEPTHLIMITEDBUILDER_H
+#ifndef CICADAWIND_DOCUMENTS_DEPTHLIMITEDBUILDER_H
+#define CICADAWIND_DOCUMENTS_DEPTHLIMITEDBUILDER_H
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/src/Documents/Documents.h
@@ -0,0 +1,8 @@
+/// \file
+/// Documents module: parsing of JSON and CBOR that other programs send.
+#ifndef CICADAWIND_DOCUMENTS_DOCUMENTS_H
+#define CICADAWIND_DOCUMENTS_DOCUMENTS_H
+
+#include "Documents/JsonParsing.h"
+
+#endif
--- a/src/Json/JsonParsing.cpp
+++ b/src/Documents/JsonParsing.cpp
@@ -1,6 +1,6 @@
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
-#include "Json/DepthLimitedBuilder.h"
+#include "Documents/DepthLimitedBuilder.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -1,6 +1,6 @@
 #include "Exchange/PeerMessage.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 #include "Membership/VmEntryCodec.h"
 
 #include <nlohmann/json.hpp>
--- a/src/Exchange/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -4,8 +4,8 @@
 #include "Exchange/VmRegistration.h"
 
 #include "Async/AsyncSignal.h"
+#include "Documents/JsonParsing.h"
 #include "Exchange/PeerExchange.h"
-#include "Json/JsonParsing.h"
 #include "Membership/VmEntryCodec.h"
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
--- a/src/Membership/VmEntryCodec.cpp
+++ b/src/Membership/VmEntryCodec.cpp
@@ -1,6 +1,6 @@
 #include "Membership/VmEntryCodec.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 namespace cicadawind {
 
--- a/src/Platform/PlatformClient.cpp
+++ b/src/Platform/PlatformClient.cpp
@@ -3,8 +3,8 @@
 
 #include "Platform/PlatformClient.h"
 
+#include "Documents/JsonParsing.h"
 #include "Http/HttpClient.h"
-#include "Json/JsonParsing.h"
 #include "Membership/VmEntryCodec.h"
 
 #include <nlohmann/json.hpp>
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -3,7 +3,7 @@
 
 #include "Promotion/PromotionTokens.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 #include "Observability/Log.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/StoreRevision.h"
--- a/src/ReleaseNotes/ServiceConfig.cpp
+++ b/src/ReleaseNotes/ServiceConfig.cpp
@@ -1,6 +1,6 @@
 #include "ReleaseNotes/ServiceConfig.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Router/RouterTransactions.cpp
+++ b/src/Router/RouterTransactions.cpp
@@ -3,8 +3,8 @@
 
 #include "Router/RouterService.h"
 
+#include "Documents/JsonParsing.h"
 #include "Http/HttpClient.h"
-#include "Json/JsonParsing.h"
 #include "Observability/Metrics.h"
 #include "ReleaseNotes/ConfigHistory.h"
 
--- a/src/Rpc/RpcDispatcher.cpp
+++ b/src/Rpc/RpcDispatcher.cpp
@@ -1,6 +1,6 @@
 #include "Rpc/RpcDispatcher.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <json/json.h>
 #include <jsonrpccpp/common/procedure.h>
--- a/src/Sessions/TokenCodec.cpp
+++ b/src/Sessions/TokenCodec.cpp
@@ -1,6 +1,6 @@
 #include "Sessions/TokenCodec.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
--- a/src/Targets/HttpDatabaseGroup.cpp
+++ b/src/Targets/HttpDatabaseGroup.cpp
@@ -3,8 +3,8 @@
 
 #include "Targets/HttpDatabaseGroup.h"
 
+#include "Documents/JsonParsing.h"
 #include "Http/HttpClient.h"
-#include "Json/JsonParsing.h"
 #include "Targets/HttpTargetConnection.h"
 #include "Targets/ReportCodec.h"
 
--- a/src/Targets/HttpTargetConnection.cpp
+++ b/src/Targets/HttpTargetConnection.cpp
@@ -3,7 +3,7 @@
 
 #include "Targets/HttpTargetConnection.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Terms/TermRecord.cpp
+++ b/src/Terms/TermRecord.cpp
@@ -1,6 +1,6 @@
 #include "Terms/TermRecord.h"
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/Wire/ExecuteCodec.cpp
+++ b/src/Wire/ExecuteCodec.cpp
@@ -1,5 +1,5 @@
+#include "Documents/JsonParsing.h"
 #include "Wire/ExecuteRequest.h"
-#include "Json/JsonParsing.h"
 #include "Wire/ExecuteResponse.h"
 
 #include <nlohmann/json.hpp>
--- a/test/Json/JsonParsingTest.cpp
+++ b/test/Documents/JsonParsingTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE JsonParsing
 #include <boost/test/unit_test.hpp>
 
-#include "Json/JsonParsing.h"
+#include "Documents/JsonParsing.h"
 
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
