Stop at the end of the drain also if the grace time is short

Cause: the end of the drain counted only after the balancer's time. Change: DrainSchedule::isOver(). Evidence: aShortGraceTimeIsNotExceeded failed with the old order of conditions and passes now.

--- a/src/Proxy/DrainSchedule.cpp
+++ b/src/Proxy/DrainSchedule.cpp
@@ -15,8 +15,9 @@
     : Start(Start), HalfTime(Start + Grace / 2),
       End(Start + Grace - Grace / internal::DrainMarginDivisor) {}
 
-bool DrainSchedule::hasBalancerNoticed(TimePoint Now) const {
-  return Now - Start >= internal::BalancerNoticeTime;
+bool DrainSchedule::isOver(TimePoint Now, bool HasSessions) const {
+  bool HasBalancerNoticed = Now - Start >= internal::BalancerNoticeTime;
+  return Now >= End || (HasBalancerNoticed && !HasSessions);
 }
 
 } // namespace cicadawind
--- a/src/Proxy/DrainSchedule.h
+++ b/src/Proxy/DrainSchedule.h
@@ -28,9 +28,10 @@
   bool mayRun(TimePoint Now, TimePoint Deadline) const {
     return isFirstHalf(Now) || Deadline <= End;
   }
-  /// Returns whether the load balancer has had time to notice that this VM
-  /// leaves; until then it sends callers here.
-  bool hasBalancerNoticed(TimePoint Now) const;
+  /// Returns whether the process may stop at \p Now: the drain has ended, or no
+  /// session is left and the load balancer has had time to notice that this VM
+  /// leaves, since it sends callers here until then.
+  bool isOver(TimePoint Now, bool HasSessions) const;
 
 private:
   TimePoint Start;
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -322,8 +322,7 @@
     if (Closed < internal::MaxClosedPerSweep && Session->closeIfUnused(Now))
       ++Closed;
   }
-  bool IsOver = Drain->hasBalancerNoticed(Now) &&
-                (Sessions.empty() || Now >= Drain->end());
+  bool IsOver = Drain->isOver(Now, !Sessions.empty());
   IsDrained = std::exchange(IsDrainOver, IsOver) && IsOver;
 }
 
--- a/test/Proxy/DrainScheduleTest.cpp
+++ b/test/Proxy/DrainScheduleTest.cpp
@@ -41,3 +41,17 @@
     BOOST_TEST((Schedule.end() > Start + Each * 5 / 6));
   }
 }
+
+BOOST_AUTO_TEST_CASE(theProcessStopsWithoutSessionsOnceTheBalancerHasNoticed) {
+  DrainSchedule Schedule(Start, Grace);
+  BOOST_TEST(!Schedule.isOver(Start + 2499ms, false));
+  BOOST_TEST(Schedule.isOver(Start + 2500ms, false));
+  BOOST_TEST(!Schedule.isOver(Start + 5499ms, true));
+  BOOST_TEST(Schedule.isOver(Start + 5500ms, true));
+}
+
+// A grace time shorter than the balancer's check ended with a SIGKILL.
+BOOST_AUTO_TEST_CASE(aShortGraceTimeIsNotExceeded) {
+  for (bool HasSessions : {false, true})
+    BOOST_TEST(DrainSchedule(Start, 1s).isOver(Start + 1s, HasSessions));
+}
