--- a/src/Documents/DepthLimitedBuilder.h
+++ b/src/Documents/DepthLimitedBuilder.h
@@ -47,8 +47,7 @@
   bool end_object() { return close(); }
   bool start_array(std::size_t) { return open(Json::array()); }
   bool end_array() { return close(); }
-  bool parse_error(std::size_t, const std::string &,
-                   const nlohmann::detail::exception &E) {
+  bool parse_error(std::size_t, const std::string &, const Json::exception &E) {
     ErrorText = E.what();
     return false;
   }
--- a/src/Http/HttpServer.cpp
+++ b/src/Http/HttpServer.cpp
@@ -259,7 +259,8 @@
   }
 
   /// Opens the listener again if RESTinio does not accept: it stops for good
-  /// when an accept fails, for instance because no descriptor is free.
+  /// when an accept fails, for instance because no descriptor is free. Two
+  /// checks in a row must see that, since the loop may have been busy.
   void checkListener() {
     if (ListenerHandle < 0)
       return openListener();
--- a/src/Net/TcpListener.cpp
+++ b/src/Net/TcpListener.cpp
@@ -47,8 +47,7 @@
   ++Failures;
   if (!std::exchange(HasFailed, true))
     internal::Logger.warning(
-        "cannot accept connections; trying again until "
-        "it succeeds",
+        "cannot accept connections; trying again until it succeeds",
         {{"port", std::to_string(port())}, {"why", Reason}});
   RetryTimer.expires_after(Opts.RetryDelay);
   RetryTimer.async_wait(
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -123,8 +123,6 @@
   std::uint64_t targetsHash() const { return TargetsHash; }
   /// Records that the listed targets are still current at \p Revision.
   void confirmTargets(std::uint64_t Revision) { TargetsRevision = Revision; }
-  /// Returns the configuration and targets that this VM has applied, for its
-  /// peers.
   /// Returns what this VM has applied and a peer lacks that has the
   /// configuration \p ConfigVersion and targets of \p TargetsOf; both are 0 for
   /// one that has nothing.
