--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -14,6 +14,18 @@
 
 static const Log Logger("promotion");
 
+static void logReplies(const std::string &Group,
+                       const TargetStatuses &Replies) {
+  for (const auto &[Name, Status] : Replies)
+    Logger.info("target replied to the survey",
+                {{"group", Group},
+                 {"target", Name},
+                 {"role", Status.IsPrimary ? "primary" : "replica"},
+                 {"term", std::to_string(Status.CurrentTerm)},
+                 {"received", toString(Status.Received)},
+                 {"lag_ms", std::to_string(Status.Lag.count())}});
+}
+
 } // namespace internal
 
 FencedPromotion::FencedPromotion(Options NewOpts, ProxyService &Service,
@@ -59,6 +71,7 @@
                                                   PromotionReason Reason) {
   Peers.broadcastPromotion(Group, 0, BootClock::now());
   TargetStatuses Replies = co_await Survey.run(Group, OldPrimary);
+  internal::logReplies(Group, Replies);
   std::optional<SuccessorChoice> Chosen =
       chooseFrom(Group, Replies, OldPrimary);
   if (!Chosen)
