Promote no target that follows an older term than another one

Callers saw reads without commits that were acknowledged and came back later: a primary that was replaced while it was cut off keeps its log, and the choice of a successor compared the ends of logs only. Now the term that a target follows counts first (chooseSuccessor, for fenced and leased promotions alike): a target that follows the newest term holds nothing that this term discarded.

ReplacedPrimaryTest:replacedPrimaryWithTheLongestLogIsNotPromotedAgain failed before and passes.

--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -34,7 +34,7 @@
     : Opts(std::move(NewOpts)), Service(Service), Peers(Peers), Tokens(Tokens),
       Promotions(Promotions), Survey(Opts.Survey, Service) {}
 
-std::optional<SuccessorChoice>
+std::optional<SuccessorCandidate>
 FencedPromotion::chooseFrom(const std::string &Group,
                             const TargetStatuses &Replies,
                             const std::string &OldPrimary) {
@@ -49,8 +49,8 @@
       Dispatcher->recordPrimaryClaim(Name);
       return std::nullopt;
     }
-  std::optional<SuccessorChoice> Chosen =
-      chooseSuccessor(*Dispatcher, Replies, OldPrimary);
+  std::optional<SuccessorCandidate> Chosen =
+      chooseSuccessor(candidatesFrom(*Dispatcher, Replies, OldPrimary), 0);
   if (!Chosen)
     internal::Logger.warning(
         "no target can be promoted",
@@ -72,7 +72,7 @@
   Peers.broadcastPromotion(Group, 0, BootClock::now());
   TargetStatuses Replies = co_await Survey.run(Group, OldPrimary);
   internal::logReplies(Group, Replies);
-  std::optional<SuccessorChoice> Chosen =
+  std::optional<SuccessorCandidate> Chosen =
       chooseFrom(Group, Replies, OldPrimary);
   if (!Chosen)
     co_return false;
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -3,6 +3,7 @@
 
 #include "Promotion/PromotionProcedure.h"
 #include "Promotion/TargetSurvey.h"
+#include "Succession/SuccessionRule.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,11 +18,10 @@
 /// \class FencedPromotion
 /// \brief Replaces a primary on a platform that fences promotions by token.
 ///
-/// The successor is the target with the longest received log among those that
-/// reply to a survey; a target that is leaving is chosen only if no other
-/// replied. In a planned switchover the leaving primary is first demoted to a
-/// replica, so that the successor can receive the primary's whole log before it
-/// is promoted. Runs on the loop's thread.
+/// The successor is chosen among the targets that reply to a survey; see
+/// chooseSuccessor(). In a planned switchover the leaving primary is first
+/// demoted to a replica, so that the successor can receive the primary's whole
+/// log before it is promoted. Runs on the loop's thread.
 class FencedPromotion : public PromotionProcedure {
 public:
   struct Options {
@@ -47,9 +47,9 @@
 
 private:
   /// Returns the target to promote; empty if the attempt must end.
-  std::optional<SuccessorChoice> chooseFrom(const std::string &Group,
-                                            const TargetStatuses &Replies,
-                                            const std::string &OldPrimary);
+  std::optional<SuccessorCandidate> chooseFrom(const std::string &Group,
+                                               const TargetStatuses &Replies,
+                                               const std::string &OldPrimary);
   /// Returns whether \p OldPrimary is still to be replaced by this VM.
   bool isStillDue(const std::string &Group, const std::string &OldPrimary);
   /// Orders the promotion of \p Instance. An order that was not started or got
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -11,6 +11,7 @@
 #include "Promotion/LeaseExchange.h"
 #include "Promotion/PromotionTokens.h"
 #include "Proxy/ProxyService.h"
+#include "Succession/SuccessionRule.h"
 
 #include <algorithm>
 
@@ -245,8 +246,8 @@
     return;
   std::string Chosen = Current.Ballot.pendingSuccessor();
   if (Chosen.empty()) {
-    std::optional<SuccessorChoice> Best =
-        chooseSuccessor(*Dispatcher, Current.Statuses, Current.OldPrimary);
+    std::optional<SuccessorCandidate> Best = chooseSuccessor(
+        candidatesFrom(*Dispatcher, Current.Statuses, Current.OldPrimary), 0);
     if (!Best)
       return;
     Chosen = Best->Instance;
--- a/src/Promotion/TargetSurvey.cpp
+++ b/src/Promotion/TargetSurvey.cpp
@@ -8,6 +8,7 @@
 #include "Proxy/ProxyService.h"
 
 #include <memory>
+#include <optional>
 
 namespace cicadawind {
 namespace internal {
@@ -16,24 +17,20 @@
 
 } // namespace internal
 
-std::optional<SuccessorChoice> chooseSuccessor(const GroupDispatcher &Group,
+std::vector<SuccessorCandidate> candidatesFrom(const GroupDispatcher &Group,
                                                const TargetStatuses &Statuses,
                                                const std::string &OldPrimary) {
-  std::optional<SuccessorChoice> Best;
-  bool BestLeaves = false;
+  std::vector<SuccessorCandidate> Out;
   for (const auto &[Name, Status] : Statuses) {
     const TargetEntry *Entry = Group.findEntry(Name);
-    if (!Entry || Name == OldPrimary)
+    if (!Entry || Name == OldPrimary || Status.IsPrimary)
       continue;
-    bool Better =
-        !Best || (BestLeaves && !Entry->Leaving) ||
-        (BestLeaves == Entry->Leaving && Status.Received > Best->Received);
-    if (!Better)
-      continue;
-    Best = SuccessorChoice{.Instance = Name, .Received = Status.Received};
-    BestLeaves = Entry->Leaving;
+    Out.push_back({.Instance = Name,
+                   .Follows = Status.CurrentTerm,
+                   .Received = Status.Received,
+                   .IsLeaving = Entry->Leaving});
   }
-  return Best;
+  return Out;
 }
 
 boost::asio::awaitable<TargetStatuses>
--- a/src/Promotion/TargetSurvey.h
+++ b/src/Promotion/TargetSurvey.h
@@ -4,12 +4,13 @@
 #include "Core/Clock.h"
 #include "Core/LogPosition.h"
 #include "Statements/TargetStatus.h"
+#include "Succession/SuccessorCandidate.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <map>
-#include <optional>
 #include <string>
+#include <vector>
 
 namespace cicadawind {
 
@@ -19,17 +20,9 @@
 /// Statuses of the targets of a group, by instance.
 using TargetStatuses = std::map<std::string, TargetStatus>;
 
-/// \class SuccessorChoice
-/// \brief The target to promote, and how far its log reached in its status.
-struct SuccessorChoice {
-  std::string Instance;
-  LogPosition Received;
-};
-
-/// Returns the target with the longest received log among \p Statuses. One that
-/// is leaving, or \p OldPrimary, is chosen only if nothing else is left or, for
-/// \p OldPrimary, never. Empty if there is no target to promote.
-std::optional<SuccessorChoice> chooseSuccessor(const GroupDispatcher &Group,
+/// Returns those targets of \p Group among \p Statuses that may replace
+/// \p OldPrimary: the replicas other than it.
+std::vector<SuccessorCandidate> candidatesFrom(const GroupDispatcher &Group,
                                                const TargetStatuses &Statuses,
                                                const std::string &OldPrimary);
 
--- /dev/null
+++ b/src/Succession/Succession.h
@@ -0,0 +1,10 @@
+/// \file
+/// Succession module: which target may replace a primary, given what the
+/// targets report and which promotion was decided last.
+#ifndef CICADAWIND_SUCCESSION_SUCCESSION_H
+#define CICADAWIND_SUCCESSION_SUCCESSION_H
+
+#include "Succession/SuccessionRule.h"
+#include "Succession/SuccessorCandidate.h"
+
+#endif
--- /dev/null
+++ b/src/Succession/SuccessorCandidate.h
@@ -0,0 +1,24 @@
+#ifndef CICADAWIND_SUCCESSION_SUCCESSORCANDIDATE_H
+#define CICADAWIND_SUCCESSION_SUCCESSORCANDIDATE_H
+
+#include "Core/LogPosition.h"
+
+#include <string>
+
+namespace cicadawind {
+
+/// \class SuccessorCandidate
+/// \brief A target that reported during a survey that it is a replica.
+struct SuccessorCandidate {
+  std::string Instance;
+  /// Term whose primary the target follows. A target that follows an older term
+  /// than another one may hold entries that the newer term discarded.
+  Term Follows = 0;
+  /// End of the log that the target has received.
+  LogPosition Received;
+  bool IsLeaving = false;
+};
+
+} // namespace cicadawind
+
+#endif
