Repeat an order that got no reply as it was, and only while it is due

Callers saw reads that lacked acknowledged commits: a VM whose order of the replaced primary got no reply learned meanwhile that another target leads a newer term, claimed a higher token and ordered again. The platform would have refused the first order, since it had seen a higher token; the new token renewed the fence of the old decision.

A decision is now a value (PromotionDecision): target, token and the term that it opens never change. All its orders are the same call, so the platform refuses them once it has carried out a later decision; an order for the present primary changes nothing, so a late first order does no harm either. Before each order the VM asks whether it is due: another target has become primary, or a peer promotes. The old check compared with the old primary alone, which is unknown once it has stepped down. A primary that leaves is now demoted below the term that is opened, not below the term of its last write.

everyOrderCarriesItsOwnToken and tokenOfClaimWithoutReplyIsNotUsed asked for a token of its own for each order of one attempt. That was the fault: it made repeats of one decision look like later decisions. In their place, as strict: orderWithoutReplyIsRepeatedAsItWas (one token, one target, same bound of time), ordersForDifferentTargetsCarryRisingTokens (an outdated order can be refused), and tokenOfClaimWithoutReplyIsNotUsed asks for it directly.

Ruled out: that a later order must supersede the earlier one of the same target; it is idempotent.

ReplacedPrimaryTest:orderIsNotRepeatedOnceAnotherTargetBecamePrimary failed before and passes.

--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -3,6 +3,7 @@
 
 #include "Promotion/FencedPromotion.h"
 
+#include "Async/AsyncSignal.h"
 #include "Exchange/PeerExchange.h"
 #include "Observability/Log.h"
 #include "Platform/PromotionService.h"
@@ -58,12 +59,13 @@
   return Chosen;
 }
 
-bool FencedPromotion::isStillDue(const std::string &Group,
-                                 const std::string &OldPrimary) {
-  GroupDispatcher *Dispatcher = Service.findGroup(Group);
-  bool Deferred = Opts.IsDeferred && Opts.IsDeferred(Group);
-  return Dispatcher && !Deferred &&
-         Dispatcher->tracker().primary() == OldPrimary;
+bool FencedPromotion::isStillDue(const PromotionDecision &Decision) {
+  GroupDispatcher *Dispatcher = Service.findGroup(Decision.Group);
+  if (!Dispatcher || (Opts.IsDeferred && Opts.IsDeferred(Decision.Group)))
+    return false;
+  const std::string &Primary = Dispatcher->tracker().primary();
+  return Primary.empty() || Primary == Decision.OldPrimary ||
+         Primary == Decision.Successor;
 }
 
 boost::asio::awaitable<bool> FencedPromotion::run(std::string Group,
@@ -84,48 +86,55 @@
     co_return false;
   }
   Peers.broadcastPromotion(Group, valueOf(Claimed), BootClock::now());
+  PromotionDecision Decision{.Group = Group,
+                             .OldPrimary = OldPrimary,
+                             .Successor = Chosen->Instance,
+                             .Received = Chosen->Received,
+                             .Opens = Chosen->Follows + 1,
+                             .Token = valueOf(Claimed)};
   // In the meantime a peer may have announced a promotion, or another target
   // may have become primary.
-  if (!isStillDue(Group, OldPrimary))
+  if (!isStillDue(Decision))
     co_return false;
   if (Reason == PromotionReason::Leaving)
-    co_await Survey.stepDown(Group, OldPrimary, Chosen->Instance,
-                             Service.findGroup(Group)->tracker().term() + 1);
+    co_await Survey.stepDown(Group, OldPrimary, Decision.Successor,
+                             Decision.Opens);
   internal::Logger.info("successor chosen",
                         {{"group", Group},
                          {"target", Chosen->Instance},
                          {"received", toString(Chosen->Received)},
                          {"answers", std::to_string(Replies.size())}});
-  bool Ordered = co_await order(Group, Chosen->Instance, valueOf(Claimed));
+  bool Ordered = co_await order(Decision);
   if (!Ordered)
     co_return false;
   co_return co_await Survey.awaitPrimary(Group, Chosen->Instance,
                                          Opts.ConfirmationTimeout);
 }
 
-boost::asio::awaitable<bool> FencedPromotion::order(std::string Group,
-                                                    std::string Instance,
-                                                    std::uint64_t FirstToken) {
-  std::uint64_t Token = FirstToken;
+boost::asio::awaitable<bool>
+FencedPromotion::order(PromotionDecision Decision) {
   for (unsigned Attempt = 1; Attempt <= Opts.MaxOrders; ++Attempt) {
-    PromotionOutcome Outcome = co_await Promotions.promote(
-        Group, Instance, Opts.Vm, Token, Opts.OrderTimeout);
+    if (Attempt > 1)
+      co_await sleepFor(Opts.OrderInterval);
+    if (!isStillDue(Decision)) {
+      internal::Logger.info("promotion stopped; it is not due any more",
+                            {{"group", Decision.Group},
+                             {"target", Decision.Successor},
+                             {"token", std::to_string(Decision.Token)}});
+      co_return false;
+    }
+    PromotionOutcome Outcome =
+        co_await Promotions.promote(Decision.Group, Decision.Successor, Opts.Vm,
+                                    Decision.Token, Opts.OrderTimeout);
     internal::Logger.info("promotion ordered",
-                          {{"group", Group},
-                           {"target", Instance},
-                           {"token", std::to_string(Token)},
+                          {{"group", Decision.Group},
+                           {"target", Decision.Successor},
+                           {"token", std::to_string(Decision.Token)},
                            {"end", nameOf(Outcome)}});
     if (Outcome == PromotionOutcome::Accepted)
       co_return true;
     if (Outcome == PromotionOutcome::Refused)
       co_return false;
-    // The platform may still carry out an order that got no reply. The higher
-    // token of the next order supersedes it.
-    Result<std::uint64_t> Next = co_await Tokens.take(Group, Instance);
-    if (errorOf(Next))
-      co_return Outcome == PromotionOutcome::Unknown;
-    Token = valueOf(Next);
-    Peers.broadcastPromotion(Group, Token, BootClock::now());
   }
   co_return false;
 }
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -3,9 +3,9 @@
 
 #include "Promotion/PromotionProcedure.h"
 #include "Promotion/TargetSurvey.h"
+#include "Succession/PromotionDecision.h"
 #include "Succession/SuccessionRule.h"
 
-#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -29,8 +29,10 @@
     TargetSurvey::Options Survey;
     /// Timeout of one order to the platform.
     Duration OrderTimeout = std::chrono::milliseconds(400);
-    /// Maximum number of orders in one attempt, each with a token of its own.
+    /// Maximum number of orders in one attempt.
     unsigned MaxOrders = 6;
+    /// Time between an order without a reply and the next.
+    Duration OrderInterval = std::chrono::milliseconds(20);
     /// Time that a promoted target has to become the confirmed primary; the
     /// attempt has failed if it does not.
     Duration ConfirmationTimeout = std::chrono::milliseconds(900);
@@ -50,14 +52,12 @@
   std::optional<SuccessorCandidate> chooseFrom(const std::string &Group,
                                                const TargetStatuses &Replies,
                                                const std::string &OldPrimary);
-  /// Returns whether \p OldPrimary is still to be replaced by this VM.
-  bool isStillDue(const std::string &Group, const std::string &OldPrimary);
-  /// Orders the promotion of \p Instance. An order that was not started or got
-  /// no reply is repeated with a new token, up to MaxOrders orders in all; a
-  /// refusal ends the attempt. Returns true if an order was accepted, or if the
-  /// latest one may still be carried out and no further token could be claimed.
-  boost::asio::awaitable<bool> order(std::string Group, std::string Instance,
-                                     std::uint64_t FirstToken);
+  /// Returns whether the reason for \p Decision still holds: no other target
+  /// has become primary, and no peer has announced a promotion.
+  bool isStillDue(const PromotionDecision &Decision);
+  /// Orders \p Decision until the platform accepts or refuses it, at most
+  /// MaxOrders times and only while it is due.
+  boost::asio::awaitable<bool> order(PromotionDecision Decision);
 
   Options Opts;
   ProxyService &Service;
--- a/src/Succession/Succession.h
+++ b/src/Succession/Succession.h
@@ -4,6 +4,7 @@
 #ifndef CICADAWIND_SUCCESSION_SUCCESSION_H
 #define CICADAWIND_SUCCESSION_SUCCESSION_H
 
+#include "Succession/PromotionDecision.h"
 #include "Succession/SuccessionRule.h"
 #include "Succession/SuccessorCandidate.h"
 
