Record each promotion in the store, and let a VM replace only what was promoted last

Callers saw reads that lacked acknowledged commits: a VM that knew no primary, since the one it used had been replaced, took that for a lost primary and promoted the replaced one back; a token that was reserved in advance let it do so without the store, whatever had been decided before the reservation.

The object that counts the claims of tokens now says what was decided last: successor, its log end, the term that it opens. Each claim is a conditional update of it, so whoever gets a token also has the decisions under all lower ones; higher ones fence it. decideSuccession() takes that record and the survey: only evidence against the target that was promoted last allows another decision; a VM that has none may complete that decision, or looks for that target as the presumed primary. No target is promoted that follows an older term than the one that the record opened, unless the registry no longer lists the target that opened it. A reserved token carries its record; using it records the decision with the version of the reservation, and a conflict means to decide again. Without the store the reserved token and its record suffice. A notice of a peer's token drops a lower reserved one.

--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -35,28 +35,108 @@
     : Opts(std::move(NewOpts)), Service(Service), Peers(Peers), Tokens(Tokens),
       Promotions(Promotions), Survey(Opts.Survey, Service) {}
 
-std::optional<SuccessorCandidate>
-FencedPromotion::chooseFrom(const std::string &Group,
-                            const TargetStatuses &Replies,
-                            const std::string &OldPrimary) {
+bool FencedPromotion::findsPrimary(const std::string &Group,
+                                   const TargetStatuses &Replies,
+                                   const std::string &OldPrimary) {
   GroupDispatcher *Dispatcher = Service.findGroup(Group);
-  if (!Dispatcher)
-    return std::nullopt;
-  for (const auto &[Name, Status] : Replies)
-    if (Status.IsPrimary && Name != OldPrimary) {
-      internal::Logger.info(
-          "promotion stopped; another target reports that it is primary",
-          {{"group", Group}, {"target", Name}});
+  for (const auto &[Name, Status] : Replies) {
+    if (!Status.IsPrimary || Name == OldPrimary)
+      continue;
+    internal::Logger.info(
+        "promotion stopped; another target reports that it is primary",
+        {{"group", Group}, {"target", Name}});
+    if (Dispatcher)
       Dispatcher->recordPrimaryClaim(Name);
-      return std::nullopt;
-    }
-  std::optional<SuccessorCandidate> Chosen =
-      chooseSuccessor(candidatesFrom(*Dispatcher, Replies, OldPrimary), 0);
-  if (!Chosen)
+    return true;
+  }
+  return false;
+}
+
+PromotionEvidence FencedPromotion::evidenceFrom(const GroupDispatcher &Group,
+                                                const TargetStatuses &Replies,
+                                                const std::string &OldPrimary,
+                                                PromotionReason Reason) const {
+  PromotionEvidence Out;
+  Out.OldPrimary = OldPrimary;
+  const PrimaryTracker &Tracker = Group.tracker();
+  if (Tracker.primary() == OldPrimary && Tracker.isConfirmed())
+    Out.OldPrimaryTerm = Tracker.term();
+  Out.ReachesOldPrimary = Reason != PromotionReason::Lost;
+  Out.Candidates = candidatesFrom(Group, Replies, OldPrimary);
+  for (const TargetEntry &Entry : Group.entries())
+    Out.Listed.insert(Entry.Instance);
+  return Out;
+}
+
+PromotionRecord FencedPromotion::latestOf(const std::string &Group,
+                                          const PromotionTurn &Turn) const {
+  auto Void = VoidDecisions.find(Group);
+  bool IsVoid = Void != VoidDecisions.end() && Void->second == Turn.Latest;
+  return IsVoid ? PromotionRecord() : Turn.Latest;
+}
+
+void FencedPromotion::recordRefusal(const std::string &Group,
+                                    const SuccessionVerdict &Verdict) {
+  if (const auto *Presumed = std::get_if<PresumedPrimary>(&Verdict)) {
+    internal::Logger.info(
+        "promotion stopped; a target that was ordered may be primary",
+        {{"group", Group}, {"target", Presumed->Instance}});
+    if (GroupDispatcher *Dispatcher = Service.findGroup(Group))
+      Dispatcher->recordPrimaryClaim(Presumed->Instance);
+  } else if (const auto *None = std::get_if<NoSuccessor>(&Verdict)) {
     internal::Logger.warning(
         "no target can be promoted",
-        {{"group", Group}, {"answers", std::to_string(Replies.size())}});
-  return Chosen;
+        {{"group", Group}, {"needed_term", std::to_string(None->Needed)}});
+  }
+}
+
+boost::asio::awaitable<std::optional<PromotionDecision>>
+FencedPromotion::decide(std::string Group, std::string OldPrimary,
+                        PromotionReason Reason, TargetStatuses Replies) {
+  for (bool MayRepeat = true;;) {
+    Result<PromotionTurn> Begun = co_await Tokens.begin(Group);
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (const Error *E = errorOf(Begun)) {
+      internal::Logger.info(
+          "promotion stopped; no fencing token could be claimed",
+          {{"group", Group}, {"why", E->Message}});
+      co_return std::nullopt;
+    }
+    if (!Dispatcher)
+      co_return std::nullopt;
+    PromotionTurn Turn = valueOf(Begun);
+    SuccessionVerdict Verdict =
+        decideSuccession(evidenceFrom(*Dispatcher, Replies, OldPrimary, Reason),
+                         latestOf(Group, Turn));
+    bool Repeats = Turn.Reserved && std::exchange(MayRepeat, false);
+    const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
+    if (!Choice) {
+      // The record that came with a reserved token may be outdated.
+      if (Repeats)
+        continue;
+      recordRefusal(Group, Verdict);
+      co_return std::nullopt;
+    }
+    PromotionRecord Record{.Successor = Choice->Successor.Instance,
+                           .Received = Choice->Successor.Received,
+                           .Opens = Choice->Opens};
+    Result<PromotionClaim> Claimed = co_await Tokens.claim(Group, Turn, Record);
+    if (const Error *E = errorOf(Claimed)) {
+      if (Repeats)
+        continue;
+      internal::Logger.info(
+          "promotion stopped; no fencing token could be claimed",
+          {{"group", Group}, {"why", E->Message}});
+      co_return std::nullopt;
+    }
+    VoidDecisions[Group] = valueOf(Claimed).Decision;
+    co_return PromotionDecision{.Group = Group,
+                                .OldPrimary = OldPrimary,
+                                .Successor = Record.Successor,
+                                .Received = Record.Received,
+                                .Opens = Record.Opens,
+                                .Token = valueOf(Claimed).Token};
+  }
 }
 
 bool FencedPromotion::isStillDue(const PromotionDecision &Decision) {
@@ -74,43 +154,40 @@
   Peers.broadcastPromotion(Group, 0, BootClock::now());
   TargetStatuses Replies = co_await Survey.run(Group, OldPrimary);
   internal::logReplies(Group, Replies);
-  std::optional<SuccessorCandidate> Chosen =
-      chooseFrom(Group, Replies, OldPrimary);
-  if (!Chosen)
+  if (findsPrimary(Group, Replies, OldPrimary))
     co_return false;
-  Result<std::uint64_t> Claimed = co_await Tokens.take(Group, Chosen->Instance);
-  if (const Error *E = errorOf(Claimed)) {
-    internal::Logger.info(
-        "promotion stopped; no fencing token could be claimed",
-        {{"group", Group}, {"why", E->Message}});
+  std::optional<PromotionDecision> Decision =
+      co_await decide(Group, OldPrimary, Reason, Replies);
+  if (!Decision)
     co_return false;
-  }
-  Peers.broadcastPromotion(Group, valueOf(Claimed), BootClock::now());
-  PromotionDecision Decision{.Group = Group,
-                             .OldPrimary = OldPrimary,
-                             .Successor = Chosen->Instance,
-                             .Received = Chosen->Received,
-                             .Opens = Chosen->Follows + 1,
-                             .Token = valueOf(Claimed)};
+  Peers.broadcastPromotion(Group, Decision->Token, BootClock::now());
   // In the meantime a peer may have announced a promotion, or another target
   // may have become primary.
-  if (!isStillDue(Decision))
+  if (!isStillDue(*Decision))
     co_return false;
   if (Reason == PromotionReason::Leaving)
-    co_await Survey.stepDown(Group, OldPrimary, Decision.Successor,
-                             Decision.Opens);
+    co_await Survey.stepDown(Group, OldPrimary, Decision->Successor,
+                             Decision->Opens);
   internal::Logger.info("successor chosen",
                         {{"group", Group},
-                         {"target", Chosen->Instance},
-                         {"received", toString(Chosen->Received)},
+                         {"target", Decision->Successor},
+                         {"received", toString(Decision->Received)},
+                         {"opens_term", std::to_string(Decision->Opens)},
+                         {"token", std::to_string(Decision->Token)},
                          {"answers", std::to_string(Replies.size())}});
-  bool Ordered = co_await order(Decision);
+  bool Ordered = co_await order(*Decision);
   if (!Ordered)
     co_return false;
-  co_return co_await Survey.awaitPrimary(Group, Chosen->Instance,
+  co_return co_await Survey.awaitPrimary(Group, Decision->Successor,
                                          Opts.ConfirmationTimeout);
 }
 
+boost::asio::awaitable<PromotionOutcome>
+FencedPromotion::orderOnce(const PromotionDecision &Decision) {
+  return Promotions.promote(Decision.Group, Decision.Successor, Opts.Vm,
+                            Decision.Token, Opts.OrderTimeout);
+}
+
 boost::asio::awaitable<bool>
 FencedPromotion::order(PromotionDecision Decision) {
   for (unsigned Attempt = 1; Attempt <= Opts.MaxOrders; ++Attempt) {
@@ -123,14 +200,15 @@
                              {"token", std::to_string(Decision.Token)}});
       co_return false;
     }
-    PromotionOutcome Outcome =
-        co_await Promotions.promote(Decision.Group, Decision.Successor, Opts.Vm,
-                                    Decision.Token, Opts.OrderTimeout);
+    PromotionOutcome Outcome = co_await orderOnce(Decision);
     internal::Logger.info("promotion ordered",
                           {{"group", Decision.Group},
                            {"target", Decision.Successor},
                            {"token", std::to_string(Decision.Token)},
                            {"end", nameOf(Outcome)}});
+    if (Outcome == PromotionOutcome::Accepted ||
+        Outcome == PromotionOutcome::Unknown)
+      VoidDecisions.erase(Decision.Group);
     if (Outcome == PromotionOutcome::Accepted)
       co_return true;
     if (Outcome == PromotionOutcome::Refused)
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -1,27 +1,33 @@
 #ifndef CICADAWIND_PROMOTION_FENCEDPROMOTION_H
 #define CICADAWIND_PROMOTION_FENCEDPROMOTION_H
 
+#include "Platform/PromotionService.h"
 #include "Promotion/PromotionProcedure.h"
+#include "Promotion/PromotionTurn.h"
 #include "Promotion/TargetSurvey.h"
 #include "Succession/PromotionDecision.h"
 #include "Succession/SuccessionRule.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 namespace cicadawind {
 
+class GroupDispatcher;
 class PeerExchange;
-class PromotionService;
 class PromotionTokens;
 
 /// \class FencedPromotion
 /// \brief Replaces a primary on a platform that fences promotions by token.
 ///
-/// The successor is chosen among the targets that reply to a survey; see
-/// chooseSuccessor(). In a planned switchover the leaving primary is first
-/// demoted to a replica, so that the successor can receive the primary's whole
-/// log before it is promoted. Runs on the loop's thread.
+/// An attempt surveys the targets, decides on a successor by
+/// decideSuccession(), and claims a token that records the decision. In a
+/// planned switchover the leaving primary is then demoted to a replica, so that
+/// the successor can receive the primary's whole log before it is promoted. An
+/// order without a reply is repeated as it was, under the same token; see
+/// PromotionDecision. Runs on the loop's thread.
 class FencedPromotion : public PromotionProcedure {
 public:
   struct Options {
@@ -48,16 +54,36 @@
                                    PromotionReason Reason) override;
 
 private:
-  /// Returns the target to promote; empty if the attempt must end.
-  std::optional<SuccessorCandidate> chooseFrom(const std::string &Group,
-                                               const TargetStatuses &Replies,
-                                               const std::string &OldPrimary);
+  /// Records a target among \p Replies that reports to be primary, other than
+  /// \p OldPrimary. Returns whether there is one.
+  bool findsPrimary(const std::string &Group, const TargetStatuses &Replies,
+                    const std::string &OldPrimary);
+  PromotionEvidence evidenceFrom(const GroupDispatcher &Group,
+                                 const TargetStatuses &Replies,
+                                 const std::string &OldPrimary,
+                                 PromotionReason Reason) const;
+  /// Decides on a successor and claims a token for it; empty if the attempt
+  /// must end. Decides again with the store's record if that has changed since
+  /// a token was reserved.
+  boost::asio::awaitable<std::optional<PromotionDecision>>
+  decide(std::string Group, std::string OldPrimary, PromotionReason Reason,
+         TargetStatuses Replies);
+  /// Returns the record that \p Turn builds on, without a decision of this VM
+  /// that was never carried out.
+  PromotionRecord latestOf(const std::string &Group,
+                           const PromotionTurn &Turn) const;
+  /// Logs why \p Verdict allows no promotion, and lets the group use a presumed
+  /// primary.
+  void recordRefusal(const std::string &Group,
+                     const SuccessionVerdict &Verdict);
   /// Returns whether the reason for \p Decision still holds: no other target
   /// has become primary, and no peer has announced a promotion.
   bool isStillDue(const PromotionDecision &Decision);
   /// Orders \p Decision until the platform accepts or refuses it, at most
   /// MaxOrders times and only while it is due.
   boost::asio::awaitable<bool> order(PromotionDecision Decision);
+  boost::asio::awaitable<PromotionOutcome>
+  orderOnce(const PromotionDecision &Decision);
 
   Options Opts;
   ProxyService &Service;
@@ -65,6 +91,9 @@
   PromotionTokens &Tokens;
   PromotionService &Promotions;
   TargetSurvey Survey;
+  /// The latest decision of this VM for each group none of whose orders can be
+  /// carried out any more.
+  std::map<std::string, PromotionRecord> VoidDecisions;
 };
 
 } // namespace cicadawind
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -80,7 +80,7 @@
 boost::asio::awaitable<bool> LeasedPromotion::run(std::string Group,
                                                   std::string OldPrimary,
                                                   PromotionReason Reason) {
-  Result<std::uint64_t> Claimed = co_await Tokens.take(Group, "");
+  Result<std::uint64_t> Claimed = co_await Tokens.take(Group);
   GroupDispatcher *Dispatcher = Service.findGroup(Group);
   if (const Error *E = errorOf(Claimed)) {
     internal::Logger.info(
@@ -310,8 +310,7 @@
       co_return false;
     // The platform may still carry out an order that got no reply, so it is
     // repeated for the same target only. Each order has a token of its own.
-    Result<std::uint64_t> Next =
-        co_await Tokens.take(Current->Group, Successor);
+    Result<std::uint64_t> Next = co_await Tokens.take(Current->Group);
     if (errorOf(Next))
       co_return co_await awaitPrimary(Current);
     Ballot.setToken(valueOf(Next), BootClock::now());
--- a/src/Promotion/Promotion.h
+++ b/src/Promotion/Promotion.h
@@ -9,6 +9,7 @@
 #include "Promotion/PromotionDriver.h"
 #include "Promotion/PromotionProcedure.h"
 #include "Promotion/PromotionTokens.h"
+#include "Promotion/PromotionTurn.h"
 #include "Promotion/TargetSurvey.h"
 
 #endif
--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -41,8 +41,10 @@
       Peers(Peers), Meter(Meter), Tokens(Opts.Tokens, Store),
       Leases({.Vm = Opts.Vm}, Peers, Service),
       Procedure(makeProcedure(Promotions)) {
-  Peers.onPromotion(
-      [this](const PromotionNotice &Notice) { deferToPeer(Notice.Group); });
+  Peers.onPromotion([this](const PromotionNotice &Notice) {
+    Tokens.dropBelow(Notice.Group, Notice.Token);
+    deferToPeer(Notice.Group);
+  });
   Leases.onGranted(
       [this](const std::string &Group, const PromotionProposal &Proposal) {
         Tokens.dropBelow(Group, Proposal.Token);
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -21,13 +21,51 @@
 /// eras are exact even where they are read as floating-point numbers.
 constexpr unsigned CountBits = 32;
 
-/// Returns the number of claims that \p Object records; 0 if it records none.
-static std::uint64_t claimsIn(const StoredObject &Object) {
+/// Returns what \p Object says of the group: the number of claims and the
+/// latest decision. An object of another form counts as one without them.
+static PromotionTurn turnFrom(const StoredObject &Object) {
+  PromotionTurn Out;
+  Out.Version = Object.Version;
   nlohmann::json Json = tryParseJson(Object.Value);
-  if (!Json.is_object() || !Json.contains("token") ||
-      !Json["token"].is_number_unsigned())
-    return 0;
-  return Json["token"].get<std::uint64_t>();
+  if (!Json.is_object())
+    return Out;
+  auto NumberAt = [&Json](const char *Name) -> std::uint64_t {
+    auto It = Json.find(Name);
+    bool IsNumber = It != Json.end() && It->is_number_unsigned();
+    return IsNumber ? It->get<std::uint64_t>() : 0;
+  };
+  Out.Claims = NumberAt("token");
+  auto Target = Json.find("target");
+  bool HasDecision =
+      Target != Json.end() && Target->is_string() && NumberAt("opens_term") > 0;
+  if (HasDecision)
+    Out.Latest = {.Claim = NumberAt("decided"),
+                  .Successor = Target->get<std::string>(),
+                  .Received = {.WrittenIn = NumberAt("received_term"),
+                               .Index = NumberAt("received_index")},
+                  .Opens = NumberAt("opens_term")};
+  return Out;
+}
+
+static std::string encode(const PromotionTurn &Turn, const std::string &Vm) {
+  const PromotionRecord &Latest = Turn.Latest;
+  return nlohmann::json{{"token", Turn.Claims},
+                        {"holder", Vm},
+                        {"target", Latest.Successor},
+                        {"decided", Latest.Claim},
+                        {"received_term", Latest.Received.WrittenIn},
+                        {"received_index", Latest.Received.Index},
+                        {"opens_term", Latest.Opens}}
+      .dump();
+}
+
+static Error writeError(const WriteResult &Written) {
+  bool IsConflict = Written.Outcome == WriteOutcome::Conflict;
+  return Error{
+      .Code = IsConflict ? ErrorCode::Conflict : ErrorCode::StoreUnavailable,
+      .Message = IsConflict ? "another VM claimed a token at the same time"
+                 : Written.Message.empty() ? "no reply from the store"
+                                           : Written.Message};
 }
 
 } // namespace internal
@@ -45,7 +83,7 @@
 
 void PromotionTokens::dropBelow(const std::string &Group, std::uint64_t Token) {
   GroupState &State = Groups[Group];
-  if (State.Reserved && *State.Reserved < Token)
+  if (State.Reserved && *State.Reserved->Reserved < Token)
     State.Reserved.reset();
 }
 
@@ -55,7 +93,10 @@
     co_return;
   Groups[Group].Reserving = true;
   Groups[Group].NextReservation = Now + Opts.ReservationInterval;
-  Result<std::uint64_t> Claimed = co_await claim(Group, "");
+  Result<PromotionTurn> Claimed = co_await readTurn(Group);
+  if (!errorOf(Claimed))
+    Claimed =
+        co_await claimNext(Group, valueOf(Claimed), valueOf(Claimed).Latest);
   GroupState &State = Groups[Group];
   State.Reserving = false;
   // Retried after ReservationInterval. Not logged, since the store client
@@ -65,53 +106,100 @@
   State.Reserved = valueOf(Claimed);
   internal::Logger.info(
       "fencing token reserved",
-      {{"group", Group}, {"token", std::to_string(*State.Reserved)}});
+      {{"group", Group},
+       {"token", std::to_string(*State.Reserved->Reserved)},
+       {"latest_successor", State.Reserved->Latest.Successor}});
 }
 
-boost::asio::awaitable<Result<std::uint64_t>>
-PromotionTokens::take(std::string Group, std::string Instance) {
-  std::optional<std::uint64_t> Reserved =
+boost::asio::awaitable<Result<PromotionTurn>>
+PromotionTokens::begin(std::string Group) {
+  std::optional<PromotionTurn> Reserved =
       std::exchange(Groups[Group].Reserved, {});
   if (Reserved)
     co_return *Reserved;
-  co_return co_await claim(Group, Instance);
+  co_return co_await readTurn(Group);
+}
+
+boost::asio::awaitable<Result<std::uint64_t>>
+PromotionTokens::take(std::string Group) {
+  Result<PromotionTurn> Turn = co_await begin(Group);
+  if (!errorOf(Turn) && !valueOf(Turn).Reserved)
+    Turn = co_await claimNext(Group, valueOf(Turn), valueOf(Turn).Latest);
+  if (const Error *E = errorOf(Turn))
+    co_return *E;
+  co_return *valueOf(Turn).Reserved;
 }
 
-/// Returns the token of the claim number \p Count, which replaced \p Before and
-/// got the version \p Written.
-static Result<std::uint64_t> tokenOf(const StoredObject &Before,
-                                     std::uint64_t Written,
-                                     std::uint64_t Count) {
+/// Returns the token of the claim number \p Count, which replaced the object's
+/// version \p Before, or created the object if that is 0, and got the version
+/// \p Written.
+static Result<std::uint64_t>
+tokenOf(std::uint64_t Before, std::uint64_t Written, std::uint64_t Count) {
   std::uint64_t Era = StoreRevision::unpack(Written).Era;
   // In a later era the object that was replaced may be another one with the
   // same version, so another VM may have the same count.
-  if (Before.exists() && StoreRevision::unpack(Before.Version).Era != Era)
+  if (Before != 0 && StoreRevision::unpack(Before).Era != Era)
     return Error{.Code = ErrorCode::Conflict,
                  .Message = "the store came back from an older copy"};
   return Era << internal::CountBits | Count;
 }
 
-boost::asio::awaitable<Result<std::uint64_t>>
-PromotionTokens::claim(std::string Group, std::string Instance) {
+boost::asio::awaitable<Result<PromotionTurn>>
+PromotionTokens::readTurn(std::string Group) {
   Result<StoredObject> Stored =
       co_await Store.read(internal::TokensKind, Group, Opts.StoreTimeout);
   if (const Error *E = errorOf(Stored))
     co_return *E;
-  const StoredObject &Current = valueOf(Stored);
-  std::uint64_t Count = internal::claimsIn(Current) + 1;
-  nlohmann::json Value{
-      {"token", Count}, {"holder", Opts.Vm}, {"target", Instance}};
-  WriteResult Written =
-      co_await Store.write(internal::TokensKind, Group, Value.dump(),
-                           Current.Version, Opts.StoreTimeout);
-  if (Written.Outcome == WriteOutcome::Accepted)
-    co_return tokenOf(Current, Written.Version, Count);
+  co_return internal::turnFrom(valueOf(Stored));
+}
+
+boost::asio::awaitable<WriteResult>
+PromotionTokens::write(std::string Group, const PromotionTurn &Turn,
+                       Duration Timeout) {
+  return Store.write(internal::TokensKind, Group,
+                     internal::encode(Turn, Opts.Vm), Turn.Version, Timeout);
+}
+
+boost::asio::awaitable<Result<PromotionTurn>>
+PromotionTokens::claimNext(std::string Group, PromotionTurn Turn,
+                           PromotionRecord Decision) {
+  std::uint64_t Before = Turn.Version;
+  ++Turn.Claims;
+  if (Decision != Turn.Latest)
+    Decision.Claim = Turn.Claims;
+  Turn.Latest = Decision;
   // If the store does not reply, it is unknown whether the claim was written,
   // so this token is not used. The next attempt reads the last token again.
-  bool IsConflict = Written.Outcome == WriteOutcome::Conflict;
-  co_return Error{
-      .Code = IsConflict ? ErrorCode::Conflict : ErrorCode::StoreUnavailable,
-      .Message = IsConflict ? "another VM claimed first" : Written.Message};
+  WriteResult Written = co_await write(Group, Turn, Opts.StoreTimeout);
+  if (Written.Outcome != WriteOutcome::Accepted)
+    co_return internal::writeError(Written);
+  Result<std::uint64_t> Token = tokenOf(Before, Written.Version, Turn.Claims);
+  if (const Error *E = errorOf(Token))
+    co_return *E;
+  Turn.Reserved = valueOf(Token);
+  Turn.Version = Written.Version;
+  co_return Turn;
+}
+
+boost::asio::awaitable<Result<PromotionClaim>>
+PromotionTokens::claim(std::string Group, PromotionTurn Turn,
+                       PromotionRecord Decision) {
+  if (!Turn.Reserved) {
+    Result<PromotionTurn> Next = co_await claimNext(Group, Turn, Decision);
+    if (const Error *E = errorOf(Next))
+      co_return *E;
+    co_return PromotionClaim{.Token = *valueOf(Next).Reserved,
+                             .Decision = valueOf(Next).Latest};
+  }
+  Decision.Claim = Turn.Claims;
+  Turn.Latest = Decision;
+  WriteResult Written = co_await write(Group, Turn, Opts.RecordTimeout);
+  if (Written.Outcome == WriteOutcome::Conflict)
+    co_return internal::writeError(Written);
+  if (Written.Outcome != WriteOutcome::Accepted)
+    internal::Logger.info("decision not recorded in the store",
+                          {{"group", Group}, {"why", Written.Message}});
+  co_return PromotionClaim{.Token = *Turn.Reserved, .Decision = Decision};
 }
 
 } // namespace cicadawind
--- /dev/null
+++ b/src/Succession/PromotionEvidence.h
@@ -0,0 +1,30 @@
+#ifndef CICADAWIND_SUCCESSION_PROMOTIONEVIDENCE_H
+#define CICADAWIND_SUCCESSION_PROMOTIONEVIDENCE_H
+
+#include "Core/LogPosition.h"
+#include "Succession/SuccessorCandidate.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class PromotionEvidence
+/// \brief What a VM knows of a group when it decides on a promotion.
+struct PromotionEvidence {
+  /// The primary to replace; empty if none is known.
+  std::string OldPrimary;
+  /// Newest term in which OldPrimary was proved to write; 0 if unknown.
+  Term OldPrimaryTerm = 0;
+  /// Whether OldPrimary still proves that it is the primary.
+  bool ReachesOldPrimary = false;
+  /// The replicas that replied to the survey.
+  std::vector<SuccessorCandidate> Candidates;
+  /// All targets that the registry lists.
+  std::set<std::string> Listed;
+};
+
+} // namespace cicadawind
+
+#endif
--- a/src/Succession/Succession.h
+++ b/src/Succession/Succession.h
@@ -5,6 +5,8 @@
 #define CICADAWIND_SUCCESSION_SUCCESSION_H
 
 #include "Succession/PromotionDecision.h"
+#include "Succession/PromotionEvidence.h"
+#include "Succession/PromotionRecord.h"
 #include "Succession/SuccessionRule.h"
 #include "Succession/SuccessorCandidate.h"
 
--- a/src/Succession/SuccessionRule.h
+++ b/src/Succession/SuccessionRule.h
@@ -1,10 +1,12 @@
 #ifndef CICADAWIND_SUCCESSION_SUCCESSIONRULE_H
 #define CICADAWIND_SUCCESSION_SUCCESSIONRULE_H
 
-#include "Succession/SuccessorCandidate.h"
+#include "Succession/PromotionEvidence.h"
+#include "Succession/PromotionRecord.h"
 
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace cicadawind {
@@ -16,6 +18,39 @@
 chooseSuccessor(const std::vector<SuccessorCandidate> &Candidates, Term AtLeast,
                 const std::string &Preferred = {});
 
+/// The target to promote, and the term that this opens.
+struct SuccessionChoice {
+  SuccessorCandidate Successor;
+  Term Opens = 0;
+};
+
+/// The latest decision may have been carried out, and its successor did not
+/// reply. It counts as the primary until there is evidence against it.
+struct PresumedPrimary {
+  std::string Instance;
+};
+
+/// No candidate follows the newest term that is known to have been opened.
+struct NoSuccessor {
+  Term Needed = 0;
+};
+
+using SuccessionVerdict =
+    std::variant<SuccessionChoice, PresumedPrimary, NoSuccessor>;
+
+/// Returns which target may be promoted by a decision that supersedes
+/// \p Latest.
+///
+/// Invariant: no target is promoted that does not follow the newest term which
+/// may have been opened, since it may hold acknowledged entries that this term
+/// discarded, and reads of that term lacked them. The primary of that term is
+/// the successor of \p Latest, so only evidence against that target allows
+/// another decision; a VM that has none may only complete \p Latest. A target
+/// that the registry no longer lists is gone, and its term with it. Costs
+/// O(candidates).
+SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
+                                   const PromotionRecord &Latest);
+
 } // namespace cicadawind
 
 #endif
--- a/test/Promotion/PromotionDriverTest.cpp
+++ b/test/Promotion/PromotionDriverTest.cpp
@@ -116,8 +116,8 @@
       World.runUntil([&] { return !World.Promotions.Tokens.empty(); }));
   World.instance("c").crash();
   World.applyListedTargets();
-  BOOST_REQUIRE(World.runUntil(
-      [&] { return World.Promotions.Instances.back() == "b"; }));
+  BOOST_REQUIRE(
+      World.runUntil([&] { return World.Promotions.Instances.back() == "b"; }));
   World.Promotions.LoseOrders = 0;
   BOOST_TEST(World.runUntil([&] { return World.Group.primary() == "b"; }));
   const std::vector<std::uint64_t> &Tokens = World.Promotions.Tokens;
--- a/test/Promotion/PromotionTokensTest.cpp
+++ b/test/Promotion/PromotionTokensTest.cpp
@@ -35,8 +35,7 @@
   }
   /// Returns the token that VM number \p Vm uses, or 0 if it gets none.
   std::uint64_t take(std::size_t Vm) {
-    Result<std::uint64_t> Token =
-        test::runOn(Loop, Holders[Vm]->take("g", "a"));
+    Result<std::uint64_t> Token = test::runOn(Loop, Holders[Vm]->take("g"));
     return errorOf(Token) ? 0 : valueOf(Token);
   }
 
