Announce a promotion again with each repeated order

Peers wait 1.5 s after a notice; repeats of an order used to claim a token each and announced it, and since a decision keeps its token they were silent.

--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -200,6 +200,8 @@
                              {"token", std::to_string(Decision.Token)}});
       co_return false;
     }
+    // The other VMs wait while the attempt goes on.
+    Peers.broadcastPromotion(Decision.Group, Decision.Token, BootClock::now());
     PromotionOutcome Outcome = co_await orderOnce(Decision);
     internal::Logger.info("promotion ordered",
                           {{"group", Decision.Group},
--- a/test/Promotion/PromotionDriverTest.cpp
+++ b/test/Promotion/PromotionDriverTest.cpp
@@ -213,3 +213,17 @@
   BOOST_TEST(World.Peers.livePeers(BootClock::now()).empty());
   BOOST_TEST(World.Promotions.Tokens.empty());
 }
+
+// Peers wait for a limited time after each notice.
+BOOST_AUTO_TEST_CASE(peersAreNotifiedBeforeEachRepeatedOrder) {
+  PromotionWorld World;
+  World.addPeer();
+  World.Promotions.LoseOrders = 4;
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  std::size_t Notices = 0;
+  for (const PromotionNotice &Each : World.Peer->received<PromotionNotice>())
+    Notices += Each.Token > 0 ? 1 : 0;
+  BOOST_TEST(World.Promotions.Tokens.size() == 5);
+  BOOST_TEST(Notices >= World.Promotions.Tokens.size());
+}
