Take a promoted target for gone only by a list that is newer than its promotion

A VM that had started again had an old list of targets, without the one that a peer had promoted; it took that target for gone, and promoted the replaced primary, the only one it knew that replied. The store's record named the other one.

A decision now records the revision of the list that has its successor. Only a newer list without it shows that the registry has removed it; with an older list a VM promotes nothing until its list has caught up.

Ruled out: a wrong expiry in the registry; the target was listed all the time.

--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -65,6 +65,7 @@
   Out.Candidates = candidatesFrom(Group, Replies, OldPrimary);
   for (const TargetEntry &Entry : Group.entries())
     Out.Listed.insert(Entry.Instance);
+  Out.ListRevision = Service.targetsRevision();
   return Out;
 }
 
@@ -81,7 +82,8 @@
     internal::Logger.info(
         "promotion stopped; a target that was ordered may be primary",
         {{"group", Group}, {"target", Presumed->Instance}});
-    if (GroupDispatcher *Dispatcher = Service.findGroup(Group))
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (Dispatcher && Dispatcher->findEntry(Presumed->Instance))
       Dispatcher->recordPrimaryClaim(Presumed->Instance);
   } else if (const auto *None = std::get_if<NoSuccessor>(&Verdict)) {
     internal::Logger.warning(
@@ -119,7 +121,8 @@
     }
     PromotionRecord Record{.Successor = Choice->Successor.Instance,
                            .Received = Choice->Successor.Received,
-                           .Opens = Choice->Opens};
+                           .Opens = Choice->Opens,
+                           .ListRevision = Service.targetsRevision()};
     Result<PromotionClaim> Claimed = co_await Tokens.claim(Group, Turn, Record);
     if (const Error *E = errorOf(Claimed)) {
       if (Repeats)
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -43,7 +43,8 @@
                   .Successor = Target->get<std::string>(),
                   .Received = {.WrittenIn = NumberAt("received_term"),
                                .Index = NumberAt("received_index")},
-                  .Opens = NumberAt("opens_term")};
+                  .Opens = NumberAt("opens_term"),
+                  .ListRevision = NumberAt("list_revision")};
   return Out;
 }
 
@@ -55,7 +56,8 @@
                         {"decided", Latest.Claim},
                         {"received_term", Latest.Received.WrittenIn},
                         {"received_index", Latest.Received.Index},
-                        {"opens_term", Latest.Opens}}
+                        {"opens_term", Latest.Opens},
+                        {"list_revision", Latest.ListRevision}}
       .dump();
 }
 
--- a/src/Succession/PromotionEvidence.h
+++ b/src/Succession/PromotionEvidence.h
@@ -4,6 +4,7 @@
 #include "Core/LogPosition.h"
 #include "Succession/SuccessorCandidate.h"
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,8 +22,9 @@
   bool ReachesOldPrimary = false;
   /// The replicas that replied to the survey.
   std::vector<SuccessorCandidate> Candidates;
-  /// All targets that the registry lists.
+  /// All targets that the registry lists, and the revision of this list.
   std::set<std::string> Listed;
+  std::uint64_t ListRevision = 0;
 };
 
 } // namespace cicadawind
--- a/src/Succession/PromotionRecord.h
+++ b/src/Succession/PromotionRecord.h
@@ -24,6 +24,8 @@
   LogPosition Received;
   /// Term that the promotion opens.
   Term Opens = 0;
+  /// Revision of a list of targets that has the successor.
+  std::uint64_t ListRevision = 0;
 
   bool operator==(const PromotionRecord &) const = default;
 };
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -15,11 +15,19 @@
   return Rank(A) > Rank(B);
 }
 
+/// Returns whether the registry has removed the successor of \p Latest. A list
+/// that is older than the decision may not have it yet.
+static bool isGone(const PromotionRecord &Latest,
+                   const PromotionEvidence &Evidence) {
+  return !Evidence.Listed.count(Latest.Successor) &&
+         Evidence.ListRevision > Latest.ListRevision;
+}
+
 /// Returns whether the successor of \p Latest may be the primary although
 /// \p Evidence names another one or none.
 static bool mayBeUnknownPrimary(const PromotionRecord &Latest,
                                 const PromotionEvidence &Evidence) {
-  if (!Evidence.Listed.count(Latest.Successor) ||
+  if (Latest.Successor.empty() || isGone(Latest, Evidence) ||
       Latest.Successor == Evidence.OldPrimary || Evidence.ReachesOldPrimary)
     return false;
   // A primary of a later term shows that the record is outdated, because the
--- a/test/Promotion/PromotionWorld.h
+++ b/test/Promotion/PromotionWorld.h
@@ -69,13 +69,17 @@
         [this] { return Peers.livePeers(BootClock::now()).size() == 1; }));
   }
   /// Stores that another VM claimed token number \p Token to promote
-  /// \p Instance, which opens the second term.
-  void recordDecision(std::uint64_t Token, const std::string &Instance) {
-    std::string Value = R"({"holder":"vm-2","received_term":1,)"
-                        R"("received_index":0,"opens_term":2,"token":)" +
-                        std::to_string(Token) + R"(,"decided":)" +
-                        std::to_string(Token) + R"(,"target":")" + Instance +
-                        "\"}";
+  /// \p Instance, which opens the second term. Its list of targets is
+  /// \p NewerBy revisions newer than this VM's.
+  void recordDecision(std::uint64_t Token, const std::string &Instance,
+                      std::uint64_t NewerBy = 0) {
+    std::uint64_t Revision = Service->targetsRevision() + NewerBy;
+    std::string Value =
+        R"({"holder":"vm-2","received_term":1,)"
+        R"("received_index":0,"opens_term":2,"list_revision":)" +
+        std::to_string(Revision) + R"(,"token":)" + std::to_string(Token) +
+        R"(,"decided":)" + std::to_string(Token) + R"(,"target":")" + Instance +
+        "\"}";
     Store.put("cicadawind-promotions", "g", Value);
   }
   /// Waits until \p Id is the primary and the proxy has confirmed it; false if
--- a/test/Promotion/ReplacedPrimaryTest.cpp
+++ b/test/Promotion/ReplacedPrimaryTest.cpp
@@ -26,8 +26,9 @@
   }
   /// Lets another VM promote \p Instance under the token \p Token, and this VM
   /// notice that "a" is not the primary any more.
-  void promoteFromElsewhere(const std::string &Instance, std::uint64_t Token) {
-    recordDecision(Token, Instance);
+  void promoteFromElsewhere(const std::string &Instance, std::uint64_t Token,
+                            std::uint64_t NewerBy = 0) {
+    recordDecision(Token, Instance, NewerBy);
     Promotions.carryOut(Instance, Token);
     Caller.send("QUERY read READ i1");
     BOOST_REQUIRE(runUntil([this] { return knownPrimary() != "a"; }));
@@ -83,6 +84,22 @@
   BOOST_TEST(World.Promotions.Tokens.empty());
 }
 
+BOOST_AUTO_TEST_CASE(
+    vmWhoseListLacksTheNewPrimaryDoesNotPromoteTheReplacedOne) {
+  CutPrimaryWorld World;
+  std::vector<TargetEntry> Older = World.listedTargets();
+  std::erase_if(Older,
+                [](const TargetEntry &Each) { return Each.Instance != "a"; });
+  World.Service->applyTargets(Older, World.Service->targetsRevision() + 1);
+  constexpr Duration MissingRetention = std::chrono::milliseconds(2500);
+  World.runFor(MissingRetention + std::chrono::milliseconds(500));
+  constexpr std::uint64_t NewerBy = 1;
+  World.promoteFromElsewhere("b", OtherVmsToken, NewerBy);
+  World.runFor(std::chrono::milliseconds(2000));
+  BOOST_TEST(World.Group.primary() == "b");
+  BOOST_TEST(World.Promotions.Tokens.empty());
+}
+
 BOOST_AUTO_TEST_CASE(reservedTokenDoesNotPromoteTheReplacedPrimary) {
   CutPrimaryWorld World;
   World.silenceOthers();
