--- a/src/Platform/PromotionService.h
+++ b/src/Platform/PromotionService.h
@@ -47,8 +47,9 @@
 
   /// Requests that \p Instance become the primary of \p Group and waits up to
   /// \p Timeout. \p Holder names the holder of the promotion lease. The fencing
-  /// token \p Token is unique to this request; the platform refuses a token
-  /// that is lower than one that it has seen for the group.
+  /// token \p Token belongs to one decision to promote \p Instance, whose
+  /// requests are idempotent; the platform refuses a token that is lower than
+  /// one that it has seen for the group.
   virtual boost::asio::awaitable<PromotionOutcome>
   promote(std::string Group, std::string Instance, std::string Holder,
           std::uint64_t Token, Duration Timeout) = 0;
--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -33,11 +33,11 @@
 ///
 /// Every voter of a group (see ProxyService::votersFor()) may promote. The
 /// voters are ranked for each group, and each waits RankDelay longer than the
-/// one before, so that usually only one promotes. Every order to the platform
-/// carries a fencing token of its own, which is claimed by a conditional update
-/// in the store: an order that got no reply may still be carried out seconds
-/// later, and its token must not equal that of a later order. The VM of rank 0
-/// reserves a token in advance, so that it can promote while the store is
+/// one before, so that usually only one promotes. Every decision carries a
+/// fencing token of its own, which is claimed by a conditional update in the
+/// store: an order that got no reply may still be carried out seconds later,
+/// and must then be refused if a later decision was carried out. The VM of rank
+/// 0 reserves a token in advance, so that it can promote while the store is
 /// unavailable. How a primary is replaced is up to the PromotionProcedure.
 ///
 /// Runs on the loop's thread.
