Search the orders of events of fenced promotions for superseded entries

A model without time and sockets: three VMs, three targets of one group, the platform's fenced call, the store's record. decideSuccession() is the real one; claims, reservations and orders are modelled after PromotionTokens and FencedPromotion. Checked after every event: no entry that a newer term's primary lacked when it was promoted is in the log of a later primary; the orders of a decision carry one target and one token; no token serves two targets.

--- /dev/null
+++ b/test/Promotion/ModelVm.h
@@ -0,0 +1,48 @@
+#ifndef CICADAWIND_TEST_PROMOTION_MODELVM_H
+#define CICADAWIND_TEST_PROMOTION_MODELVM_H
+
+#include "Promotion/PromotionTurn.h"
+#include "Succession/PromotionDecision.h"
+#include "Succession/PromotionRecord.h"
+#include "Succession/SuccessorCandidate.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadawind::test {
+
+/// \class ModelSurvey
+/// \brief What the targets replied to a survey of a VM, and why it was made.
+struct ModelSurvey {
+  std::string OldPrimary;
+  bool IsHandOver = false;
+  std::vector<SuccessorCandidate> Candidates;
+  /// What was read before the survey, if anything was.
+  std::optional<PromotionTurn> Turn;
+};
+
+/// \class ModelVm
+/// \brief What one VM of a PromotionModel knows and has decided.
+struct ModelVm {
+  /// The primary that it knows; empty if none.
+  std::string Primary;
+  /// Term in which Primary proved that it leads; 0 without a proof.
+  Term ConfirmedTerm = 0;
+  std::optional<PromotionTurn> Reserved;
+  /// Its latest decision none of whose orders can be carried out.
+  std::optional<PromotionRecord> Void;
+  /// The record that Void superseded.
+  PromotionRecord BeforeVoid;
+  std::optional<ModelSurvey> Survey;
+  std::optional<PromotionDecision> Decision;
+  bool IsHandOver = false;
+  /// Number of orders of Decision, and what the first one carried.
+  unsigned Orders = 0;
+  std::string FirstTarget;
+  std::uint64_t FirstToken = 0;
+};
+
+} // namespace cicadawind::test
+
+#endif
--- /dev/null
+++ b/test/Promotion/PromotionModelDecisions.cpp
@@ -0,0 +1,305 @@
+// The part of PromotionModel that is modelled after FencedPromotion and
+// PromotionTokens.
+#include "Promotion/PromotionModel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadawind::test {
+
+void PromotionModel::survey(unsigned Vm) {
+  ModelVm &Each = Vms[Vm];
+  Each.Decision.reset();
+  Each.Survey.reset();
+  ModelSurvey Out{.OldPrimary = Each.Primary, .IsHandOver = isLeaving(Vm)};
+  if (Opts.ReadsRecordFirst)
+    Out.Turn = beginTurn(Each);
+  for (unsigned Id = 0; Id < ModelPlatform::TargetCount; ++Id) {
+    const ModelPlatform::Target &Target = Platform.at(Id);
+    std::string Name = targetName(Id);
+    if (Name == Out.OldPrimary || !vmReaches(Vm, Id))
+      continue;
+    if (Platform.leads(Id)) {
+      Each.Primary = Name;
+      Each.ConfirmedTerm = 0;
+      return;
+    }
+    Out.Candidates.push_back({.Instance = Name,
+                              .Follows = Target.Follows,
+                              .Received = Target.received(),
+                              .IsLeaving = Target.IsLeaving});
+  }
+  Each.Survey = Out;
+}
+
+std::optional<PromotionTurn> PromotionModel::beginTurn(ModelVm &Vm) const {
+  if (Vm.Reserved)
+    return std::exchange(Vm.Reserved, {});
+  if (StoreIsAway)
+    return std::nullopt;
+  return Stored;
+}
+
+PromotionEvidence
+PromotionModel::evidenceFrom(const ModelVm &Vm,
+                             const ModelSurvey &Survey) const {
+  PromotionEvidence Out{
+      .OldPrimary = Survey.OldPrimary,
+      .OldPrimaryTerm = Vm.Primary == Survey.OldPrimary ? Vm.ConfirmedTerm : 0,
+      .ReachesOldPrimary = Survey.IsHandOver,
+      .Candidates = Survey.Candidates};
+  for (unsigned Id = 0; Id < ModelPlatform::TargetCount; ++Id)
+    Out.Listed.insert(targetName(Id));
+  if (Opts.Flaw != PromotionFlaw::LongestLogWins)
+    return Out;
+  Out.OldPrimaryTerm = 0;
+  for (SuccessorCandidate &Each : Out.Candidates)
+    Each.Follows = Platform.at(Platform.source()).Follows;
+  return Out;
+}
+
+PromotionRecord PromotionModel::latestFor(const ModelVm &Vm,
+                                          const PromotionTurn &Turn) const {
+  bool IsIgnored = (Opts.Flaw == PromotionFlaw::UnknownPrimaryIgnoresRecord &&
+                    Vm.Primary.empty()) ||
+                   (Opts.Flaw == PromotionFlaw::ReservationWithoutRecord &&
+                    Turn.Reserved.has_value());
+  if (IsIgnored)
+    return {};
+  if (Vm.Void != Turn.Latest)
+    return Turn.Latest;
+  return Opts.KeepsSuperseded ? Vm.BeforeVoid : PromotionRecord();
+}
+
+std::optional<PromotionClaim> PromotionModel::claim(const PromotionTurn &Turn,
+                                                    PromotionRecord Record) {
+  if (Turn.Reserved)
+    return recordReserved(Turn, Record);
+  if (StoreIsAway || Turn.Version != Stored.Version)
+    return std::nullopt;
+  Record.Claim = Turn.Claims + 1;
+  Stored = {
+      .Latest = Record, .Claims = Turn.Claims + 1, .Version = Turn.Version + 1};
+  return PromotionClaim{.Token = Stored.Claims, .Decision = Record};
+}
+
+std::optional<PromotionClaim>
+PromotionModel::recordReserved(const PromotionTurn &Turn,
+                               PromotionRecord Record) {
+  Record.Claim = Turn.Claims;
+  PromotionClaim Out{.Token = *Turn.Reserved, .Decision = Record};
+  if (StoreIsAway || Opts.Flaw == PromotionFlaw::ReservationWithoutRecord)
+    return Out;
+  if (Turn.Version != Stored.Version)
+    return std::nullopt;
+  Stored.Latest = Record;
+  ++Stored.Version;
+  return Out;
+}
+
+void PromotionModel::reserve(ModelVm &Vm) {
+  ++Stored.Claims;
+  ++Stored.Version;
+  Vm.Reserved = Stored;
+  Vm.Reserved->Reserved = Stored.Claims;
+}
+
+void PromotionModel::adopt(ModelVm &Vm, const ModelSurvey &Survey,
+                           const PromotionClaim &Claimed) {
+  Vm.Void = Claimed.Decision;
+  Vm.Decision = PromotionDecision{.OldPrimary = Survey.OldPrimary,
+                                  .Successor = Claimed.Decision.Successor,
+                                  .Received = Claimed.Decision.Received,
+                                  .Opens = Claimed.Decision.Opens,
+                                  .Token = Claimed.Token};
+  Vm.IsHandOver = Survey.IsHandOver;
+  Vm.Orders = 0;
+}
+
+bool PromotionModel::decideOnce(ModelVm &Vm, const ModelSurvey &Survey,
+                                bool IsAnswered) {
+  std::optional<PromotionTurn> Turn =
+      Opts.ReadsRecordFirst ? Survey.Turn : beginTurn(Vm);
+  if (!Turn)
+    return false;
+  SuccessionVerdict Verdict =
+      decideSuccession(evidenceFrom(Vm, Survey), latestFor(Vm, *Turn));
+  const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
+  bool IsReserved = Turn->Reserved.has_value();
+  if (!Choice) {
+    const auto *Presumed = std::get_if<PresumedPrimary>(&Verdict);
+    if (Presumed && !IsReserved && Vm.Primary != Presumed->Instance) {
+      Vm.Primary = Presumed->Instance;
+      Vm.ConfirmedTerm = 0;
+    }
+    return IsReserved;
+  }
+  std::optional<PromotionClaim> Claimed =
+      claim(*Turn, {.Successor = Choice->Successor.Instance,
+                    .Received = Choice->Successor.Received,
+                    .Opens = Choice->Opens});
+  if (Claimed && IsAnswered) {
+    Vm.BeforeVoid = latestFor(Vm, *Turn);
+    adopt(Vm, Survey, *Claimed);
+  }
+  return !Claimed && IsReserved;
+}
+
+void PromotionModel::decide(unsigned Vm, bool IsAnswered) {
+  ModelVm &Each = Vms[Vm];
+  std::optional<ModelSurvey> Survey = std::exchange(Each.Survey, {});
+  if (!Survey || !decideOnce(Each, *Survey, IsAnswered))
+    return;
+  // The record that came with a reserved token may be outdated.
+  if (Opts.ReadsRecordFirst) {
+    survey(Vm);
+    Survey = std::exchange(Each.Survey, {});
+  }
+  if (Survey)
+    decideOnce(Each, *Survey, IsAnswered);
+}
+
+void PromotionModel::checkOrder(ModelVm &Vm) {
+  const PromotionDecision &Decision = *Vm.Decision;
+  if (Vm.Orders == 0) {
+    Vm.FirstTarget = Decision.Successor;
+    Vm.FirstToken = Decision.Token;
+  }
+  if (Vm.FirstTarget != Decision.Successor || Vm.FirstToken != Decision.Token)
+    TokenViolation = "a decision was ordered with two targets or tokens";
+  if (TokenTargets.size() <= Decision.Token)
+    TokenTargets.resize(Decision.Token + 1, ' ');
+  char &Used = TokenTargets[Decision.Token];
+  if (Used != ' ' && Used != Decision.Successor.front())
+    TokenViolation = "one token for two targets";
+  Used = Decision.Successor.front();
+}
+
+void PromotionModel::order(ModelVm &Vm, PromotionEventKind Kind) {
+  if (!isStillDue(Vm)) {
+    Vm.Decision.reset();
+    return;
+  }
+  if (Opts.Flaw == PromotionFlaw::RepeatClaimsToken && Vm.Orders > 0 &&
+      !StoreIsAway) {
+    ++Stored.Version;
+    Vm.Decision->Token = ++Stored.Claims;
+  }
+  checkOrder(Vm);
+  ++Vm.Orders;
+  Order Sent{.Target = targetId(Vm.Decision->Successor),
+             .Token = Vm.Decision->Token};
+  bool IsAnswered = Kind == PromotionEventKind::Order;
+  bool IsAccepted = IsAnswered && Platform.promote(Sent.Target, Sent.Token);
+  if (!IsAnswered || IsAccepted)
+    Vm.Void.reset();
+  if (IsAnswered)
+    Vm.Decision.reset();
+  if (Kind == PromotionEventKind::OrderInFlight)
+    InFlight.push_back(Sent);
+}
+
+void PromotionModel::carryOut(std::size_t Index) {
+  auto At = InFlight.begin() + static_cast<std::ptrdiff_t>(Index);
+  Order Sent = *At;
+  InFlight.erase(At);
+  Platform.promote(Sent.Target, Sent.Token);
+}
+
+static void append(std::string &Out, std::uint64_t Number) {
+  Out += static_cast<char>(Number);
+}
+
+static void append(std::string &Out, LogPosition Position) {
+  append(Out, Position.WrittenIn);
+  append(Out, Position.Index);
+}
+
+static void append(std::string &Out, const PromotionRecord &Record) {
+  append(Out, Record.Claim);
+  append(Out, Record.Successor.empty() ? 0 : Record.Successor.front());
+  append(Out, Record.Received);
+  append(Out, Record.Opens);
+}
+
+static void append(std::string &Out, const std::string &Name) {
+  Out += Name;
+  Out += '\0';
+}
+
+static void append(std::string &Out, const ModelSurvey &Survey) {
+  append(Out, Survey.OldPrimary);
+  append(Out, Survey.IsHandOver ? 1 : 0);
+  for (const SuccessorCandidate &Each : Survey.Candidates) {
+    append(Out, Each.Instance);
+    append(Out, Each.Follows);
+    append(Out, Each.Received);
+    append(Out, Each.IsLeaving ? 1 : 0);
+  }
+}
+
+static void append(std::string &Out, const PromotionDecision &Decision) {
+  append(Out, Decision.OldPrimary);
+  append(Out, Decision.Successor);
+  append(Out, Decision.Received);
+  append(Out, Decision.Opens);
+  append(Out, Decision.Token);
+}
+
+static void append(std::string &Out, const PromotionTurn &Reserved,
+                   std::uint64_t StoredVersion) {
+  append(Out, Reserved.Latest);
+  append(Out, Reserved.Claims);
+  append(Out, Reserved.Version == StoredVersion ? 1 : 0);
+}
+
+/// Returns what distinguishes \p Vm, without its name.
+static std::string keyOf(const ModelVm &Vm, std::uint64_t StoredVersion) {
+  std::string Out;
+  append(Out, Vm.Primary);
+  append(Out, Vm.ConfirmedTerm);
+  append(Out, (Vm.Reserved ? 1U : 0U) | (Vm.Void ? 2U : 0U) |
+                  (Vm.Survey ? 4U : 0U) | (Vm.Decision ? 8U : 0U));
+  if (Vm.Reserved)
+    append(Out, *Vm.Reserved, StoredVersion);
+  if (Vm.Void) {
+    append(Out, *Vm.Void);
+    append(Out, Vm.BeforeVoid);
+  }
+  if (Vm.Decision) {
+    append(Out, *Vm.Decision);
+    append(Out, Vm.IsHandOver ? 1 : 0);
+    append(Out, Vm.Orders);
+  }
+  if (Vm.Survey)
+    append(Out, *Vm.Survey);
+  if (Vm.Survey && Vm.Survey->Turn)
+    append(Out, *Vm.Survey->Turn, StoredVersion);
+  return Out;
+}
+
+std::string PromotionModel::key() const {
+  std::string Out;
+  Platform.appendKey(Out);
+  append(Out, StoreIsAway ? 1 : 0);
+  append(Out, Stored.Claims);
+  append(Out, Stored.Latest);
+  for (unsigned Side : Cuts)
+    append(Out, Side & ((1U << ModelPlatform::TargetCount) - 1));
+  for (const Order &Each : InFlight) {
+    append(Out, Each.Target + 1);
+    append(Out, Each.Token);
+  }
+  std::array<std::string, VmCount> Keys;
+  for (unsigned Vm = 0; Vm < VmCount; ++Vm) {
+    Keys[Vm] = keyOf(Vms[Vm], Stored.Version);
+    for (unsigned Side : Cuts)
+      append(Keys[Vm], Side >> (ModelPlatform::TargetCount + Vm) & 1U);
+  }
+  std::sort(Keys.begin(), Keys.end());
+  for (const std::string &Each : Keys)
+    append(Out, Each);
+  return Out;
+}
+
+} // namespace cicadawind::test
