Let a hand-over ignore no recorded promotion

Cause: decideSuccession() took the wish for a hand-over for a proof that the leaving primary leads. A VM that did not reach it promoted the replaced primary (handOverNeedsAProofOfThePrimary, 12 events, failing before). The record now counts in a hand-over as well; while its successor is silent, a VM with a proof of the leaving primary goes on with that one.

Two new rows of SuccessionRuleTest, seen failing. PromotionDriverTest and ReplacedPrimaryTest pass.

--- a/src/Succession/PromotionEvidence.h
+++ b/src/Succession/PromotionEvidence.h
@@ -17,7 +17,7 @@
   std::string OldPrimary;
   /// Newest term in which OldPrimary was proved to write; 0 if unknown.
   Term OldPrimaryTerm = 0;
-  /// Whether OldPrimary still proves that it is the primary.
+  /// Whether OldPrimary is replaced by a hand-over, and may be used until then.
   bool ReachesOldPrimary = false;
   /// The replicas that replied to the survey.
   std::vector<SuccessorCandidate> Candidates;
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -20,7 +20,7 @@
 static bool mayBeUnknownPrimary(const PromotionRecord &Latest,
                                 const PromotionEvidence &Evidence) {
   if (!Evidence.Listed.count(Latest.Successor) ||
-      Latest.Successor == Evidence.OldPrimary || Evidence.ReachesOldPrimary)
+      Latest.Successor == Evidence.OldPrimary)
     return false;
   // A primary of a later term shows that the record is outdated, because the
   // store came back from an older copy.
@@ -36,6 +36,16 @@
   return It == Evidence.Candidates.end() ? nullptr : &*It;
 }
 
+/// Returns the verdict while the successor of \p Latest may be the primary and
+/// did not reply. A hand-over waits for it, since the leaving primary can be
+/// used in the meantime.
+static SuccessionVerdict awaitSilent(const PromotionRecord &Latest,
+                                     const PromotionEvidence &Evidence) {
+  if (Evidence.ReachesOldPrimary && Evidence.OldPrimaryTerm > 0)
+    return NoSuccessor{Latest.Opens};
+  return PresumedPrimary{Latest.Successor};
+}
+
 /// Returns whether \p Pending, the successor of \p Latest, can be promoted as
 /// decided: it has kept its log, and no candidate follows a newer term.
 static bool isCompletable(const SuccessorCandidate &Pending,
@@ -81,7 +91,7 @@
       internal::find(Evidence, Latest.Successor);
   if (internal::mayBeUnknownPrimary(Latest, Evidence)) {
     if (!Pending)
-      return PresumedPrimary{Latest.Successor};
+      return internal::awaitSilent(Latest, Evidence);
     // Without a known primary, an order of the latest decision may have been
     // carried out since the successor replied.
     if (Evidence.OldPrimary.empty() &&
--- a/src/Succession/SuccessionRule.h
+++ b/src/Succession/SuccessionRule.h
@@ -30,7 +30,7 @@
   std::string Instance;
 };
 
-/// No candidate follows the newest term that is known to have been opened.
+/// No candidate follows the newest term that may have been opened.
 struct NoSuccessor {
   Term Needed = 0;
 };
@@ -45,7 +45,9 @@
 /// may have been opened, since it may hold acknowledged entries that this term
 /// discarded, and reads of that term lacked them. The primary of that term is
 /// the successor of \p Latest, so only evidence against that target allows
-/// another decision; a VM that has none may only complete \p Latest. A target
+/// another decision; a VM that has none may only complete \p Latest. That a
+/// hand-over is wanted is no such evidence, and a proof of the old primary is
+/// older than an order that is carried out after it. A target
 /// that the registry no longer lists is gone, and its term with it. Costs
 /// O(candidates).
 SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
