Complete the recorded promotion whenever its successor can be the primary

It now completes the record, as a VM that knows no primary does already. If that order is carried out first, the second one changes nothing.

Price: a replica with a longer log is passed over, so its entries that the recorded successor has not received are discarded; not measured how often.

--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -92,15 +92,13 @@
   if (internal::mayBeUnknownPrimary(Latest, Evidence)) {
     if (!Pending)
       return internal::awaitSilent(Latest, Evidence);
-    // Without a known primary, an order of the latest decision may have been
-    // carried out since the successor replied.
-    if (Evidence.OldPrimary.empty() &&
-        internal::isCompletable(*Pending, Latest, Evidence))
+    // An order of the latest decision may have been carried out since the
+    // successor replied, or may be before this decision's is. Another successor
+    // could hold entries that it lacked.
+    if (internal::isCompletable(*Pending, Latest, Evidence))
       return internal::choose(*Pending);
   }
   Term Needed = internal::newestOpened(Evidence, Latest);
-  // An order of the latest decision may still be carried out, which changes
-  // nothing if its successor is promoted anyway.
   std::optional<SuccessorCandidate> Best =
       chooseSuccessor(Evidence.Candidates, Needed, Latest.Successor);
   if (!Best)
