Never record a lower term when a promotion is completed

Cause: a VM whose survey is older than the record completed it with the term that its old survey gave, so the record said that an older term was opened, and a target of that term could be promoted (recordedTermDoesNotFall, 16 events, failing before). The higher of the two terms is recorded now. It never exceeds the term that the platform opens, which follows all that were opened before.

--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -62,6 +62,15 @@
   return {.Successor = Successor, .Opens = Successor.Follows + 1};
 }
 
+/// Returns the choice of \p Pending, the successor of \p Latest. Its reply may
+/// be older than \p Latest, and the term that it opens is never recorded as
+/// lower.
+static SuccessionChoice complete(const SuccessorCandidate &Pending,
+                                 const PromotionRecord &Latest) {
+  return {.Successor = Pending,
+          .Opens = std::max(Latest.Opens, Pending.Follows + 1)};
+}
+
 /// Returns the newest term that is known to have been opened by a primary which
 /// may come back.
 static Term newestOpened(const PromotionEvidence &Evidence,
@@ -96,7 +105,7 @@
     // successor replied, or may be before this decision's is. Another successor
     // could hold entries that it lacked.
     if (internal::isCompletable(*Pending, Latest, Evidence))
-      return internal::choose(*Pending);
+      return internal::complete(*Pending, Latest);
   }
   Term Needed = internal::newestOpened(Evidence, Latest);
   std::optional<SuccessorCandidate> Best =
