--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -65,6 +65,7 @@
   Out.Candidates = candidatesFrom(Group, Replies, OldPrimary);
   for (const TargetEntry &Entry : Group.entries())
     Out.Listed.insert(Entry.Instance);
+  Out.ListRevision = Service.targetsRevision();
   return Out;
 }
 
@@ -81,7 +82,8 @@
     internal::Logger.info(
         "promotion stopped; a target that was ordered may be primary",
         {{"group", Group}, {"target", Presumed->Instance}});
-    if (GroupDispatcher *Dispatcher = Service.findGroup(Group))
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (Dispatcher && Dispatcher->findEntry(Presumed->Instance))
       Dispatcher->recordPrimaryClaim(Presumed->Instance);
   } else if (const auto *None = std::get_if<NoSuccessor>(&Verdict)) {
     internal::Logger.warning(
@@ -119,7 +121,8 @@
     }
     PromotionRecord Record{.Successor = Choice->Successor.Instance,
                            .Received = Choice->Successor.Received,
-                           .Opens = Choice->Opens};
+                           .Opens = Choice->Opens,
+                           .ListRevision = Service.targetsRevision()};
     Result<PromotionClaim> Claimed = co_await Tokens.claim(Group, Turn, Record);
     if (const Error *E = errorOf(Claimed)) {
       if (Repeats)
@@ -132,6 +135,7 @@
     VoidDecisions[Group] = valueOf(Claimed).Decision;
     co_return PromotionDecision{.Group = Group,
                                 .OldPrimary = OldPrimary,
+                                .IsPlanned = Reason != PromotionReason::Lost,
                                 .Successor = Record.Successor,
                                 .Received = Record.Received,
                                 .Opens = Record.Opens,
@@ -144,8 +148,13 @@
   if (!Dispatcher || (Opts.IsDeferred && Opts.IsDeferred(Decision.Group)))
     return false;
   const std::string &Primary = Dispatcher->tracker().primary();
-  return Primary.empty() || Primary == Decision.OldPrimary ||
-         Primary == Decision.Successor;
+  if (Primary.empty() || Primary == Decision.Successor)
+    return true;
+  const PrimaryFailureDetector &Detector = Dispatcher->failureDetector();
+  bool IsReachedAgain =
+      Detector.primary() == Primary && !Detector.failingSince().has_value();
+  return Primary == Decision.OldPrimary &&
+         (Decision.IsPlanned || !IsReachedAgain);
 }
 
 boost::asio::awaitable<bool> FencedPromotion::run(std::string Group,
@@ -200,6 +209,8 @@
                              {"token", std::to_string(Decision.Token)}});
       co_return false;
     }
+    // The other VMs wait while the attempt goes on.
+    Peers.broadcastPromotion(Decision.Group, Decision.Token, BootClock::now());
     PromotionOutcome Outcome = co_await orderOnce(Decision);
     internal::Logger.info("promotion ordered",
                           {{"group", Decision.Group},
