Pass evidence on a primary in doubt between regions through two VMs each

Cause: while a primary is in doubt, each voter asks each other about it every 80 ms. With 91 VMs and 8 groups that fills the link between the regions, and the delay keeps the primaries in doubt.

Change: voters ask their region as before. Two VMs of each region and group, in different failure domains, ask one each of the other region, which asks its own and passes the reports on as they arrive. Ages add up, counted back from one's own query. A reporter that is silent for 150 ms is passed over; if the first two are, the other region is asked directly as well, within a budget in bytes. Up to 20 pairs of voters ask each other as before. Other releases ignore the fields.

--- a/src/Exchange/Exchange.h
+++ b/src/Exchange/Exchange.h
@@ -4,8 +4,10 @@
 #ifndef CICADAWIND_EXCHANGE_EXCHANGE_H
 #define CICADAWIND_EXCHANGE_EXCHANGE_H
 
+#include "Exchange/ByteBudget.h"
 #include "Exchange/PeerExchange.h"
 #include "Exchange/PeerMessage.h"
+#include "Exchange/SharedEvidence.h"
 #include "Exchange/StateFetches.h"
 #include "Exchange/VmRegistration.h"
 
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -66,7 +66,8 @@
       Readers(readerOptions(Opts), BootClock::now()), Socket(Loop),
       Incarnation(newIncarnation()), Fetches(fetchOptions(Opts)),
       Reporters({.OwnVm = Opts.Vm, .Region = Opts.Region}),
-      Voters({.OwnVm = Opts.Vm}) {}
+      DoubtReporters({.OwnVm = Opts.Vm}), Shared(SharedEvidence::Options{}),
+      ListTimer(Loop), Voters({.OwnVm = Opts.Vm}) {}
 
 PeerExchange::~PeerExchange() { *Alive = false; }
 
@@ -336,6 +337,8 @@
 
 void PeerExchange::sweep(TimePoint Now) {
   dropExpiredQueries(Now);
+  Shared.dropExpired(Now);
+  sendDueLists(Now);
   fetchIfDue(Now);
   if (Now < NextHello)
     return;
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -2,16 +2,20 @@
 #define CICADAWIND_EXCHANGE_PEEREXCHANGE_H
 
 #include "Core/Random.h"
+#include "Exchange/ByteBudget.h"
 #include "Exchange/PeerMessage.h"
+#include "Exchange/SharedEvidence.h"
 #include "Exchange/StateFetches.h"
 #include "Http/HttpMessage.h"
 #include "Leases/VoterList.h"
+#include "Membership/EvidenceReporters.h"
 #include "Membership/FleetGossip.h"
 #include "Membership/ProofReporters.h"
 #include "Membership/StoreReaders.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <functional>
@@ -67,6 +71,14 @@
     Duration MinQueryInterval = std::chrono::milliseconds(80);
     /// Maximum number of peers that one query for a leadership proof goes to.
     std::size_t ProofFanout = 3;
+    /// Pairs of a voter of this region and one of another up to which each asks
+    /// the other itself about a primary in doubt. As many as a group has where
+    /// VMs relay.
+    std::size_t MaxDirectPairs = 20;
+    /// Bytes a second that all VMs of this region may send to others, and get
+    /// in reply, for queries about primaries in doubt that bypass the
+    /// EvidenceReporters. A quarter of a link of 30 Mbit/s.
+    double DirectQueryBudget = 30e6 / 8 / 4;
     RandomSource Random;
   };
 
@@ -97,7 +109,8 @@
   void contactListed(const std::vector<VmEntry> &Entries);
 
   /// Queries peers about the primary of \p Group. If \p Instance is given, it
-  /// is the primary in doubt, and all live voters are asked for their evidence.
+  /// is the primary in doubt, and all live voters are asked for their evidence;
+  /// those of other regions through EvidenceReporters, if there are many.
   /// If it is empty, a few peers are asked for a newer leadership proof; if the
   /// primary is in another region and reached through relays, one VM of this
   /// region asks them for all VMs of the region. Does nothing within
@@ -169,6 +182,15 @@
   };
 
   using QueryKey = std::pair<std::string, std::string>;
+  /// When something was last done for a group and instance.
+  using QueryTimes = std::map<QueryKey, TimePoint>;
+
+  /// The live voters of a group, without this VM.
+  struct VoterPeers {
+    std::vector<VmEntry> Near;
+    /// Those of other regions, by region.
+    std::map<std::string, std::vector<VmEntry>> Far;
+  };
 
   /// Waits for the next datagram, handles it and continues.
   void receiveNext();
@@ -176,16 +198,59 @@
   void handleHello(const PeerHello &Hello, TimePoint Now);
   void handleQuery(const PrimaryQuery &Query, TimePoint Now);
   void handleReport(const PrimaryReport &Report, TimePoint Now);
+  PrimaryReport makeReport(const PrimaryQuery &Query, TimePoint Now) const;
   void sendReport(const PendingReport &Waiting, TimePoint Now);
   /// Sends the reports about \p Group that waited for a newer proof.
   void sendWaitingReports(const std::string &Group, TimePoint Now);
   void dropExpiredQueries(TimePoint Now);
   void sendQuery(const std::string &Group, const std::string &Instance,
                  const std::vector<VmEntry> &To, TimePoint Now);
-  /// Returns the peers that a query goes to; see queryPrimary().
-  std::vector<VmEntry> chooseQueried(const std::string &Group,
-                                     const std::string &Instance,
-                                     TimePoint Now);
+  /// Returns a query of a new number, whose reports are accepted.
+  PrimaryQuery makeQuery(const std::string &Group, const std::string &Instance,
+                         TimePoint Now);
+  /// Returns whether MinQueryInterval has passed since the time in \p Times,
+  /// and sets it to \p Now in that case.
+  bool isQueryDue(QueryTimes &Times, const QueryKey &On, TimePoint Now) const;
+  /// Returns the peers that a query for a leadership proof goes to.
+  std::vector<VmEntry> chooseQueried(const std::string &Group, TimePoint Now);
+  /// Returns the VMs \p Names whose addresses are known, or all live peers if
+  /// there are no names.
+  std::vector<VmEntry> findPeers(const std::set<std::string> &Names,
+                                 TimePoint Now) const;
+
+  // Evidence on primaries in doubt; see EvidenceReporters and SharedEvidence.
+
+  VoterPeers votersOf(const std::string &Group, TimePoint Now) const;
+  /// Asks all voters about \p Instance, which is in doubt.
+  void queryVoters(const std::string &Group, const std::string &Instance,
+                   TimePoint Now);
+  /// Asks the voters of this region for a VM of another one.
+  void queryOwnRegion(const std::string &Group, const std::string &Instance,
+                      TimePoint Now);
+  /// Asks the reporters of other regions for the VMs of this one.
+  void queryOtherRegions(const std::string &Group, const std::string &Instance,
+                         TimePoint Now);
+  /// Asks \p Voters, of another region, without reporters, as far as
+  /// DirectQueryBudget allows for a region of \p NearCount VMs.
+  void queryDirectly(const std::string &Group, const std::string &Instance,
+                     const std::vector<VmEntry> &Voters, std::size_t NearCount,
+                     TimePoint Now);
+  /// Returns the place of this VM among the reporters of its region.
+  std::size_t ownPlace(const std::string &Group, const VoterPeers &Voters,
+                       TimePoint Now);
+  /// Handles the scope of \p Query.
+  void handleScope(const PrimaryQuery &Query, TimePoint Now);
+  /// Records the sender's evidence in \p Report, and what it passes on.
+  void recordEvidence(const PrimaryReport &Report, const PendingQuery &Query,
+                      TimePoint Now);
+  /// Records \p Item, which was true at \p At. \p Voters are the voters of the
+  /// group; empty if all VMs are.
+  void recordPassedOn(const ReportedEvidence &Item, const PendingQuery &Query,
+                      const std::set<std::string> &Voters, TimePoint At);
+  void sendDueLists(TimePoint Now);
+  /// Sends the lists that are due a moment later, with all that arrives until
+  /// then.
+  void scheduleLists();
   /// Returns whether all \p Vms are in other regions.
   bool isRemote(const std::vector<VmEntry> &Vms) const;
   /// Returns the live peers that relay to the primary of \p Group; none if VMs
@@ -273,10 +338,18 @@
   /// Queries whose reports are still accepted, by number.
   std::map<std::uint64_t, PendingQuery> Queries;
   /// When each query was last sent, by group and instance.
-  std::map<QueryKey, TimePoint> LastQueriedAt;
+  QueryTimes LastQueriedAt;
+  /// When this VM last asked its region, and other ones, for other VMs.
+  QueryTimes OwnRegionQueriedAt;
+  QueryTimes OtherRegionsQueriedAt;
   std::uint64_t LastQueryNumber = 0;
   std::map<std::string, std::vector<PendingReport>> WaitingReports;
   ProofReporters Reporters;
+  EvidenceReporters DoubtReporters;
+  SharedEvidence Shared;
+  boost::asio::steady_timer ListTimer;
+  bool AreListsScheduled = false;
+  ByteBudget DirectBudget;
   std::function<void(const PromotionNotice &)> NoticeHook;
   std::function<void(const PeerMessage &, const ReplyFunction &)> LeaseHook;
   VoterList Voters;
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -67,11 +67,25 @@
 }
 
 static Json toJson(const PrimaryQuery &Message) {
-  return Json{{"t", "ask"},
-              {"from", Message.From},
-              {"n", Message.Number},
-              {"group", Message.Group},
-              {"instance", Message.Instance}};
+  Json Out{{"t", "ask"},
+           {"from", Message.From},
+           {"n", Message.Number},
+           {"group", Message.Group},
+           {"instance", Message.Instance}};
+  if (Message.Scope != EvidenceScope::Own)
+    Out["scope"] = static_cast<int>(Message.Scope);
+  return Out;
+}
+
+static Json toJson(const std::vector<ReportedEvidence> &Items) {
+  Json Out = Json::array();
+  for (const ReportedEvidence &Each : Items) {
+    Json Item = Json::array({Each.Vm, Each.Age.count(), Each.ReachesDirectly});
+    if (Each.ContactAge)
+      Item.push_back(Each.ContactAge->count());
+    Out.push_back(std::move(Item));
+  }
+  return Out;
 }
 
 static Json toJson(const PrimaryReport &Message) {
@@ -86,6 +100,10 @@
            {"age", Message.ProofAge.count()}};
   if (Message.ContactAge)
     Out["heard"] = Message.ContactAge->count();
+  if (Message.PassesOn) {
+    Out["others"] = toJson(Message.PassedOn);
+    Out["held"] = Message.Held.count();
+  }
   return Out;
 }
 
@@ -259,12 +277,39 @@
   return Out;
 }
 
+/// Returns the scope in \p In; Own if there is none or a later release's.
+static EvidenceScope scopeFrom(const Json &In) {
+  int Scope = In.value("scope", 0);
+  if (Scope == static_cast<int>(EvidenceScope::Region))
+    return EvidenceScope::Region;
+  if (Scope == static_cast<int>(EvidenceScope::OtherRegions))
+    return EvidenceScope::OtherRegions;
+  return EvidenceScope::Own;
+}
+
+static std::vector<ReportedEvidence> evidenceFrom(const Json &In) {
+  constexpr std::size_t SizeWithContact = 4;
+  std::vector<ReportedEvidence> Out;
+  for (const Json &Each : In) {
+    ReportedEvidence Item{.Vm = Each.at(0).get<std::string>(),
+                          .Age = Millis(Each.at(1).get<std::int64_t>()),
+                          .ReachesDirectly = Each.at(2).get<bool>()};
+    if (Each.size() >= SizeWithContact)
+      Item.ContactAge = Millis(Each.at(3).get<std::int64_t>());
+    if (Item.Age < Millis::zero())
+      throw std::invalid_argument("evidence of a negative age");
+    Out.push_back(std::move(Item));
+  }
+  return Out;
+}
+
 static PrimaryQuery queryFrom(const Json &In) {
   PrimaryQuery Out;
   Out.From = In.at("from").get<std::string>();
   Out.Number = In.at("n").get<std::uint64_t>();
   Out.Group = In.at("group").get<std::string>();
   Out.Instance = In.at("instance").get<std::string>();
+  Out.Scope = scopeFrom(In);
   return Out;
 }
 
@@ -280,6 +325,11 @@
   Out.ProofAge = Millis(In.at("age").get<std::int64_t>());
   if (In.contains("heard"))
     Out.ContactAge = Millis(In.at("heard").get<std::int64_t>());
+  if (In.contains("others")) {
+    Out.PassesOn = true;
+    Out.PassedOn = evidenceFrom(In.at("others"));
+    Out.Held = Millis(In.value("held", std::int64_t{0}));
+  }
   return Out;
 }
 
--- a/src/Exchange/PeerMessage.h
+++ b/src/Exchange/PeerMessage.h
@@ -36,6 +36,16 @@
   std::vector<ContactAge> Ages;
 };
 
+/// Whose evidence a PrimaryQuery asks for besides the receiver's own. Releases
+/// that do not know it report their own.
+enum class EvidenceScope {
+  Own,
+  /// That of the voters in the receiver's region.
+  Region,
+  /// That of the voters in all other regions.
+  OtherRegions,
+};
+
 /// Asks the receiver for its evidence on the primary of a group.
 struct PrimaryQuery {
   std::string From;
@@ -45,6 +55,17 @@
   /// The primary that the sender cannot reach; empty if the sender only needs a
   /// newer leadership proof.
   std::string Instance;
+  EvidenceScope Scope = EvidenceScope::Own;
+};
+
+/// Evidence of a VM on a primary, as another VM passes it on.
+struct ReportedEvidence {
+  std::string Vm;
+  /// Time since that VM reported this, rounded up.
+  Millis Age = Millis::zero();
+  /// See PrimaryReport.
+  std::optional<Millis> ContactAge;
+  bool ReachesDirectly = false;
 };
 
 /// The sender's evidence on a primary, in reply to a PrimaryQuery.
@@ -67,6 +88,12 @@
   LogPosition LogEnd;
   /// Time since that proof was requested, rounded up.
   Millis ProofAge = Millis::zero();
+  /// Whether the sender passes on the evidence in the scope of the query, and
+  /// what of it the receiver has not got yet.
+  bool PassesOn = false;
+  std::vector<ReportedEvidence> PassedOn;
+  /// Time since the query arrived, not rounded up.
+  Millis Held = Millis::zero();
 };
 
 /// Announces that the sender replaces the primary of a group, so that other VMs
--- a/src/Exchange/PeerQueries.cpp
+++ b/src/Exchange/PeerQueries.cpp
@@ -41,15 +41,17 @@
     WaitingReports[Query.Group].push_back(std::move(Waiting));
     return queryPrimary(Query.Group, "", Now);
   }
+  handleScope(Query, Now);
   sendReport(Waiting, Now);
 }
 
-void PeerExchange::sendReport(const PendingReport &Waiting, TimePoint Now) {
+PrimaryReport PeerExchange::makeReport(const PrimaryQuery &Query,
+                                       TimePoint Now) const {
   PrimaryReport Report;
   Report.From = Opts.Vm;
-  Report.Number = Waiting.Query.Number;
-  Report.Group = Waiting.Query.Group;
-  const std::string &Instance = Waiting.Query.Instance;
+  Report.Number = Query.Number;
+  Report.Group = Query.Group;
+  const std::string &Instance = Query.Instance;
   if (GroupDispatcher *Group = Service.findGroup(Report.Group)) {
     if (!Instance.empty()) {
       std::optional<Duration> ContactAge =
@@ -69,6 +71,16 @@
       Report.ProofAge = toMillis(Now - Proof->RequestedAt) + Millis(1);
     }
   }
+  return Report;
+}
+
+void PeerExchange::sendReport(const PendingReport &Waiting, TimePoint Now) {
+  const PrimaryQuery &Query = Waiting.Query;
+  PrimaryReport Report = makeReport(Query, Now);
+  Report.PassesOn = Query.Scope != EvidenceScope::Own;
+  if (Report.PassesOn)
+    Report.PassedOn =
+        Shared.takeListFor({Query.Group, Query.Instance}, Query.From, Now);
   // An error is ignored, since the peer repeats its query if it gets no report.
   boost::system::error_code Ignored;
   Socket.send_to(boost::asio::buffer(encodePeerMessage(Report)), Waiting.To, 0,
@@ -132,9 +144,7 @@
     return;
   const PendingQuery &Query = It->second;
   if (!Query.Instance.empty())
-    Group->failureDetector().recordPeerReport(Report.From, Query.Instance,
-                                              Report.ContactAge,
-                                              Report.ReachesDirectly, Now);
+    recordEvidence(Report, Query, Now);
   // The age is counted back from the time of the query, which is earlier than
   // that of the report. So the proof may appear older than it is, never newer.
   if (!Report.Primary.empty())
@@ -143,63 +153,79 @@
   sendWaitingReports(Report.Group, Now);
 }
 
+bool PeerExchange::isQueryDue(QueryTimes &Times, const QueryKey &On,
+                              TimePoint Now) const {
+  auto Last = Times.find(On);
+  if (Last != Times.end() && Now - Last->second < Opts.MinQueryInterval)
+    return false;
+  Times[On] = Now;
+  return true;
+}
+
 void PeerExchange::queryPrimary(const std::string &Group,
                                 const std::string &Instance, TimePoint Now) {
   // MinQueryInterval applies to each instance separately, so that a query about
   // a primary in doubt is not delayed by queries for leadership proofs.
-  QueryKey Key(Group, Instance);
-  auto LastQueried = LastQueriedAt.find(Key);
-  if (LastQueried != LastQueriedAt.end() &&
-      Now - LastQueried->second < Opts.MinQueryInterval)
+  if (!isQueryDue(LastQueriedAt, {Group, Instance}, Now))
     return;
-  LastQueriedAt[Key] = Now;
-  sendQuery(Group, Instance, chooseQueried(Group, Instance, Now), Now);
+  if (Instance.empty())
+    sendQuery(Group, Instance, chooseQueried(Group, Now), Now);
+  else
+    queryVoters(Group, Instance, Now);
+}
+
+std::vector<VmEntry> PeerExchange::findPeers(const std::set<std::string> &Names,
+                                             TimePoint Now) const {
+  if (Names.empty())
+    return livePeers(Now);
+  std::vector<VmEntry> Out;
+  for (const std::string &Vm : Names)
+    if (std::optional<VmEntry> Entry = Service.findPeer(Vm))
+      Out.push_back(std::move(*Entry));
+  return Out;
 }
 
 std::vector<VmEntry> PeerExchange::chooseQueried(const std::string &Group,
-                                                 const std::string &Instance,
                                                  TimePoint Now) {
   // VMs that have evidence of their own; an empty set stands for all VMs.
-  std::set<std::string> DirectVms = Instance.empty()
-                                        ? Service.relaysToPrimary(Group)
-                                        : Service.votersFor(Group);
-  std::vector<VmEntry> Peers;
-  if (DirectVms.empty())
-    Peers = livePeers(Now);
-  for (const std::string &Vm : DirectVms)
-    if (std::optional<VmEntry> Entry = Service.findPeer(Vm))
-      Peers.push_back(std::move(*Entry));
+  std::set<std::string> DirectVms = Service.relaysToPrimary(Group);
+  std::vector<VmEntry> Peers = findPeers(DirectVms, Now);
   // One VM of the region asks the other region for all of them.
-  if (Instance.empty() && !DirectVms.empty() && isRemote(Peers)) {
+  if (!DirectVms.empty() && isRemote(Peers)) {
     std::optional<std::string> Vm =
         Reporters.reporterFor(Group, livePeers(Now), livePeersVersion(), Now);
     std::optional<VmEntry> Entry = Vm ? Service.findPeer(*Vm) : std::nullopt;
     if (Entry)
       return {*Entry};
   }
-  if (Instance.empty()) {
-    // Peers of this region respond sooner and cause no traffic between regions.
-    std::stable_partition(Peers.begin(), Peers.end(), [&](const VmEntry &E) {
-      return E.Region == Opts.Region;
-    });
-    Peers.resize(std::min(Peers.size(), Opts.ProofFanout));
-  }
+  // Peers of this region respond sooner and cause no traffic between regions.
+  std::stable_partition(Peers.begin(), Peers.end(), [&](const VmEntry &E) {
+    return E.Region == Opts.Region;
+  });
+  Peers.resize(std::min(Peers.size(), Opts.ProofFanout));
   // Each relay gets leadership proofs itself, so one of them is enough. The
   // query number selects it, so that the load is shared.
-  if (Instance.empty() && !DirectVms.empty() && !Peers.empty())
+  if (!DirectVms.empty() && !Peers.empty())
     Peers = {Peers[LastQueryNumber % Peers.size()]};
   return Peers;
 }
 
-void PeerExchange::sendQuery(const std::string &Group,
-                             const std::string &Instance,
-                             const std::vector<VmEntry> &To, TimePoint Now) {
+PrimaryQuery PeerExchange::makeQuery(const std::string &Group,
+                                     const std::string &Instance,
+                                     TimePoint Now) {
   PrimaryQuery Query;
   Query.From = Opts.Vm;
   Query.Number = ++LastQueryNumber;
   Query.Group = Group;
   Query.Instance = Instance;
   Queries[Query.Number] = {.Group = Group, .Instance = Instance, .SentAt = Now};
+  return Query;
+}
+
+void PeerExchange::sendQuery(const std::string &Group,
+                             const std::string &Instance,
+                             const std::vector<VmEntry> &To, TimePoint Now) {
+  PrimaryQuery Query = makeQuery(Group, Instance, Now);
   for (const VmEntry &Entry : To)
     sendTo(Entry.RouterPeer, Query);
 }
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -80,6 +80,48 @@
   BOOST_TEST(std::get<PromotionNotice>(valueOf(DecodedNotice)).Token == 4);
 }
 
+BOOST_AUTO_TEST_CASE(evidenceThatIsPassedOnSurvivesEncodingAndDecoding) {
+  PrimaryQuery Query{.From = "vm-1",
+                     .Number = 7,
+                     .Group = "g",
+                     .Instance = "a",
+                     .Scope = EvidenceScope::OtherRegions};
+  auto ReadQuery = decodePeerMessage(encodePeerMessage(Query));
+  BOOST_TEST((std::get<PrimaryQuery>(valueOf(ReadQuery)).Scope ==
+              EvidenceScope::OtherRegions));
+  PrimaryReport Report{.From = "vm-2",
+                       .Number = 7,
+                       .Group = "g",
+                       .PassesOn = true,
+                       .PassedOn = {{.Vm = "vm-3",
+                                     .Age = Millis(17),
+                                     .ContactAge = Millis(40),
+                                     .ReachesDirectly = true},
+                                    {.Vm = "vm-4", .Age = Millis(3)}},
+                       .Held = Millis(9)};
+  auto Decoded = decodePeerMessage(encodePeerMessage(Report));
+  const auto &Read = std::get<PrimaryReport>(valueOf(Decoded));
+  BOOST_TEST(Read.PassesOn);
+  BOOST_TEST(Read.Held.count() == 9);
+  BOOST_REQUIRE(Read.PassedOn.size() == 2U);
+  BOOST_TEST(Read.PassedOn[0].Vm == "vm-3");
+  BOOST_TEST(Read.PassedOn[0].Age.count() == 17);
+  BOOST_TEST(Read.PassedOn[0].ContactAge->count() == 40);
+  BOOST_TEST(Read.PassedOn[0].ReachesDirectly);
+  BOOST_TEST(!Read.PassedOn[1].ContactAge.has_value());
+  BOOST_TEST(!Read.PassedOn[1].ReachesDirectly);
+}
+
+BOOST_AUTO_TEST_CASE(evidenceOfANegativeAgeIsRejected) {
+  PrimaryReport Report{.From = "vm-2",
+                       .Number = 7,
+                       .Group = "g",
+                       .PassesOn = true,
+                       .PassedOn = {{.Vm = "vm-3", .Age = Millis(-1)}}};
+  auto Decoded = decodePeerMessage(encodePeerMessage(Report));
+  BOOST_TEST((errorOf(Decoded) != nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(stateSurvivesEncodingAndDecoding) {
   ProxyState State;
   State.Config.Version = 5;
