Pass on since when a target leaves

Cause, first part: a VM knew that a target leaves, but not since when, so nothing could be judged by its age; another VM that was told by a peer would have begun to count anew.

TargetDirectory keeps the earliest time for each run of a target, across lists that repeat or lose the entry; VMs send it to each other as an age, as their clocks differ. It is no part of the hash of a list and causes no announcement of its own.

Tests: theTimeOfADepartureDoesNotRestartWithLaterLists (TargetDirectoryTest) and theAgeOfADepartureSurvivesEncodingAndDecoding (PeerMessageTest), seen failing with the earliest time and the age taken out.

Open: a VM that restarts and reads the store itself counts from its first list.

--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -18,6 +18,13 @@
 static const Log Logger("dispatch");
 /// Maximum number of replicas that a read tries before the primary.
 constexpr std::size_t MaxReplicaAttempts = 8;
+
+/// Returns whether the registry says the same in both entries. Since when a
+/// target leaves is said by other VMs.
+static bool isSameReport(TargetEntry A, const TargetEntry &B) {
+  A.LeavingSince = B.LeavingSince;
+  return A == B;
+}
 } // namespace internal
 
 static ReadRouter::Options routerOptions(const GroupDispatcher::Options &Opts) {
@@ -128,12 +135,13 @@
 
 void GroupDispatcher::setTarget(const TargetEntry &Entry) {
   TargetConnections *Links = find(Entry.Instance);
-  if (Links && Links->entry() == Entry)
-    return;
+  bool IsSame = Links && internal::isSameReport(Links->entry(), Entry);
   if (Links)
     Links->setEntry(Entry);
   else
     addTarget(Entry);
+  if (IsSame)
+    return;
   viewOf(Entry.Instance)->Leaving = Entry.Leaving;
   bool Accepts = !Entry.ClaimsPrimary ||
                  Guard->acceptsClaim(Entry.Instance, BootClock::now());
--- a/src/Links/TargetDirectory.cpp
+++ b/src/Links/TargetDirectory.cpp
@@ -1,5 +1,7 @@
 #include "Links/TargetDirectory.h"
 
+#include <algorithm>
+
 namespace cicadawind {
 
 void TargetDirectory::applyList(const std::vector<TargetEntry> &Listed,
@@ -20,20 +22,33 @@
   for (const auto &[Name, Entry] : ByName) {
     TargetEntry &Known = Entries[Name].Entry;
     Known = *Entry;
-    Known.Leaving = recordLeaving(Known);
+    Known.LeavingSince = recordLeaving(Known, Now);
+    Known.Leaving = Known.LeavingSince.has_value();
     Entries[Name].MissingSince.reset();
   }
   expire(Now);
 }
 
-bool TargetDirectory::recordLeaving(const TargetEntry &Entry) {
-  // Without an incarnation a target that has started again looks the same.
-  if (Entry.Incarnation == 0)
-    return Entry.Leaving;
-  if (Entry.Leaving)
-    LeftIncarnations[Entry.Instance] = Entry.Incarnation;
-  auto Left = LeftIncarnations.find(Entry.Instance);
-  return Left != LeftIncarnations.end() && Left->second == Entry.Incarnation;
+std::optional<TimePoint>
+TargetDirectory::recordLeaving(const TargetEntry &Entry, TimePoint Now) {
+  auto Found = Departures.find(Entry.Instance);
+  bool IsKnown = Found != Departures.end() &&
+                 Found->second.Incarnation == Entry.Incarnation;
+  if (!Entry.Leaving) {
+    if (!IsKnown)
+      return std::nullopt;
+    if (Entry.Incarnation != 0)
+      return Found->second.Since;
+    // Without an incarnation a target that has started again looks the same.
+    Departures.erase(Found);
+    return std::nullopt;
+  }
+  TimePoint Since = Entry.LeavingSince.value_or(Now);
+  if (IsKnown)
+    Since = std::min(Since, Found->second.Since);
+  Departures[Entry.Instance] = {.Incarnation = Entry.Incarnation,
+                                .Since = Since};
+  return Since;
 }
 
 bool TargetDirectory::expire(TimePoint Now) {
--- a/src/Links/TargetDirectory.h
+++ b/src/Links/TargetDirectory.h
@@ -52,16 +52,24 @@
     std::optional<TimePoint> MissingSince;
   };
 
-  /// Returns whether the target of \p Entry leaves or has been leaving since
-  /// its start.
-  bool recordLeaving(const TargetEntry &Entry);
+  /// A target that leaves, in one of its runs.
+  struct Departure {
+    std::int64_t Incarnation = 0;
+    /// When this VM or the peer that told it first heard of it.
+    TimePoint Since;
+  };
+
+  /// Returns since when the target of \p Entry leaves; empty if it has not said
+  /// so since its start.
+  std::optional<TimePoint> recordLeaving(const TargetEntry &Entry,
+                                         TimePoint Now);
 
   Options Opts;
   /// By instance.
   std::map<std::string, TrackedEntry> Entries;
-  /// The incarnation in which a target was last leaving, by instance. Kept for
-  /// the life of the process.
-  std::map<std::string, std::int64_t> LeftIncarnations;
+  /// How a target was last leaving, by instance. Kept for the life of the
+  /// process.
+  std::map<std::string, Departure> Departures;
 };
 
 } // namespace cicadawind
--- a/src/Links/TargetEntry.h
+++ b/src/Links/TargetEntry.h
@@ -1,7 +1,10 @@
 #ifndef CICADAWIND_LINKS_TARGETENTRY_H
 #define CICADAWIND_LINKS_TARGETENTRY_H
 
+#include "Core/Clock.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cicadawind {
@@ -18,6 +21,10 @@
   unsigned Slots = 1;
   /// Whether the target is leaving, so that it receives no new work.
   bool Leaving = false;
+  /// When the target said that it leaves, as far as this VM knows: on this VM's
+  /// clock, and not earlier than it did. Empty if it does not leave or no VM
+  /// has said since when. Not part of the registry's entry.
+  std::optional<TimePoint> LeavingSince = std::nullopt;
   /// Whether the target reports that it is the primary.
   bool ClaimsPrimary = false;
   /// Start of this run of the instance, as the registry gives it. It differs
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -31,10 +31,21 @@
   return Out;
 }
 
+/// Stands for the age of a departure that nobody has heard of.
+constexpr std::int64_t NoAge = -1;
+/// Longest age that is accepted, so that no peer makes times overflow.
+constexpr Millis MaxAge = std::chrono::hours(24 * 365);
+
+/// Times are sent as ages, since the clocks of VMs differ.
+static std::int64_t ageOf(const std::optional<TimePoint> &Since) {
+  return Since ? toMillis(BootClock::now() - *Since).count() : NoAge;
+}
+
 static Json toJson(const TargetEntry &Entry) {
   return Json::array({Entry.Instance, Entry.Group, Entry.Address,
                       Entry.FailureDomain, Entry.Slots, Entry.Leaving,
-                      Entry.ClaimsPrimary, Entry.Incarnation});
+                      Entry.ClaimsPrimary, Entry.Incarnation,
+                      ageOf(Entry.LeavingSince)});
 }
 
 static TargetEntry targetFrom(const Json &In) {
@@ -47,6 +58,11 @@
   Out.Leaving = In.at(5).get<bool>();
   Out.ClaimsPrimary = In.at(6).get<bool>();
   Out.Incarnation = In.at(7).get<std::int64_t>();
+  std::int64_t LeavingFor = In.at(8).get<std::int64_t>();
+  if (LeavingFor < NoAge || LeavingFor > MaxAge.count())
+    throw std::invalid_argument("age of a departure out of range");
+  if (LeavingFor != NoAge)
+    Out.LeavingSince = BootClock::now() - Millis(LeavingFor);
   return Out;
 }
 
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -107,6 +107,22 @@
   BOOST_TEST(Read.Config.Version == 5);
 }
 
+// The peer's clock has another origin, so what passes between VMs is the age.
+BOOST_AUTO_TEST_CASE(theAgeOfADepartureSurvivesEncodingAndDecoding) {
+  ProxyState State;
+  TimePoint Since = BootClock::now() - std::chrono::milliseconds(4000);
+  State.Targets = {
+      {.Instance = "a", .Group = "g", .Leaving = true, .LeavingSince = Since},
+      {.Instance = "b", .Group = "g"}};
+  Result<ProxyState> Decoded = decodeState(encodeState(State));
+  BOOST_REQUIRE(!errorOf(Decoded));
+  const std::vector<TargetEntry> &Read = valueOf(Decoded).Targets;
+  BOOST_REQUIRE(Read.at(0).LeavingSince.has_value());
+  Duration Later = *Read.at(0).LeavingSince - Since;
+  BOOST_TEST((Later >= Duration::zero() && Later < std::chrono::seconds(1)));
+  BOOST_TEST(!Read.at(1).LeavingSince.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(arbitraryBytesDoNotCrashTheDecoders) {
   BOOST_TEST(rc::check([](const std::string &Bytes) {
     decodePeerMessage(Bytes);
--- a/test/Links/TargetDirectoryTest.cpp
+++ b/test/Links/TargetDirectoryTest.cpp
@@ -71,3 +71,26 @@
     BOOST_TEST(!Directory.ofGroup("g").at(0).Leaving);
   }
 }
+
+BOOST_AUTO_TEST_CASE(theTimeOfADepartureDoesNotRestartWithLaterLists) {
+  for (std::int64_t Incarnation : {std::int64_t{5}, std::int64_t{0}}) {
+    TargetDirectory Directory{TargetDirectory::Options{}};
+    TargetEntry Entry = entry("b", true);
+    Entry.Incarnation = Incarnation;
+    Directory.applyList({Entry}, Start);
+    Directory.applyList({}, Start + 1s);
+    Directory.applyList({Entry}, Start + 2s);
+    BOOST_TEST((Directory.ofGroup("g").at(0).LeavingSince == Start));
+    Entry.LeavingSince = Start - 3s;
+    Directory.applyList({Entry}, Start + 3s);
+    Entry.LeavingSince.reset();
+    Directory.applyList({Entry}, Start + 4s);
+    BOOST_TEST((Directory.ofGroup("g").at(0).LeavingSince == Start - 3s));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(aTargetThatStaysHasNoTimeOfDeparture) {
+  TargetDirectory Directory{TargetDirectory::Options{}};
+  Directory.applyList({entry("b")}, Start);
+  BOOST_TEST(!Directory.ofGroup("g").at(0).LeavingSince.has_value());
+}
