Choose a leaving target as primary only while it may serve long enough

Cause: the choice of a successor knew that a target leaves, but not whether it may still serve. Now LeavingBound says so; platform.drain_ms brings the bound from the site (bounds.drainMs, 7 s if missing). If the best target may not lead, nothing is promoted: the order by term comes first as before, so none that follows an older term is taken instead. The completion of a decision that may have been carried out is no choice and stays. The leased path uses the same choice.

--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -36,7 +36,7 @@
 }
 
 GroupDispatcher::GroupDispatcher(boost::asio::io_context &Loop, Options NewOpts)
-    : Loop(Loop), Opts(std::move(NewOpts)),
+    : Loop(Loop), Opts(std::move(NewOpts)), Bound(Opts.Leaving),
       FailureDetector(Opts.FailureDetector),
       Guard(Opts.MakeGuard ? Opts.MakeGuard()
                            : std::make_unique<FencedPrimaryGuard>()),
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -6,6 +6,7 @@
 #include "Groups/PrimaryTracker.h"
 #include "Leases/PrimaryGuard.h"
 #include "Links/ConnectionCount.h"
+#include "Links/LeavingBound.h"
 #include "Links/LinkRequest.h"
 #include "Links/TargetConnections.h"
 #include "Routing/ReadRouter.h"
@@ -42,6 +43,8 @@
     std::map<std::string, std::string> Regions;
     RandomSource Random;
     TargetConnections::Options Links;
+    /// How long targets that leave receive new requests.
+    LeavingBound::Options Leaving;
     /// A read that needs a leadership proof causes a newer one to be requested
     /// if the newest is older than this. About a quarter of the smallest
     /// MaxStaleness in use.
@@ -194,6 +197,7 @@
   /// Returns the entry of \p Instance; null if it is no target of this group.
   const TargetEntry *findEntry(const std::string &Instance) const;
   std::vector<TargetEntry> entries() const;
+  const LeavingBound &leavingBound() const { return Bound; }
   /// Returns whether a direct connection to \p Instance could not be opened, or
   /// a request over a direct path timed out, and no direct connection has been
   /// opened since. Also true if \p Instance is no target.
@@ -273,6 +277,7 @@
   Options Opts;
   /// False after destruction, for callbacks that may run later.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  LeavingBound Bound;
   PrimaryTracker Tracker;
   PrimaryFailureDetector FailureDetector;
   std::unique_ptr<PrimaryGuard> Guard;
--- /dev/null
+++ b/src/Links/LeavingBound.cpp
@@ -0,0 +1,15 @@
+#include "Links/LeavingBound.h"
+
+namespace cicadawind {
+
+bool LeavingBound::mayServe(const TargetEntry &Entry, TimePoint Now) const {
+  if (!Entry.Leaving || !Entry.LeavingSince)
+    return true;
+  return Now - *Entry.LeavingSince < Opts.ServiceTime - Opts.SendMargin;
+}
+
+bool LeavingBound::mayLead(const TargetEntry &Entry, TimePoint Now) const {
+  return mayServe(Entry, Now + Opts.LeadTime);
+}
+
+} // namespace cicadawind
--- a/src/Promotion/TargetSurvey.cpp
+++ b/src/Promotion/TargetSurvey.cpp
@@ -21,6 +21,7 @@
                                                const TargetStatuses &Statuses,
                                                const std::string &OldPrimary) {
   std::vector<SuccessorCandidate> Out;
+  TimePoint Now = BootClock::now();
   for (const auto &[Name, Status] : Statuses) {
     const TargetEntry *Entry = Group.findEntry(Name);
     if (!Entry || Name == OldPrimary || Status.IsPrimary)
@@ -28,7 +29,8 @@
     Out.push_back({.Instance = Name,
                    .Follows = Status.CurrentTerm,
                    .Received = Status.Received,
-                   .IsLeaving = Entry->Leaving});
+                   .IsLeaving = Entry->Leaving,
+                   .MayLead = Group.leavingBound().mayLead(*Entry, Now)});
   }
   return Out;
 }
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -14,6 +14,10 @@
 constexpr std::int64_t MinLeaseMs = 300;
 constexpr std::int64_t MaxLeaseMs = 2500;
 
+/// Long enough for a request that is under way to arrive.
+constexpr std::int64_t MinDrainMs = 1000;
+constexpr std::int64_t MaxDrainMs = 3600000;
+
 constexpr Millis MinGracePeriod = std::chrono::seconds(1);
 constexpr Millis MaxGracePeriod = std::chrono::hours(1);
 
@@ -85,6 +89,7 @@
   Compare(Out.AtRestart, "fencing_enforced",
           PlatformFences == Newer.PlatformFences);
   Compare(Out.AtRestart, "lease_ms", LeaseLength == Newer.LeaseLength);
+  Compare(Out.AtRestart, "drain_ms", TargetDrainTime == Newer.TargetDrainTime);
   Compare(Out.AtRestart, "max_descriptors",
           MaxDescriptors == Newer.MaxDescriptors);
   return Out;
@@ -132,6 +137,10 @@
   Out.LeaseLength =
       Millis(Reader.numberOr("leases", "lease_ms", Out.LeaseLength.count(),
                              internal::MinLeaseMs, internal::MaxLeaseMs));
+  Out.TargetDrainTime =
+      Millis(Reader.numberOr("platform", "drain_ms",
+                             Out.TargetDrainTime.count(),
+                             internal::MinDrainMs, internal::MaxDrainMs));
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -57,6 +57,9 @@
   /// Length of the lease on using a primary; unused if PlatformFences.
   Millis LeaseLength = Millis(1000);
 
+  /// Time for which a target that leaves still receives new requests.
+  Millis TargetDrainTime = std::chrono::seconds(7);
+
   /// Limit on the process's open file descriptors; the largest number of
   /// sessions is derived from it.
   std::size_t MaxDescriptors = 0;
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -9,8 +9,8 @@
 static bool isBetter(const SuccessorCandidate &A, const SuccessorCandidate &B,
                      const std::string &Preferred) {
   auto Rank = [&](const SuccessorCandidate &Each) {
-    return std::tuple(Each.Follows, !Each.IsLeaving, Each.Received,
-                      Each.Instance == Preferred);
+    return std::tuple(Each.Follows, !Each.IsLeaving, Each.MayLead,
+                      Each.Received, Each.Instance == Preferred);
   };
   return Rank(A) > Rank(B);
 }
@@ -72,6 +72,8 @@
     if (Each.Follows >= AtLeast &&
         (!Best || internal::isBetter(Each, *Best, Preferred)))
       Best = Each;
+  if (Best && !Best->MayLead)
+    return std::nullopt;
   return Best;
 }
 
--- a/src/Succession/SuccessionRule.h
+++ b/src/Succession/SuccessionRule.h
@@ -13,7 +13,9 @@
 
 /// Returns the best of \p Candidates that follow a term of at least \p AtLeast:
 /// one that follows the newest term, of these one that does not leave, of these
-/// the one with the longest log, of these \p Preferred. Empty if there is none.
+/// one that may lead, of these the one with the longest log, of these
+/// \p Preferred. Empty if there is none, or if the best one may not lead:
+/// instead of it, none that follows an older term is taken.
 std::optional<SuccessorCandidate>
 chooseSuccessor(const std::vector<SuccessorCandidate> &Candidates, Term AtLeast,
                 const std::string &Preferred = {});
@@ -30,7 +32,8 @@
   std::string Instance;
 };
 
-/// No candidate follows the newest term that is known to have been opened.
+/// No candidate follows the newest term that is known to have been opened, or
+/// each of those that do leaves and may not lead.
 struct NoSuccessor {
   Term Needed = 0;
 };
--- a/src/Succession/SuccessorCandidate.h
+++ b/src/Succession/SuccessorCandidate.h
@@ -17,6 +17,9 @@
   /// End of the log that the target has received.
   LogPosition Received;
   bool IsLeaving = false;
+  /// Whether the target may serve long enough to be replaced again before it
+  /// takes no new request any more. Always true of one that does not leave.
+  bool MayLead = true;
 };
 
 } // namespace cicadawind
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -27,6 +27,7 @@
 store = "10.200.1.7:8783"
 orders = "10.200.0.160:8783"
 fencing_enforced = true
+drain_ms = 10000
 [limits]
 max_descriptors = 4300
 grace_s = 6
@@ -50,6 +51,7 @@
   BOOST_TEST(Parsed.PeerPort == 7440);
   BOOST_TEST(Parsed.RelayPort == 7441);
   BOOST_TEST(Parsed.TerminationGracePeriod.count() == 6000);
+  BOOST_TEST(Parsed.TargetDrainTime.count() == 10000);
 }
 
 BOOST_AUTO_TEST_CASE(aVmListensOnItsAddressUnlessItIsToldAnother) {
@@ -84,6 +86,7 @@
       {"first_port = 7440", "first_port = 99999", "peers.first_port"},
       {"store = ", "shop = ", "platform.store"},
       {"grace_s = 6", "grace_s = 0", "limits.grace_s"},
+      {"drain_ms = 10000", "drain_ms = 0", "platform.drain_ms"},
       {"[limits]", "[limits", "s.toml:"},
   };
   for (const Case &Each : Table) {
@@ -144,13 +147,14 @@
   std::string Text = ValidSettings;
   for (const char *Each :
        {"operators = \"10.1.0.8:8782\"\n", "max_descriptors = 4300\n",
-        "grace_s = 6\n", "fencing_enforced = true\n",
+        "grace_s = 6\n", "fencing_enforced = true\n", "drain_ms = 10000\n",
         "regions = [\"oaxaca=centro-sur\",\"queretaro=bajio\"]\n"})
     Text.replace(Text.find(Each), std::string(Each).size(), "");
   Result<ProxySettings> Read = ProxySettings::parse(Text, "settings.toml");
   BOOST_REQUIRE(!errorOf(Read));
   BOOST_TEST(valueOf(Read).MaxDescriptors == 4096);
   BOOST_TEST(valueOf(Read).TerminationGracePeriod.count() == 6000);
+  BOOST_TEST(valueOf(Read).TargetDrainTime.count() == 7000);
   // A lease is safe with and without fencing.
   BOOST_TEST(!valueOf(Read).PlatformFences);
 }
