Send no new request to a target whose bound is over

Seen by callers: requests at a leaving primary for as long as it has no successor. Cause: only replicas that leave were left out; nothing judged a primary, a queued or a relayed request. A relay judges again. Open transactions keep their link.

Tests: four cases of LeavingTargetTest (primary, queued, relayed, open transaction); the first three were seen failing without the check.

--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -255,7 +255,7 @@
                                 std::optional<LogPosition> Position,
                                 bool HasAlternatives) {
   TargetConnections *Links = find(Instance);
-  if (!Links)
+  if (!Links || isDrained(Instance, BootClock::now()))
     return false;
   bool IsPrimary = Instance == Tracker.primary();
   // A relay has a guard of its own, so only a direct path needs this VM's. A
@@ -348,7 +348,7 @@
 void GroupDispatcher::refuseExpired(TimePoint Now) {
   std::vector<LinkRequest> Expired;
   for (auto It = Queue.begin(); It != Queue.end();) {
-    if (Now < It->second.GiveUpAt) {
+    if (Now < It->second.GiveUpAt && !isUnservable(It->second, Now)) {
       ++It;
       continue;
     }
@@ -357,11 +357,30 @@
     It = Queue.erase(It);
   }
   for (LinkRequest &Request : Expired)
-    Request.Refused(
-        Error{.Code = ErrorCode::Overloaded,
-              .Message = Tracker.primary().empty() && Request.NeedsPrimary
-                             ? "no primary is known"
-                             : "no connection became free in time"});
+    Request.Refused(Error{.Code = ErrorCode::Overloaded,
+                          .Message = reasonToRefuse(Request, Now)});
+}
+
+std::string GroupDispatcher::reasonToRefuse(const LinkRequest &Request,
+                                            TimePoint Now) const {
+  if (isUnservable(Request, Now))
+    return "the target leaves and receives no new requests";
+  if (Tracker.primary().empty() && Request.NeedsPrimary)
+    return "no primary is known";
+  return "no connection became free in time";
+}
+
+bool GroupDispatcher::isDrained(const std::string &Instance,
+                                TimePoint Now) const {
+  const TargetConnections *Links = find(Instance);
+  return Links && !Bound.mayServe(Links->entry(), Now);
+}
+
+bool GroupDispatcher::isUnservable(const LinkRequest &Request,
+                                   TimePoint Now) const {
+  if (!Request.RequiredTarget.empty())
+    return isDrained(Request.RequiredTarget, Now);
+  return Request.NeedsPrimary && isDrained(Tracker.primary(), Now);
 }
 
 bool GroupDispatcher::findUse() const {
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -239,11 +239,19 @@
   /// Processes a refused or lost connection to \p Instance, or a request that
   /// has had no reply since \p Since.
   void onFailure(const std::string &Instance, TimePoint Since);
+  /// Returns whether \p Instance receives no new request, because its time for
+  /// that is over since it leaves.
+  bool isDrained(const std::string &Instance, TimePoint Now) const;
+  /// Returns whether the only target that may serve \p Request is drained.
+  bool isUnservable(const LinkRequest &Request, TimePoint Now) const;
   /// Posts one call of dispatchQueue to the loop, unless one is posted already.
   void scheduleDispatch();
   /// Tries to grant each queued request a connection, in queue order.
   void dispatchQueue();
+  /// Refuses the queued requests that have expired or cannot be served.
   void refuseExpired(TimePoint Now);
+  /// Returns why \p Request is refused.
+  std::string reasonToRefuse(const LinkRequest &Request, TimePoint Now) const;
   bool findUse() const;
   /// Passes the primary and the other targets on to the failure detector and
   /// the guard.
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -137,10 +137,9 @@
   Out.LeaseLength =
       Millis(Reader.numberOr("leases", "lease_ms", Out.LeaseLength.count(),
                              internal::MinLeaseMs, internal::MaxLeaseMs));
-  Out.TargetDrainTime =
-      Millis(Reader.numberOr("platform", "drain_ms",
-                             Out.TargetDrainTime.count(),
-                             internal::MinDrainMs, internal::MaxDrainMs));
+  Out.TargetDrainTime = Millis(
+      Reader.numberOr("platform", "drain_ms", Out.TargetDrainTime.count(),
+                      internal::MinDrainMs, internal::MaxDrainMs));
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
--- a/test/Promotion/LeavingTargetTest.cpp
+++ b/test/Promotion/LeavingTargetTest.cpp
@@ -61,3 +61,63 @@
   BOOST_REQUIRE(std::holds_alternative<SuccessionChoice>(Verdict));
   BOOST_TEST(std::get<SuccessionChoice>(Verdict).Successor.Instance == "c");
 }
+
+BOOST_AUTO_TEST_CASE(leavingPrimaryReceivesNoRequestAfterItsBound) {
+  ProxyWorld World;
+  ProxyCaller Caller(World, "latest");
+  listLeaving(World, "a", 5s);
+  BOOST_TEST(Caller.ask("WRITE i1 x").starts_with("COMPLETE"));
+  listLeaving(World, "a", 8s);
+  for (const char *Text : {"WRITE i1 y", "READ i1"}) {
+    TimePoint Start = BootClock::now();
+    BOOST_TEST(Caller.ask(Text).starts_with("ERROR"));
+    BOOST_TEST((BootClock::now() - Start < 100ms));
+    BOOST_TEST(World.recordsOf(Caller.lastId()).empty());
+  }
+  BOOST_TEST(Caller.ask("BEGIN").starts_with("COMPLETE"));
+  BOOST_TEST(Caller.ask("WRITE i1 z").starts_with("ERROR"));
+  BOOST_TEST(World.recordsOf(Caller.lastId()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(openTransactionGoesOnAfterTheBoundOfItsTarget) {
+  ProxyWorld World;
+  ProxyCaller Caller(World, "latest");
+  Caller.ask("BEGIN");
+  BOOST_TEST(Caller.ask("WRITE i1 x").starts_with("COMPLETE"));
+  listLeaving(World, "a", 8s);
+  BOOST_TEST(Caller.ask("WRITE i2 x").starts_with("COMPLETE"));
+  BOOST_TEST(Caller.ask("COMMIT").starts_with("COMPLETE"));
+}
+
+BOOST_AUTO_TEST_CASE(queuedRequestIsRefusedOnceTheBoundOfItsTargetIsOver) {
+  ProxyWorld World;
+  listLeaving(World, "a", 6s);
+  World.instance("a").Faults.Work = 2s;
+  std::vector<std::unique_ptr<ProxyCaller>> Callers;
+  constexpr int CallerCount = 30;
+  for (int I = 0; I < CallerCount; ++I) {
+    Callers.push_back(std::make_unique<ProxyCaller>(World, "latest"));
+    Callers.back()->send("QUERY q" + std::to_string(I) + " WRITE i1 x");
+  }
+  GroupDispatcher &Dispatcher = *World.Service->findGroup("g");
+  BOOST_REQUIRE(World.runUntil([&] { return Dispatcher.waiting() > 0; }));
+  listLeaving(World, "a", 8s);
+  World.runFor(20ms);
+  BOOST_TEST(Dispatcher.waiting() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(relayedRequestIsRefusedAfterTheBoundOfItsTarget) {
+  ProxyWorld World;
+  listLeaving(World, "a", 8s);
+  bool IsGranted = false;
+  std::string Reason;
+  LinkRequest Request;
+  Request.RequiredTarget = "a";
+  Request.GiveUpAt = BootClock::now() + 1s;
+  Request.Granted = [&](const LinkGrant &) { IsGranted = true; };
+  Request.Refused = [&](const Error &Failure) { Reason = Failure.Message; };
+  World.Service->findGroup("g")->submit(std::move(Request));
+  World.runFor(100ms);
+  BOOST_TEST(!IsGranted);
+  BOOST_TEST(Reason == "the target leaves and receives no new requests");
+}
