--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -18,6 +18,13 @@
 static const Log Logger("dispatch");
 /// Maximum number of replicas that a read tries before the primary.
 constexpr std::size_t MaxReplicaAttempts = 8;
+
+/// Returns whether the registry says the same in both entries. Since when a
+/// target leaves is said by other VMs.
+static bool isSameReport(TargetEntry A, const TargetEntry &B) {
+  A.LeavingSince = B.LeavingSince;
+  return A == B;
+}
 } // namespace internal
 
 static ReadRouter::Options routerOptions(const GroupDispatcher::Options &Opts) {
@@ -29,7 +36,7 @@
 }
 
 GroupDispatcher::GroupDispatcher(boost::asio::io_context &Loop, Options NewOpts)
-    : Loop(Loop), Opts(std::move(NewOpts)),
+    : Loop(Loop), Opts(std::move(NewOpts)), Bound(Opts.Leaving),
       FailureDetector(Opts.FailureDetector),
       Guard(Opts.MakeGuard ? Opts.MakeGuard()
                            : std::make_unique<FencedPrimaryGuard>()),
@@ -128,12 +135,13 @@
 
 void GroupDispatcher::setTarget(const TargetEntry &Entry) {
   TargetConnections *Links = find(Entry.Instance);
-  if (Links && Links->entry() == Entry)
-    return;
+  bool IsSame = Links && internal::isSameReport(Links->entry(), Entry);
   if (Links)
     Links->setEntry(Entry);
   else
     addTarget(Entry);
+  if (IsSame)
+    return;
   viewOf(Entry.Instance)->Leaving = Entry.Leaving;
   bool Accepts = !Entry.ClaimsPrimary ||
                  Guard->acceptsClaim(Entry.Instance, BootClock::now());
@@ -247,7 +255,7 @@
                                 std::optional<LogPosition> Position,
                                 bool HasAlternatives) {
   TargetConnections *Links = find(Instance);
-  if (!Links)
+  if (!Links || isDrained(Instance, BootClock::now()))
     return false;
   bool IsPrimary = Instance == Tracker.primary();
   // A relay has a guard of its own, so only a direct path needs this VM's. A
@@ -340,7 +348,7 @@
 void GroupDispatcher::refuseExpired(TimePoint Now) {
   std::vector<LinkRequest> Expired;
   for (auto It = Queue.begin(); It != Queue.end();) {
-    if (Now < It->second.GiveUpAt) {
+    if (Now < It->second.GiveUpAt && !isUnservable(It->second, Now)) {
       ++It;
       continue;
     }
@@ -349,11 +357,30 @@
     It = Queue.erase(It);
   }
   for (LinkRequest &Request : Expired)
-    Request.Refused(
-        Error{.Code = ErrorCode::Overloaded,
-              .Message = Tracker.primary().empty() && Request.NeedsPrimary
-                             ? "no primary is known"
-                             : "no connection became free in time"});
+    Request.Refused(Error{.Code = ErrorCode::Overloaded,
+                          .Message = reasonToRefuse(Request, Now)});
+}
+
+std::string GroupDispatcher::reasonToRefuse(const LinkRequest &Request,
+                                            TimePoint Now) const {
+  if (isUnservable(Request, Now))
+    return "the target leaves and receives no new requests";
+  if (Tracker.primary().empty() && Request.NeedsPrimary)
+    return "no primary is known";
+  return "no connection became free in time";
+}
+
+bool GroupDispatcher::isDrained(const std::string &Instance,
+                                TimePoint Now) const {
+  const TargetConnections *Links = find(Instance);
+  return Links && !Bound.mayServe(Links->entry(), Now);
+}
+
+bool GroupDispatcher::isUnservable(const LinkRequest &Request,
+                                   TimePoint Now) const {
+  if (!Request.RequiredTarget.empty())
+    return isDrained(Request.RequiredTarget, Now);
+  return Request.NeedsPrimary && isDrained(Tracker.primary(), Now);
 }
 
 bool GroupDispatcher::findUse() const {
