Keep a reserved token when the record that came with it allows no promotion

By reading: an attempt that could promote nothing dropped the reserved token, since its record may be outdated. While the store is away no other can be claimed, so the group stayed without a primary even once a target replied again.

--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -110,8 +110,7 @@
       decideSuccession(evidenceFrom(*Dispatcher, Replies, Current), Latest);
   const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
   if (!Choice) {
-    // The record that came with a reserved token may be outdated.
-    Tokens.dropReserved(Current.Group);
+    Doubted.insert(Current.Group);
     recordRefusal(Current.Group, Verdict);
     co_return std::nullopt;
   }
@@ -125,6 +124,7 @@
     logNoToken(Current.Group, *E);
     co_return std::nullopt;
   }
+  Doubted.erase(Current.Group);
   Unordered[Current.Group] = {.Decision = valueOf(Claimed).Decision,
                               .Before = Latest};
   co_return PromotionDecision{
@@ -153,15 +153,23 @@
          (Decision.IsPlanned || !IsReachedAgain);
 }
 
+PromotionTokens::Source
+FencedPromotion::sourceFor(const std::string &Group,
+                           const std::string &OldPrimary) const {
+  // A record that came with a reserved token is evidence only for a VM that
+  // knows a primary: others may have decided under a lower token since.
+  if (OldPrimary.empty())
+    return PromotionTokens::Source::StoreOnly;
+  return Doubted.count(Group) ? PromotionTokens::Source::StoreFirst
+                              : PromotionTokens::Source::ReservedFirst;
+}
+
 boost::asio::awaitable<bool> FencedPromotion::run(std::string Group,
                                                   std::string OldPrimary,
                                                   PromotionReason Reason) {
   Attempt Current{.Group = Group, .OldPrimary = OldPrimary, .Reason = Reason};
-  // A record that came with a reserved token is evidence only for a VM that
-  // knows a primary: others may have decided under a lower token since.
-  if (OldPrimary.empty())
-    Tokens.dropReserved(Group);
-  Result<PromotionTurn> Turn = co_await Tokens.begin(Group);
+  Result<PromotionTurn> Turn =
+      co_await Tokens.begin(Group, sourceFor(Group, OldPrimary));
   if (const Error *E = errorOf(Turn)) {
     logNoToken(Group, *E);
     co_return false;
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -4,6 +4,7 @@
 #include "Core/Error.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/PromotionProcedure.h"
+#include "Promotion/PromotionTokens.h"
 #include "Promotion/PromotionTurn.h"
 #include "Promotion/TargetSurvey.h"
 #include "Succession/PromotionDecision.h"
@@ -12,13 +13,13 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace cicadawind {
 
 class GroupDispatcher;
 class PeerExchange;
-class PromotionTokens;
 
 /// \class FencedPromotion
 /// \brief Replaces a primary on a platform that fences promotions by token.
@@ -87,6 +88,9 @@
   /// that was never ordered.
   PromotionRecord latestOf(const std::string &Group,
                            const PromotionTurn &Turn) const;
+  /// Returns which record an attempt to replace \p OldPrimary builds on.
+  PromotionTokens::Source sourceFor(const std::string &Group,
+                                    const std::string &OldPrimary) const;
   static void logNoToken(const std::string &Group, const Error &E);
   /// Logs why \p Verdict allows no promotion, and lets the group use a presumed
   /// primary.
@@ -108,6 +112,8 @@
   PromotionTokens &Tokens;
   PromotionService &Promotions;
   TargetSurvey Survey;
+  /// Groups whose latest record allowed no promotion; it may be outdated.
+  std::set<std::string> Doubted;
   /// The latest decision of this VM for each group, unless it was ordered.
   std::map<std::string, UnorderedDecision> Unordered;
 };
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -124,15 +124,21 @@
 }
 
 boost::asio::awaitable<Result<PromotionTurn>>
-PromotionTokens::begin(std::string Group) {
-  if (std::optional<PromotionTurn> Reserved = Groups[Group].Reserved)
+PromotionTokens::begin(std::string Group, Source From) {
+  std::optional<PromotionTurn> Reserved;
+  if (From != Source::StoreOnly)
+    Reserved = Groups[Group].Reserved;
+  if (Reserved && From == Source::ReservedFirst)
     co_return *Reserved;
-  co_return co_await readTurn(Group);
+  Result<PromotionTurn> Read = co_await readTurn(Group);
+  if (errorOf(Read) && Reserved)
+    co_return *Reserved;
+  co_return Read;
 }
 
 boost::asio::awaitable<Result<std::uint64_t>>
 PromotionTokens::take(std::string Group) {
-  Result<PromotionTurn> Turn = co_await begin(Group);
+  Result<PromotionTurn> Turn = co_await begin(Group, Source::ReservedFirst);
   dropReserved(Group);
   if (!errorOf(Turn) && !valueOf(Turn).Reserved)
     Turn = co_await claimNext(Group, valueOf(Turn), valueOf(Turn).Latest);
@@ -199,6 +205,8 @@
 boost::asio::awaitable<Result<PromotionClaim>>
 PromotionTokens::claim(std::string Group, PromotionTurn Turn,
                        PromotionRecord Decision) {
+  // The token that is claimed or used now is the highest of this VM.
+  dropReserved(Group);
   if (!Turn.Reserved) {
     Result<PromotionTurn> Next = co_await claimNext(Group, Turn, Decision);
     if (const Error *E = errorOf(Next))
@@ -206,7 +214,6 @@
     co_return PromotionClaim{.Token = *valueOf(Next).Reserved,
                              .Decision = valueOf(Next).Latest};
   }
-  dropReserved(Group);
   Decision.Claim = Turn.Claims;
   Turn.Latest = Decision;
   WriteResult Written = co_await write(Group, Turn, Opts.RecordTimeout);
--- a/src/Promotion/PromotionTokens.h
+++ b/src/Promotion/PromotionTokens.h
@@ -43,13 +43,23 @@
     Duration ReservationDelay = std::chrono::milliseconds(3000);
   };
 
+  /// Which record the next claim builds on.
+  enum class Source {
+    /// The one that came with the reserved token, if there is one.
+    ReservedFirst,
+    /// That of the store, if the store replies.
+    StoreFirst,
+    StoreOnly,
+  };
+
   PromotionTokens(Options Opts, ObjectStore &Store)
       : Opts(std::move(Opts)), Store(Store), StartedAt(BootClock::now()) {}
 
-  /// Returns what the next claim builds on: the reserved token and the record
-  /// that came with it or, if there is none, the record in the store. Fails
-  /// with StoreUnavailable.
-  boost::asio::awaitable<Result<PromotionTurn>> begin(std::string Group);
+  /// Returns what the next claim builds on: the record in the store, or the
+  /// reserved token and the record that came with it. Fails with
+  /// StoreUnavailable.
+  boost::asio::awaitable<Result<PromotionTurn>> begin(std::string Group,
+                                                      Source From);
   /// Claims a token for \p Decision, or records it under the reserved one.
   /// Fails with Conflict if another VM has claimed one since \p Turn began, or
   /// with StoreUnavailable; a reserved token is returned even if the store does
--- a/test/Promotion/ReplacedPrimaryTest.cpp
+++ b/test/Promotion/ReplacedPrimaryTest.cpp
@@ -129,3 +129,20 @@
   BOOST_TEST(World.Promotions.Tokens.size() == 1);
   BOOST_TEST(World.Group.primary() == "a");
 }
+
+// The survey finds no target that may be promoted, and the store is away.
+BOOST_AUTO_TEST_CASE(refusedDecisionDoesNotUseUpTheReservedToken) {
+  PromotionWorld World;
+  World.runFor(std::chrono::milliseconds(300));
+  World.Store.Outage = true;
+  for (const char *Id : {"b", "c"})
+    World.instance(Id).Faults.Silent = true;
+  World.instance("a").crash();
+  World.runFor(std::chrono::milliseconds(1800));
+  BOOST_TEST(World.Group.primary() == "a");
+  for (const char *Id : {"b", "c"}) {
+    World.instance(Id).Faults.Silent = false;
+    World.instance(Id).resetConnections();
+  }
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+}
