--- a/src/Links/LeavingBound.h
+++ b/src/Links/LeavingBound.h
@@ -22,7 +22,7 @@
     /// request needs time to arrive.
     Duration SendMargin = std::chrono::milliseconds(1500);
     /// Time that an order takes until the target serves, and then the next
-    /// hand-over from its survey to its order: 0.4 s and 0.6 s.
+    /// hand-over from its survey to its order.
     Duration LeadTime = std::chrono::milliseconds(1000);
   };
 
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -22,7 +22,7 @@
 constexpr unsigned CountBits = 32;
 
 /// Returns what \p Object says of the group: the number of claims and the
-/// latest decision. An object of another form counts as one without them.
+/// latest decision, which is unknown if the object does not record it.
 static PromotionTurn turnFrom(const StoredObject &Object) {
   PromotionTurn Out;
   Out.Version = Object.Version;
--- a/test/Promotion/ReplacedPrimaryReviewTest.cpp
+++ b/test/Promotion/ReplacedPrimaryReviewTest.cpp
@@ -10,8 +10,8 @@
 
 #include <algorithm>
 
-// Further ways by which a commit that a newer term discarded might come back,
-// after 75d0042. See ReplacedPrimaryTest.
+// Further ways by which a write that a newer term discarded might come back;
+// see ReplacedPrimaryTest.
 
 using namespace cicadawind;
 using namespace cicadawind::test;
@@ -79,7 +79,7 @@
 
 } // namespace
 
-// 1. "b" replied before another VM decided for it and promoted it. That reply
+// "b" replied before another VM decided for it and promoted it. That reply
 // is no evidence against "b".
 BOOST_AUTO_TEST_CASE(replyFromBeforeTheLatestDecisionIsNoEvidenceAgainstIt) {
   PromotionWorld World;
@@ -101,7 +101,7 @@
   BOOST_TEST(World.Promotions.Instances.empty());
 }
 
-// 2. The decision under a reserved token was not recorded, since the store was
+// The decision under a reserved token was not recorded, since the store was
 // away. It is not recorded later, and not remembered by the VM that made it.
 BOOST_AUTO_TEST_CASE(decisionWithoutTheStoreIsNotForgotten) {
   CutPrimaryWorld World;
@@ -121,7 +121,7 @@
   BOOST_TEST(!World.comesBack());
 }
 
-// 2b. The same; the store's record afterwards.
+// The same; the store's record afterwards.
 BOOST_AUTO_TEST_CASE(decisionWithoutTheStoreIsRecordedOnceItIsBack) {
   CutPrimaryWorld World;
   World.runFor(milliseconds(300));
@@ -146,7 +146,7 @@
   BOOST_TEST_MESSAGE("store: " << Value);
 }
 
-// 3. The primary of term 2 is gone from the registry. "c" follows term 2 and
+// The primary of term 2 is gone from the registry. "c" follows term 2 and
 // has served reads of it, but does not reply now.
 BOOST_AUTO_TEST_CASE(termOfAPrimaryThatIsGoneStillCounts) {
   CutPrimaryWorld World;
@@ -157,7 +157,7 @@
   BOOST_TEST(!World.comesBack());
 }
 
-// 4. The primary of term 2 started again under its name without its data.
+// The primary of term 2 started again under its name without its data.
 BOOST_AUTO_TEST_CASE(primaryThatRestartedEmptyDoesNotVoidItsTerm) {
   CutPrimaryWorld World;
   World.silence("c");
@@ -175,7 +175,7 @@
   BOOST_TEST(!World.comesBack());
 }
 
-// 5. A VM of an older version has claimed a token since: the object has no
+// A VM of an older version has claimed a token since: the object has no
 // decision any more.
 BOOST_AUTO_TEST_CASE(claimOfAnOlderVmDoesNotHideTheLatestDecision) {
   CutPrimaryWorld World;
@@ -187,7 +187,7 @@
   BOOST_TEST(!World.comesBack());
 }
 
-// 6. The store came back from a copy that was made before the decision.
+// The store came back from a copy that was made before the decision.
 BOOST_AUTO_TEST_CASE(storeFromAnOlderCopyDoesNotRestoreAnOldDecision) {
   CutPrimaryWorld World;
   World.silence("c");
@@ -202,7 +202,7 @@
   BOOST_TEST(!World.comesBack());
 }
 
-// 7. "a" was replaced by "b", which this VM neither knows nor reaches. That "a"
+// "a" was replaced by "b", which this VM neither knows nor reaches. That "a"
 // leaves does not show that it still leads.
 BOOST_AUTO_TEST_CASE(leavingIsNoProofOfLead) {
   PromotionWorld World;
@@ -226,7 +226,7 @@
   BOOST_TEST(World.Group.primary() != "c");
 }
 
-// 8. The order of "c", which was to replace "b", was refused. That voids the
+// The order of "c", which was to replace "b", was refused. That voids the
 // decision for "c", not the one for "b" before it.
 BOOST_AUTO_TEST_CASE(refusedOrderDoesNotVoidTheDecisionBefore) {
   CutPrimaryWorld World;
@@ -241,7 +241,7 @@
   BOOST_TEST(!World.comesBack());
 }
 
-// 9. On a platform without fences: "a", which follows term 1, is the only one
+// On a platform without fences: "a", which follows term 1, is the only one
 // that replies after term 2 was opened and used.
 BOOST_AUTO_TEST_CASE(leasedPromotionOfATargetOfAnOlderTerm) {
   LeasedFleet Fleet;
