Client accounts, API keys and rate limits in the configuration

Change: module Accounts, decoded from the configuration and passed on to peers. Nothing uses the accounts yet.

--- a/src/Config/ProxyConfig.h
+++ b/src/Config/ProxyConfig.h
@@ -1,6 +1,7 @@
 #ifndef CICADAWIND_CONFIG_PROXYCONFIG_H
 #define CICADAWIND_CONFIG_PROXYCONFIG_H
 
+#include "Accounts/AccountDirectory.h"
 #include "Core/Clock.h"
 
 #include <cstdint>
@@ -35,6 +36,8 @@
   Millis LatencyObjective = Millis(500);
   /// Priority of the statements; 0 is the highest.
   unsigned Priority = 0;
+  /// Whether callers need no API key even where accounts are listed.
+  bool Public = false;
 
   bool operator==(const RouteConfig &) const = default;
 };
@@ -72,6 +75,8 @@
   /// Limits by name of the group.
   std::map<std::string, GroupLimits> Groups;
   CallerLimits Callers;
+  /// Disabled if the configuration does not tell accounts apart.
+  AccountDirectory Accounts;
 
   const RouteConfig *findRoute(const std::string &Database) const {
     auto It = Routes.find(Database);
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -10,10 +10,10 @@
 using Json = nlohmann::json;
 
 static Json toJson(const RouteConfig &Route) {
-  return Json::array({Route.Database, Route.Group,
-                      static_cast<int>(Route.Reads), Route.MaxStaleness.count(),
-                      Route.StatementTimeout.count(),
-                      Route.LatencyObjective.count(), Route.Priority});
+  return Json::array(
+      {Route.Database, Route.Group, static_cast<int>(Route.Reads),
+       Route.MaxStaleness.count(), Route.StatementTimeout.count(),
+       Route.LatencyObjective.count(), Route.Priority, Route.Public});
 }
 
 static RouteConfig routeFrom(const Json &In) {
@@ -28,6 +28,28 @@
   Out.StatementTimeout = Millis(In.at(4).get<std::int64_t>());
   Out.LatencyObjective = Millis(In.at(5).get<std::int64_t>());
   Out.Priority = In.at(6).get<unsigned>();
+  Out.Public = In.at(7).get<bool>();
+  return Out;
+}
+
+static Json toJson(const ClientAccount &Account) {
+  Json Out = Json::array({Account.Name, Account.Keys, Account.Priority});
+  if (Account.Limit) {
+    Out.push_back(Account.Limit->PerSecond);
+    Out.push_back(Account.Limit->Burst);
+  }
+  return Out;
+}
+
+static ClientAccount accountFrom(const Json &In) {
+  constexpr std::size_t SizeWithLimit = 5;
+  ClientAccount Out;
+  Out.Name = In.at(0).get<std::string>();
+  Out.Keys = In.at(1).get<std::vector<std::string>>();
+  Out.Priority = In.at(2).get<unsigned>();
+  if (In.size() >= SizeWithLimit)
+    Out.Limit = RateLimit{.PerSecond = In.at(3).get<double>(),
+                          .Burst = In.at(4).get<double>()};
   return Out;
 }
 
@@ -89,6 +111,11 @@
   for (const auto &[Name, Limits] : Config.Groups)
     Out["groups"][Name] = Limits.MaxConnections;
   Out["limits"] = toJson(Config.Callers);
+  if (!Config.Accounts.isEnabled())
+    return;
+  Out["accounts"] = Json::array();
+  for (const ClientAccount &Account : Config.Accounts.accounts())
+    Out["accounts"].push_back(toJson(Account));
 }
 
 static ProxyConfig configFrom(const Json &In) {
@@ -103,6 +130,11 @@
   for (const auto &[Name, Connections] : In.at("groups").items())
     Out.Groups[Name].MaxConnections = Connections.get<unsigned>();
   Out.Callers = limitsFrom(In.at("limits"));
+  if (!In.contains("accounts"))
+    return Out;
+  Out.Accounts.enable();
+  for (const Json &Each : In["accounts"])
+    Out.Accounts.add(accountFrom(Each));
   return Out;
 }
 
