Run statements under the caller's account

Change: the key is looked up at the opening, for each statement and when its connection is granted; a connection to a target serves one account (AccountPool), relayed lines name theirs, and an account's statements meet at one of a target's relays. Operations may need a permit; nothing issues permits yet.

--- a/src/Callers/CallerRequests.cpp
+++ b/src/Callers/CallerRequests.cpp
@@ -17,6 +17,11 @@
 /// Backoff after a target was too busy to accept a statement.
 constexpr Duration BusyBackoff = std::chrono::milliseconds(10);
 
+static Error keyRemoved() {
+  return Error{.Code = ErrorCode::Unauthorized,
+               .Message = "the API key was removed"};
+}
+
 } // namespace internal
 
 bool CallerSession::isWrite(const Statement &Request) const {
@@ -49,19 +54,23 @@
                     .Message = "no transaction is open"};
   } else if (!Transaction.isOpen()) {
     const RouteConfig *Found = route();
+    std::optional<std::string> FoundAccount;
     if (Found)
-      Route = *Found;
-    else
+      FoundAccount = findAccount(*Found);
+    if (!Found) {
       Failure = Error{.Code = ErrorCode::UnknownDatabase,
                       .Message = "the database was withdrawn"};
-  }
-  if (!Failure.Message.empty()) {
-    if (Transaction.isOpen()) {
-      releaseLink(true);
-      Transaction.CurrentStage = CallerTransaction::Stage::Failed;
+    } else if (!FoundAccount) {
+      Failure = internal::keyRemoved();
+    } else {
+      Route = *Found;
+      Account = std::move(*FoundAccount);
     }
-    return respondLocally(Request, &Failure);
+  } else if (!hasCurrentAccount()) {
+    Failure = internal::keyRemoved();
   }
+  if (!Failure.Message.empty())
+    return refuseWithdrawn(Request, Failure);
   if (!Owner->MayRun(Now + Route.StatementTimeout))
     return refuseLeaving(Request);
   Active.emplace();
@@ -73,7 +82,53 @@
     CurrentGrant.Link->applyValues(Values);
     return sendActiveRequest(std::nullopt);
   }
-  requestLink();
+  requestPermit();
+}
+
+void CallerSession::refuseWithdrawn(const Statement &Request,
+                                    const Error &Failure) {
+  if (Transaction.isOpen()) {
+    releaseLink(true);
+    Transaction.CurrentStage = CallerTransaction::Stage::Failed;
+    if (Request.Kind == StatementKind::Commit)
+      Transaction = CallerTransaction();
+  }
+  respondLocally(Request, &Failure);
+}
+
+void CallerSession::requestPermit() {
+  if (Account.empty() || !Owner->Admit)
+    return requestLink();
+  std::uint64_t Id = ++StepId;
+  std::weak_ptr<CallerSession> Weak = shared_from_this();
+  std::uint64_t NewTicket = Owner->Admit(
+      Account, Active->GiveUpAt, [Weak, Id](const PermitOutcome &Outcome) {
+        std::shared_ptr<CallerSession> Self = Weak.lock();
+        if (!Self || Self->StepId != Id)
+          return;
+        Self->PermitTicket = 0;
+        Self->onPermit(Outcome);
+      });
+  // Admit may have decided at once, and the request has gone on or has ended.
+  if (StepId == Id && Active)
+    PermitTicket = NewTicket;
+}
+
+void CallerSession::onPermit(const PermitOutcome &Outcome) {
+  switch (Outcome.Result) {
+  case PermitOutcome::Kind::Granted:
+    return requestLink();
+  case PermitOutcome::Kind::OverLimit:
+    return finishWithError(
+        Error{.Code = ErrorCode::RateLimited,
+              .Message = "the account is over its rate limit; retry in " +
+                         std::to_string(toMillis(Outcome.RetryAfter).count()) +
+                         " ms"});
+  case PermitOutcome::Kind::Unavailable:
+    return finishWithError(
+        Error{.Code = ErrorCode::Overloaded,
+              .Message = "no VM that issues permits of the account answered"});
+  }
 }
 
 void CallerSession::requestLink() {
@@ -91,6 +146,7 @@
   Request.AcceptedAge = Route.MaxStaleness;
   if (Route.Reads == Consistency::ReadYourWrites)
     Request.LastWrite = LastWrite;
+  Request.Account = Account;
   Request.Priority = Route.Priority;
   Request.GiveUpAt = Active->GiveUpAt;
   Request.NotBefore = Active->NotBefore;
@@ -121,6 +177,10 @@
 
 void CallerSession::onGranted(LinkGrant Grant) {
   Ticket = 0;
+  if (!hasCurrentAccount()) {
+    Dispatcher->release(Grant.Link);
+    return finishWithError(internal::keyRemoved());
+  }
   CurrentGrant = std::move(Grant);
   ++Active->Attempts;
   Active->AttemptSince = BootClock::now();
--- a/src/Callers/CallerSession.cpp
+++ b/src/Callers/CallerSession.cpp
@@ -47,9 +47,9 @@
   if (std::holds_alternative<EndSession>(Message))
     return close();
   if (const OpenSession *Opening = std::get_if<OpenSession>(&Message)) {
-    if (Opened || !DatabaseToOpen.empty())
+    if (Opened || OpeningThatWaits)
       return rejectMessage({.Id = "", .Reason = "the session is open"});
-    return openSession(Opening->Database);
+    return openSession(*Opening);
   }
   if (const auto *Malformed = std::get_if<MalformedMessage>(&Message))
     return rejectMessage(*Malformed);
@@ -63,32 +63,66 @@
 }
 
 void CallerSession::retryOpen() {
-  if (!Opened && !DatabaseToOpen.empty() && !Ended)
-    openSession(std::exchange(DatabaseToOpen, {}));
+  if (Opened || !OpeningThatWaits || Ended)
+    return;
+  OpenSession Opening = std::move(*OpeningThatWaits);
+  OpeningThatWaits.reset();
+  openSession(std::move(Opening));
+}
+
+std::optional<std::string>
+CallerSession::findAccount(const RouteConfig &Route) const {
+  const AccountDirectory &Accounts = Owner->Config().Accounts;
+  if (!Accounts.isEnabled())
+    return std::string();
+  if (const ClientAccount *Found = Accounts.findByKey(Key))
+    return Found->Name;
+  if (Route.Public)
+    return std::string();
+  return std::nullopt;
+}
+
+bool CallerSession::hasCurrentAccount() const {
+  return findAccount(Route) == Account;
+}
+
+bool CallerSession::isPermitted() const {
+  const RouteConfig *Found = route();
+  return Found && findAccount(*Found);
+}
+
+void CallerSession::refuseOpening(const OpenSession &Opening,
+                                  const Error &Failure) {
+  std::string Bytes;
+  Owner->Codec->encodeError(Bytes, Failure.Code, Failure.Message);
+  Owner->Report({.Id = "-",
+                 .Database = Opening.Database,
+                 .Kind = "open",
+                 .Outcome = "refused",
+                 .Reason = Failure.Message,
+                 .Code = std::string(toString(Failure.Code))});
+  Stream->send(Bytes);
+  Stream->closeAfterSending();
+  end();
 }
 
-void CallerSession::openSession(const std::string &Name) {
-  // No database is known before the first configuration is active.
+void CallerSession::openSession(OpenSession Opening) {
+  // Nothing is known before the first configuration is active.
   if (Owner->Config().Version == 0) {
-    DatabaseToOpen = Name;
+    OpeningThatWaits = std::move(Opening);
     return;
   }
-  std::string Bytes;
-  if (!Owner->Config().findRoute(Name)) {
-    Owner->Codec->encodeError(Bytes, ErrorCode::UnknownDatabase,
-                              "no such database");
-    Owner->Report({.Id = "-",
-                   .Database = Name,
-                   .Kind = "open",
-                   .Outcome = "refused",
-                   .Reason = "no such database",
-                   .Code = std::string(toString(ErrorCode::UnknownDatabase))});
-    Stream->send(Bytes);
-    Stream->closeAfterSending();
-    return end();
-  }
-  Database = Name;
+  const RouteConfig *Found = Owner->Config().findRoute(Opening.Database);
+  if (!Found)
+    return refuseOpening(Opening, Error{.Code = ErrorCode::UnknownDatabase,
+                                        .Message = "no such database"});
+  Key = Opening.Key;
+  if (!findAccount(*Found))
+    return refuseOpening(Opening, Error{.Code = ErrorCode::Unauthorized,
+                                        .Message = "unknown API key"});
+  Database = std::move(Opening.Database);
   Opened = true;
+  std::string Bytes;
   Owner->Codec->encodeReady(Bytes, SessionPhase::Idle, std::nullopt);
   Stream->send(Bytes);
 }
@@ -206,9 +240,16 @@
                     .Message = "the database was withdrawn"};
     return respondLocally(Request, &Failure);
   }
+  std::optional<std::string> FoundAccount = findAccount(*Found);
+  if (!FoundAccount) {
+    Failure = Error{.Code = ErrorCode::Unauthorized,
+                    .Message = "the API key was removed"};
+    return respondLocally(Request, &Failure);
+  }
   if (!Owner->MayRun(BootClock::now() + Found->StatementTimeout))
     return refuseLeaving(Request);
   Route = *Found;
+  Account = std::move(*FoundAccount);
   Transaction.CurrentStage = CallerTransaction::Stage::BeginPending;
   Transaction.ReadOnly = Request.Kind == StatementKind::BeginReadOnly;
   Transaction.Since = BootClock::now();
@@ -323,6 +364,7 @@
   Report.Id = Active->Request.Id;
   Report.Database = Database;
   Report.Group = Route.Group;
+  Report.Account = Account;
   Report.Kind = toString(Active->Request.Kind);
   Report.Outcome = Outcome;
   if (Failure) {
@@ -358,6 +400,8 @@
   AwaitsConfirmation = false;
   if (Ticket && Dispatcher)
     Dispatcher->cancel(std::exchange(Ticket, 0));
+  if (PermitTicket)
+    Owner->CancelAdmit(std::exchange(PermitTicket, 0));
   if (Active) {
     // The target rolls back a write inside a transaction, as its connection is
     // closed.
--- a/src/Callers/CallerSession.h
+++ b/src/Callers/CallerSession.h
@@ -9,6 +9,7 @@
 #include "Links/LinkRequest.h"
 #include "Links/PreparedStatement.h"
 #include "Links/TargetLink.h"
+#include "Quotas/PermitOutcome.h"
 #include "Statements/StatementCodec.h"
 
 #include <cstdint>
@@ -35,7 +36,13 @@
 /// that nothing was kept is sent only if no such request was sent or the target
 /// refused it. Writes inside a transaction are not in doubt before its commit
 /// is sent, because the target rolls back a transaction whose connection is
-/// lost. Runs on the loop's thread.
+/// lost.
+///
+/// Where client accounts are told apart, the caller's key is looked up for each
+/// statement and again when its connection is granted, so that a key which was
+/// removed in the meantime runs nothing. An operation, which is a single
+/// statement or a transaction, needs one permit of its account's rate limit.
+/// Runs on the loop's thread.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
   /// Services that the owning process provides to its sessions.
@@ -49,6 +56,14 @@
     std::function<bool(TimePoint Deadline)> MayRun = [](TimePoint) {
       return true;
     };
+    /// Asks for a permit for one operation of \p Account. Calls \p Hook once,
+    /// possibly before it returns, unless the ticket that it returns is
+    /// cancelled. Without a function, operations need no permit.
+    std::function<std::uint64_t(
+        const std::string &Account, TimePoint GiveUpAt,
+        std::function<void(const PermitOutcome &)> Hook)>
+        Admit;
+    std::function<void(std::uint64_t Ticket)> CancelAdmit;
     /// Logs and counts a finished request, a refused session, a malformed
     /// message or the end of an idle transaction. Not called for requests that
     /// the session completes successfully without a target.
@@ -65,6 +80,10 @@
   /// Opens the session if it was waiting for the first configuration.
   void retryOpen();
 
+  /// Returns whether the active configuration would let the caller open the
+  /// session on its database.
+  bool isPermitted() const;
+
   /// Applies the timeouts; called every few milliseconds.
   void sweep(TimePoint Now);
 
@@ -88,7 +107,15 @@
 
 private:
   void handleLine(std::string_view Line);
-  void openSession(const std::string &Name);
+  void openSession(OpenSession Opening);
+  /// Refuses the caller's opening message and closes the connection.
+  void refuseOpening(const OpenSession &Opening, const Error &Failure);
+  /// Returns the account of the caller according to the active configuration:
+  /// an empty text where it needs none, nothing if its key is unknown.
+  std::optional<std::string> findAccount(const RouteConfig &Route) const;
+  /// Returns whether the key still belongs to the account of the active request
+  /// or transaction.
+  bool hasCurrentAccount() const;
   /// Reports a message that cannot be handled and, if no request is active,
   /// responds to it with an error. Closes the connection unless the session is
   /// open, the message has an id and no request is active or waiting.
@@ -110,6 +137,12 @@
   /// template there if necessary.
   std::string targetTextFor(const Statement &Request, TargetLink &Link) const;
 
+  /// Fails a request whose route or key is no longer in force, and its
+  /// transaction.
+  void refuseWithdrawn(const Statement &Request, const Error &Failure);
+  /// Asks for a permit for the operation that the active request begins.
+  void requestPermit();
+  void onPermit(const PermitOutcome &Outcome);
   /// Asks the group's dispatcher for a link that suits the active request.
   void requestLink();
   void onGranted(LinkGrant Grant);
@@ -157,12 +190,17 @@
   std::shared_ptr<LineStream> Stream;
   std::shared_ptr<const Host> Owner;
   std::string Database;
+  /// API key that the caller gave; may be empty.
+  std::string Key;
+  /// Client account of the active request or transaction; empty where accounts
+  /// are not told apart.
+  std::string Account;
   /// Whether the caller has opened the session on its database.
   bool Opened = false;
   bool HasReceivedRequest = false;
-  /// Database that the caller asked for before the first configuration was
-  /// active; empty otherwise.
-  std::string DatabaseToOpen;
+  /// The caller's opening message, if it arrived before the first configuration
+  /// was active.
+  std::optional<OpenSession> OpeningThatWaits;
   bool Ended = false;
   SessionValues Values;
   /// Prepared statements by the names that the caller gave them.
@@ -176,6 +214,8 @@
   std::deque<Statement> Inbox;
   /// Identifies the queued request for a link; 0 when none is queued.
   std::uint64_t Ticket = 0;
+  /// Identifies the wait for a permit; 0 when none is awaited.
+  std::uint64_t PermitTicket = 0;
   GroupDispatcher *Dispatcher = nullptr;
   /// Link of the active statement or transaction.
   LinkGrant CurrentGrant;
--- a/src/Callers/RequestReport.h
+++ b/src/Callers/RequestReport.h
@@ -18,6 +18,8 @@
   std::string Id;
   std::string Database;
   std::string Group;
+  /// Client account of the caller; empty where accounts are not told apart.
+  std::string Account;
   /// Kind of the statement, or "open", "transaction" or "malformed".
   std::string Kind;
   /// "ok", "refused", "in_doubt" or "failed".
--- a/src/Core/ErrorCode.cpp
+++ b/src/Core/ErrorCode.cpp
@@ -20,6 +20,7 @@
     ErrorCodeRow{ErrorCode::UnknownDatabase, "unknown_database", 404},
     ErrorCodeRow{ErrorCode::NoReleaseNote, "no_release_note", 503},
     ErrorCodeRow{ErrorCode::Overloaded, "overloaded", 503},
+    ErrorCodeRow{ErrorCode::RateLimited, "rate_limited", 429},
     ErrorCodeRow{ErrorCode::DeadlineExceeded, "deadline_exceeded", 504},
     ErrorCodeRow{ErrorCode::Leaving, "leaving", 503},
     ErrorCodeRow{ErrorCode::NotPrimary, "not_primary", 503},
--- a/src/Core/ErrorCode.h
+++ b/src/Core/ErrorCode.h
@@ -15,6 +15,7 @@
   UnknownDatabase,
   NoReleaseNote,
   Overloaded,
+  RateLimited,
   DeadlineExceeded,
   Leaving,
   NotPrimary,
--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -184,7 +184,7 @@
     // A connection to a relay is opened when it is needed. Otherwise each VM
     // would have one for each target, although it uses few of them.
     if (Path->second.Direct && !Links->hasAny())
-      Links->openIfAllowed(std::nullopt, Now);
+      Links->openIfAllowed(std::nullopt, {}, Now, Now);
   }
 }
 
@@ -204,10 +204,11 @@
 
 GroupDispatcher::Ticket GroupDispatcher::submit(LinkRequest Request) {
   Ticket Id = ++LastTicket;
+  Request.Since = BootClock::now();
   IsInUse = true;
   // The request is queued only after the attempt to grant it has failed, since
   // the hook that a grant calls may submit another request.
-  if (tryGrant(Request, BootClock::now()))
+  if (tryGrant(Request, Request.Since))
     return Id;
   PriorityOf[Id] = Request.Priority;
   Queue.emplace(QueueKey(Request.Priority, Id), std::move(Request));
@@ -267,15 +268,17 @@
     return false;
   // The last free direct connection to the primary is kept for requests that
   // need the primary, unless no other target may serve this one.
+  // Connections of an account have no such order: which one is free says little
+  // about the others.
   bool KeepLastFree = IsPrimary && !Request.NeedsPrimary && HasAlternatives &&
-                      Links->path().Direct;
+                      Links->path().Direct && Request.Account.empty();
   LinkGrant Grant;
-  Grant.Link = Links->tryAcquire(KeepLastFree ? 1 : 0);
+  Grant.Link = Links->tryAcquire(KeepLastFree ? 1 : 0, Request.Account);
   if (!Grant.Link)
     return false;
   Millis MaxWait = toMillis(Request.GiveUpAt - BootClock::now());
-  Grant.Link->setPriorityAndWait(Request.Priority,
-                                 std::max(MaxWait, Millis::zero()));
+  Grant.Link->setRelayOptions(
+      Request.Priority, std::max(MaxWait, Millis::zero()), Request.Account);
   Grant.Instance = Instance;
   Grant.IsPrimary = IsPrimary;
   if (!IsPrimary)
@@ -301,7 +304,8 @@
       return true;
   for (const std::string &Name : Names) {
     TargetConnections *Links = find(Name);
-    if (Links && Links->openIfAllowed(fallbackRelayFor(Name, Now), Now))
+    if (Links && Links->openIfAllowed(fallbackRelayFor(Name, Now),
+                                      Request.Account, Request.Since, Now))
       break;
   }
   return false;
--- a/src/Dispatch/GroupEvidence.cpp
+++ b/src/Dispatch/GroupEvidence.cpp
@@ -159,7 +159,8 @@
     return;
   ProofTarget = Tracker.primary();
   if (!Links->hasFree())
-    Links->openIfAllowed(fallbackRelayFor(Tracker.primary(), Now), Now);
+    Links->openIfAllowed(fallbackRelayFor(Tracker.primary(), Now), {}, Now,
+                         Now);
   // A target checks that it is still the primary when a transaction that may
   // write begins, so an empty transaction gives a leadership proof.
   Links->request(
@@ -269,7 +270,7 @@
   if (!Links)
     return Hook(nullptr);
   if (!Links->hasFree())
-    Links->openIfAllowed(fallbackRelayFor(Instance, Now), Now);
+    Links->openIfAllowed(fallbackRelayFor(Instance, Now), {}, Now, Now);
   Links->request(Key, std::move(Request), std::move(Hook), Now);
 }
 
--- a/src/Links/LinkRequest.h
+++ b/src/Links/LinkRequest.h
@@ -27,8 +27,13 @@
   /// The session's last write, which a read must see; set only if the route
   /// requires that sessions read their own writes.
   std::optional<SessionWrite> LastWrite;
+  /// Client account whose statements the connection is to serve; empty where
+  /// accounts are not told apart.
+  std::string Account;
   /// Lower numbers are served first.
   unsigned Priority = 0;
+  /// When the request was submitted; set by the dispatcher.
+  TimePoint Since;
   /// Time before which no connection is granted, after a target was too busy.
   TimePoint NotBefore;
   /// Time at which the request is refused if it still waits for a connection.
--- a/src/Links/Links.h
+++ b/src/Links/Links.h
@@ -4,6 +4,7 @@
 #ifndef CICADAWIND_LINKS_LINKS_H
 #define CICADAWIND_LINKS_LINKS_H
 
+#include "Links/AccountPool.h"
 #include "Links/ConnectionCount.h"
 #include "Links/LinkGrant.h"
 #include "Links/LinkRequest.h"
--- a/src/Links/RelayLine.cpp
+++ b/src/Links/RelayLine.cpp
@@ -6,6 +6,8 @@
 namespace internal {
 
 constexpr std::string_view OpeningWord = "CARRY ";
+/// Begins the word that names an account. No request begins with it.
+constexpr char AccountMark = '@';
 
 /// Parses a number and the space after it and removes both from \p Text.
 /// Returns nothing if \p Text does not begin with them.
@@ -29,8 +31,13 @@
   return std::string(internal::OpeningWord) + Group + " " + Instance + "\r\n";
 }
 
-std::string RelayLine::prefixFor(unsigned Priority, Millis MaxWait) {
-  return std::to_string(Priority) + " " + std::to_string(MaxWait.count()) + " ";
+std::string RelayLine::prefixFor(unsigned Priority, Millis MaxWait,
+                                 std::string_view Account) {
+  std::string Out =
+      std::to_string(Priority) + " " + std::to_string(MaxWait.count()) + " ";
+  if (!Account.empty())
+    Out.append(1, internal::AccountMark).append(Account).append(" ");
+  return Out;
 }
 
 std::optional<RelayLine> RelayLine::parseOpening(std::string_view Text) {
@@ -56,6 +63,13 @@
   RelayLine Out;
   Out.Priority = *Priority;
   Out.MaxWait = Millis(*MaxWait);
+  if (Text.starts_with(internal::AccountMark)) {
+    std::size_t Space = Text.find(' ');
+    if (Space == std::string_view::npos || Space == 1)
+      return std::nullopt;
+    Out.Account = Text.substr(1, Space - 1);
+    Text.remove_prefix(Space + 1);
+  }
   Out.Line = Text;
   return Out;
 }
--- a/src/Links/TargetConnections.cpp
+++ b/src/Links/TargetConnections.cpp
@@ -3,15 +3,23 @@
 
 #include "Links/TargetConnections.h"
 
+#include "Core/Random.h"
 #include "Observability/Log.h"
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
+#include <utility>
 
 namespace cicadawind {
 namespace internal {
 
 static const Log Logger("connections");
+
+static std::uint64_t hashOf(const std::string &Text) {
+  return std::hash<std::string>()(Text);
+}
+
 /// Backoff after a connection could not be opened: this step for each failure
 /// in a row, up to MaxOpenBackoffSteps steps.
 constexpr Duration OpenBackoffStep = std::chrono::milliseconds(50);
@@ -26,7 +34,7 @@
                                      Options NewOpts, TargetEntry NewEntry,
                                      std::shared_ptr<const Events> NewCallbacks)
     : Loop(Loop), Opts(std::move(NewOpts)), Entry(std::move(NewEntry)),
-      Callbacks(std::move(NewCallbacks)) {
+      Callbacks(std::move(NewCallbacks)), Pool(Opts.Accounts) {
   assert(Opts.Codec && Callbacks &&
          "target connections need a codec and callbacks");
 }
@@ -45,10 +53,68 @@
   return nullptr;
 }
 
-std::shared_ptr<TargetLink> TargetConnections::tryAcquire(std::size_t MinFree) {
+bool TargetConnections::suits(const TargetLink &Link,
+                              const std::string &Account,
+                              const VmEntry *Relay) {
+  if (!Link.isOpen())
+    return false;
+  if (!Link.isRelayed())
+    return Link.account() == Account;
+  return !Relay || Link.relay() == Relay->Vm;
+}
+
+const VmEntry *
+TargetConnections::preferredRelay(const std::string &Account) const {
+  if (Path.Direct || Path.Relays.empty())
+    return nullptr;
+  std::uint64_t Seed =
+      hashCombine(internal::hashOf(Account), internal::hashOf(Entry.Instance));
+  using Ranked = std::pair<std::uint64_t, const VmEntry *>;
+  std::vector<Ranked> Order;
+  for (const VmEntry &Relay : Path.Relays)
+    Order.emplace_back(hashCombine(Seed, internal::hashOf(Relay.Vm)), &Relay);
+  std::sort(Order.begin(), Order.end());
+  return Order[NextRelay % Order.size()].second;
+}
+
+bool TargetConnections::mayUseAnyRelay(const VmEntry &Preferred,
+                                       TimePoint Now) const {
+  if (mayOpen(Now))
+    return false;
+  // A connection that is being opened is worth the wait.
+  return std::none_of(AllLinks.begin(), AllLinks.end(),
+                      [&](const std::weak_ptr<TargetLink> &Weak) {
+                        std::shared_ptr<TargetLink> Link = Weak.lock();
+                        return Link && Link->isOpening() &&
+                               Link->relay() == Preferred.Vm;
+                      });
+}
+
+std::shared_ptr<TargetLink>
+TargetConnections::tryAcquire(std::size_t MinFree, const std::string &Account) {
+  ServesAccounts |= !Account.empty();
   if (FreeLinks.size() <= MinFree || !Concurrency.allows(inUse()))
     return nullptr;
-  return popFreeLink();
+  if (!ServesAccounts)
+    return popFreeLink();
+  const VmEntry *Relay = preferredRelay(Account);
+  auto FindLast = [&] {
+    return std::find_if(FreeLinks.rbegin(), FreeLinks.rend(),
+                        [&](const FreeLink &Each) {
+                          return suits(*Each.Link, Account, Relay);
+                        });
+  };
+  auto It = FindLast();
+  if (It == FreeLinks.rend() && Relay &&
+      mayUseAnyRelay(*Relay, BootClock::now())) {
+    Relay = nullptr;
+    It = FindLast();
+  }
+  if (It == FreeLinks.rend())
+    return nullptr;
+  std::shared_ptr<TargetLink> Link = std::move(It->Link);
+  FreeLinks.erase(std::next(It).base());
+  return Link;
 }
 
 void TargetConnections::release(const std::shared_ptr<TargetLink> &Link) {
@@ -94,10 +160,13 @@
                      [&](const VmEntry &Vm) { return Vm.Vm == Link.relay(); });
 }
 
+unsigned TargetConnections::connectionLimit(TimePoint Now) const {
+  return Now < ReducedShareUntil ? std::min(Path.Share, ReducedShare)
+                                 : Path.Share;
+}
+
 bool TargetConnections::mayOpen(TimePoint Now) const {
-  unsigned Limit =
-      Now < ReducedShareUntil ? std::min(Path.Share, ReducedShare) : Path.Share;
-  if (AllLinks.size() >= Limit || Now < NextOpen ||
+  if (AllLinks.size() >= connectionLimit(Now) || Now < NextOpen ||
       !Concurrency.allows(AllLinks.size()))
     return false;
   // Opening a connection occupies a slot of the target for longer than a
@@ -106,29 +175,84 @@
                      : OpeningCount < Opts.MaxRelayedOpenings;
 }
 
-bool TargetConnections::openIfAllowed(
-    const std::optional<VmEntry> &FallbackRelay, TimePoint Now) {
-  if (!mayOpen(Now))
+AccountPool::State TargetConnections::poolState(const std::string &Account,
+                                                TimePoint Now) const {
+  AccountPool::State Out;
+  Out.Free = FreeLinks.size();
+  Out.Limit = connectionLimit(Now);
+  for (const std::weak_ptr<TargetLink> &Weak : AllLinks) {
+    std::shared_ptr<TargetLink> Link = Weak.lock();
+    if (!Link || Link->isClosed())
+      continue;
+    bool IsOfAccount = Link->isRelayed() || Link->account() == Account;
+    ++Out.Total;
+    Out.Opening += Link->isOpening();
+    Out.OfAccount += IsOfAccount;
+    Out.OpeningOfAccount += IsOfAccount && Link->isOpening();
+  }
+  return Out;
+}
+
+bool TargetConnections::openForAccount(const std::string &Account,
+                                       Duration Waited, TimePoint Now) {
+  if (Now < NextOpen || !Concurrency.allows(inUse() + OpeningCount))
+    return false;
+  PoolStep Step = Pool.nextStep(poolState(Account, Now), Waited);
+  if (Step == PoolStep::Wait)
     return false;
-  if (!Path.Direct && !Path.Relays.empty()) {
-    // Connections that are opened at the same time go to different relays,
-    // because one of the relays may not respond.
-    open(&Path.Relays[(NextRelay + OpeningCount) % Path.Relays.size()]);
+  if (Step == PoolStep::Replace) {
+    FreeLinks.front().Link->close();
+    removeClosed();
+  }
+  open(nullptr, Account);
+  return true;
+}
+
+bool TargetConnections::openToRelay(const std::string &Account) {
+  // Connections that are opened at the same time go to different relays,
+  // because one of the relays may not respond.
+  if (!ServesAccounts) {
+    open(&Path.Relays[(NextRelay + OpeningCount) % Path.Relays.size()], {});
     return true;
   }
+  const VmEntry *Relay = preferredRelay(Account);
+  bool IsOpening = std::any_of(AllLinks.begin(), AllLinks.end(),
+                               [&](const std::weak_ptr<TargetLink> &Weak) {
+                                 std::shared_ptr<TargetLink> Link = Weak.lock();
+                                 return Link && Link->isOpening() &&
+                                        Link->relay() == Relay->Vm;
+                               });
+  if (IsOpening)
+    return false;
+  open(Relay, {});
+  return true;
+}
+
+bool TargetConnections::openIfAllowed(
+    const std::optional<VmEntry> &FallbackRelay, const std::string &Account,
+    TimePoint WaitsSince, TimePoint Now) {
   bool Direct =
       !UnreachableSince || Now - LastDirectFailure > Opts.DirectRetryBackoff;
-  open(Direct || !FallbackRelay ? nullptr : &*FallbackRelay);
+  bool UsesFallback = !Direct && FallbackRelay;
+  if (ServesAccounts && Path.Direct && !UsesFallback)
+    return openForAccount(Account, Now - WaitsSince, Now);
+  if (!mayOpen(Now))
+    return false;
+  if (!Path.Direct && !Path.Relays.empty())
+    return openToRelay(Account);
+  open(UsesFallback ? &*FallbackRelay : nullptr, Account);
   return true;
 }
 
-void TargetConnections::open(const VmEntry *Relay) {
+void TargetConnections::open(const VmEntry *Relay, const std::string &Account) {
   TargetLink::Options LinkOpts;
   LinkOpts.Codec = Opts.Codec;
   LinkOpts.Group = Opts.Group;
   LinkOpts.Instance = Entry.Instance;
   LinkOpts.Address = Entry.Address;
   LinkOpts.Stream = Opts.Stream;
+  if (!Relay)
+    LinkOpts.Account = Account;
   if (Relay) {
     // A proxy enters the address of its RelayService in this field.
     LinkOpts.Address = Relay->PoolerPeer;
@@ -326,6 +450,8 @@
     if (IsOffPath(Each))
       Each.Link->close();
   Duration Limit = Path.Direct ? Opts.IdleTimeout : Opts.RelayedIdleTimeout;
+  if (ServesAccounts)
+    Limit = Opts.AccountIdleTimeout;
   removeClosed();
   // The first link in the list was used least recently.
   while (AllLinks.size() > 1 && !FreeLinks.empty() &&
--- a/src/Links/TargetConnections.h
+++ b/src/Links/TargetConnections.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_LINKS_TARGETCONNECTIONS_H
 
 #include "Admission/ConcurrencyLimit.h"
+#include "Links/AccountPool.h"
 #include "Links/RelayPlan.h"
 #include "Links/TargetEntry.h"
 #include "Links/TargetLink.h"
@@ -21,13 +22,16 @@
 /// acquire and release them, and closes those that do not respond.
 ///
 /// The path decides whether connections lead to the target or to a relay, and
-/// how many this VM may have. Connections to the target are opened one at a
-/// time. A control request (status, leadership proof, demotion) uses a free
-/// connection, or else the next one that is released, before any session.
-/// Errors and failures of a relayed connection are not reported through
-/// OnContact, OnFailure or OnTimeout, because the relay may be their cause.
-/// Runs on the loop's thread. A sweep takes O(share), and O(share) more for
-/// each unused connection that it closes.
+/// how many this VM may have. A connection to the target serves one client
+/// account, see AccountPool; one to a relay serves all, but each account
+/// prefers one of the relays, the same on all VMs, so that its statements meet
+/// where its connections are. Where accounts are not told apart, connections to
+/// the target are opened one at a time. A control request (status, leadership
+/// proof, demotion) uses a free connection, or else the next one that is
+/// released, before any session. Errors and failures of a relayed connection
+/// are not reported through OnContact, OnFailure or OnTimeout, because the
+/// relay may be their cause. Runs on the loop's thread. A sweep takes O(share),
+/// and O(share) more for each unused connection that it closes.
 class TargetConnections
     : public std::enable_shared_from_this<TargetConnections> {
 public:
@@ -50,6 +54,10 @@
     /// The same for connections to relays, which take no connection of the
     /// target while they are unused.
     Duration RelayedIdleTimeout = std::chrono::milliseconds(5000);
+    /// The same for all connections where accounts are told apart: a connection
+    /// that is closed is missed by one account, whose statements are rare.
+    Duration AccountIdleTimeout = std::chrono::seconds(30);
+    AccountPool::Options Accounts;
     /// Number of connections to relays that are opened at the same time.
     unsigned MaxRelayedOpenings = 4;
     /// Time after the failure of a direct connection during which connections
@@ -87,9 +95,11 @@
   void setPath(const TargetPath &NewPath);
   const TargetPath &path() const { return Path; }
 
-  /// Returns a free link if more than \p MinFree are free and the target may
-  /// run another statement of this VM; otherwise null.
-  std::shared_ptr<TargetLink> tryAcquire(std::size_t MinFree);
+  /// Returns a free link for statements of \p Account if more than \p MinFree
+  /// are free and the target may run another statement of this VM; otherwise
+  /// null. \p Account is empty where accounts are not told apart.
+  std::shared_ptr<TargetLink> tryAcquire(std::size_t MinFree,
+                                         const std::string &Account);
   bool hasFree() const { return !FreeLinks.empty(); }
   bool hasAny() const { return !AllLinks.empty(); }
   /// Returns the number of connections that are open.
@@ -99,11 +109,13 @@
   /// Takes back a link. Closes it if it has failed or has unanswered requests,
   /// or if it leads to an earlier incarnation of the target.
   void release(const std::shared_ptr<TargetLink> &Link);
-  /// Opens a connection if the path allows another one now. If the path is
+  /// Opens a connection for statements of \p Account, one of which has waited
+  /// since \p WaitsSince, if the path allows another one now. If the path is
   /// direct but the target cannot be reached, connects to \p FallbackRelay
   /// instead, unless it is empty or a direct attempt is due. Returns false if
   /// no connection may be opened.
   bool openIfAllowed(const std::optional<VmEntry> &FallbackRelay,
+                     const std::string &Account, TimePoint WaitsSince,
                      TimePoint Now);
 
   /// Sends \p Request over a free connection, or else the next one that becomes
@@ -148,9 +160,31 @@
   /// Returns the number of connections that are acquired or that carry control
   /// requests.
   std::size_t inUse() const;
-  /// Opens a connection to \p Relay, or to the target if it is null.
-  void open(const VmEntry *Relay);
+  /// Opens a connection to \p Relay, or to the target for \p Account if it is
+  /// null.
+  void open(const VmEntry *Relay, const std::string &Account);
   bool mayOpen(TimePoint Now) const;
+  /// Returns the number of connections that this VM may have at \p Now.
+  unsigned connectionLimit(TimePoint Now) const;
+  /// Opens a direct connection for \p Account as AccountPool decides. Returns
+  /// false if none is opened.
+  bool openForAccount(const std::string &Account, Duration Waited,
+                      TimePoint Now);
+  /// Returns the state of the direct connections for \p Account.
+  AccountPool::State poolState(const std::string &Account, TimePoint Now) const;
+  /// Returns the relay that the statements of \p Account go to; null if the
+  /// path has none. The same on all VMs that have the same relays.
+  const VmEntry *preferredRelay(const std::string &Account) const;
+  /// Returns whether \p Link may carry statements of \p Account and leads to
+  /// \p Relay, or to the target if that is null.
+  static bool suits(const TargetLink &Link, const std::string &Account,
+                    const VmEntry *Relay);
+  /// Opens a connection to the relay that \p Account prefers. Returns false if
+  /// none may be opened.
+  bool openToRelay(const std::string &Account);
+  /// Returns whether the statements of \p Account use any free connection
+  /// to a relay, because no other one to the preferred relay may be opened.
+  bool mayUseAnyRelay(const VmEntry &Preferred, TimePoint Now) const;
   bool isOnPath(const TargetLink &Link) const;
   /// Returns whether this object opened \p Link. A target that was dropped and
   /// listed again has a new object.
@@ -197,6 +231,9 @@
   std::map<const TargetLink *, std::weak_ptr<TargetLink>> ControlLinks;
   /// Limits this VM's simultaneous statements at the target.
   ConcurrencyLimit Concurrency;
+  AccountPool Pool;
+  /// Whether a statement of a client account was to be sent to the target.
+  bool ServesAccounts = false;
   unsigned OpeningCount = 0;
   /// Number of consecutive failures to open a connection, up to
   /// MaxOpenBackoffSteps.
--- a/src/Links/TargetLink.cpp
+++ b/src/Links/TargetLink.cpp
@@ -29,7 +29,7 @@
   assert(Opts.Codec && "a target link needs a codec");
   // Applies until the dispatcher sets the values of a granted request.
   constexpr Millis InitialMaxWait{300};
-  setPriorityAndWait(0, InitialMaxWait);
+  setRelayOptions(0, InitialMaxWait, {});
 }
 
 void TargetLink::open(std::function<void(std::optional<Error>)> Done) {
@@ -43,7 +43,8 @@
     std::string Bytes;
     if (Self->isRelayed())
       Bytes = RelayLine::openingFor(Self->Opts.Group, Self->Opts.Instance);
-    Self->Opts.Codec->encodeOpen(Bytes, Self->Opts.Group, Self->Opts.Instance);
+    Self->Opts.Codec->encodeOpen(Bytes, Self->Opts.Group, Self->Opts.Account,
+                                 Self->Opts.Instance);
     Self->Stream->start();
     Self->Stream->send(Bytes);
   });
--- a/src/Links/TargetLink.h
+++ b/src/Links/TargetLink.h
@@ -51,6 +51,9 @@
     std::string Instance;
     /// "ip:port" of the target, or of the VM that relays to it.
     std::string Address;
+    /// Client account that the target is told; empty for one that relays, and
+    /// where accounts are not told apart.
+    std::string Account;
     /// Name of the VM that relays; empty if the link leads to the target
     /// itself.
     std::string Relay;
@@ -70,10 +73,12 @@
   /// Sets the hook that is called once when an open link fails.
   void onFailed(std::function<void()> Hook) { FailureHook = std::move(Hook); }
 
-  /// Sets the priority of the requests that follow, and the time that they may
-  /// wait for a connection at a relay. Has no effect on a direct link.
-  void setPriorityAndWait(unsigned Priority, Millis MaxWait) {
-    Prefix = RelayLine::prefixFor(Priority, MaxWait);
+  /// Sets the priority of the requests that follow, the time that they may wait
+  /// for a connection at a relay, and their account. Has no effect on a direct
+  /// link.
+  void setRelayOptions(unsigned Priority, Millis MaxWait,
+                       std::string_view Account) {
+    Prefix = RelayLine::prefixFor(Priority, MaxWait, Account);
   }
 
   /// Sends a caller's statement under the caller's id. If \p MinPosition is
@@ -106,9 +111,13 @@
 
   bool isRelayed() const { return !Opts.Relay.empty(); }
   const std::string &relay() const { return Opts.Relay; }
+  /// Returns the account whose statements a direct link may carry; a link to a
+  /// relay carries those of any.
+  const std::string &account() const { return Opts.Account; }
   const std::string &address() const { return Opts.Address; }
   const std::string &instance() const { return Opts.Instance; }
   bool isOpen() const { return Opened && Stream->isOpen(); }
+  bool isOpening() const { return !Opened && Stream->isOpen(); }
   bool isIdle() const { return Pending.empty(); }
   /// Whether a transaction was open after the latest reply.
   bool inTransaction() const { return Phase != SessionPhase::Idle; }
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -32,6 +32,12 @@
          std::to_string(Connections->Allowed);
 }
 
+/// Returns the number of accounts; empty if they are not told apart.
+static std::string describe(const AccountDirectory &Accounts) {
+  return Accounts.isEnabled() ? std::to_string(Accounts.accounts().size())
+                              : std::string();
+}
+
 static std::string millisSince(TimePoint Start, TimePoint Now) {
   return std::to_string(toMillis(Now - Start).count());
 }
@@ -98,12 +104,13 @@
                          {"before", std::to_string(Previous->Version)},
                          {"known_ms", KnownMs},
                          {"routes", std::to_string(Config->Routes.size())},
+                         {"accounts", internal::describe(Config->Accounts)},
                          {"groups", std::to_string(Config->Groups.size())}});
   Meter.set("config_version", static_cast<double>(Config->Version));
   updateGroups();
   if (Previous->Version == 0)
     openWaitingSessions();
-  closeSessionsOfRemovedDatabases(*Previous);
+  closeRemovedSessions();
   if (ConfigHook)
     ConfigHook();
   return true;
@@ -122,14 +129,11 @@
     Session->retryOpen();
 }
 
-void ProxyService::closeSessionsOfRemovedDatabases(
-    const ProxyConfig &Previous) {
+void ProxyService::closeRemovedSessions() {
   std::vector<std::shared_ptr<CallerSession>> Removed;
-  for (const std::shared_ptr<CallerSession> &Session : Sessions) {
-    bool WasListed = Previous.findRoute(Session->database()) != nullptr;
-    if (WasListed && !Config->findRoute(Session->database()))
+  for (const std::shared_ptr<CallerSession> &Session : Sessions)
+    if (!Session->isPermitted())
       Removed.push_back(Session);
-  }
   for (const std::shared_ptr<CallerSession> &Session : Removed)
     Session->closeIfIdle();
 }
@@ -281,6 +285,7 @@
       {{"id", Report.Id},
        {"database", Report.Database},
        {"group", Report.Group},
+       {"account", Report.Account},
        {"kind", Report.Kind},
        {"outcome", Report.Outcome},
        {"code", Report.Code},
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -160,6 +160,13 @@
     Opts.Group.FindLeasePeer = std::move(FindLeasePeer);
     Opts.Group.RequestEvidence = std::move(RequestEvidence);
   }
+  /// Sets the functions that ask for permits for operations; see
+  /// CallerSession::Host.
+  void setAdmit(decltype(CallerSession::Host::Admit) Admit,
+                decltype(CallerSession::Host::CancelAdmit) Cancel) {
+    Host->Admit = std::move(Admit);
+    Host->CancelAdmit = std::move(Cancel);
+  }
   std::size_t sessions() const { return Sessions.size(); }
 
 private:
@@ -175,9 +182,9 @@
   void updatePathsOf(GroupDispatcher &Group);
   /// Opens the sessions that have waited for the first configuration.
   void openWaitingSessions();
-  /// Closes the idle sessions of databases that \p Previous lists and the
-  /// active configuration does not.
-  void closeSessionsOfRemovedDatabases(const ProxyConfig &Previous);
+  /// Closes the idle sessions of databases and API keys that the active
+  /// configuration no longer lists.
+  void closeRemovedSessions();
   void sweepDrain(TimePoint Now);
   /// Returns whether a request that ends by \p Deadline may be run.
   bool mayRun(TimePoint Deadline) const;
--- a/src/Relays/RelaySession.cpp
+++ b/src/Relays/RelaySession.cpp
@@ -72,6 +72,7 @@
   PendingRequest Next;
   Next.Request = Owner->Codec->decodeTargetRequest(Relayed->Line);
   Next.Priority = Relayed->Priority;
+  Next.Account = Relayed->Account;
   Next.GiveUpAt = BootClock::now() + Relayed->MaxWait;
   if (Next.Request.Type == TargetRequest::RequestType::Invalid)
     return close();
@@ -95,6 +96,9 @@
     }
     if (!CurrentGrant.Link)
       return requestLink(Inbox.front());
+    // A connection carries the statements of one account only.
+    if (Inbox.front().Account != CurrentAccount)
+      return close();
     PendingRequest Next = std::move(Inbox.front());
     Inbox.pop_front();
     forward(Next.Request);
@@ -223,6 +227,8 @@
   LinkRequest Request;
   Request.RequiredTarget = Instance;
   Request.NeedsPrimary = needsPrimary(First.Request);
+  Request.Account = First.Account;
+  CurrentAccount = First.Account;
   Request.Priority = First.Priority;
   Request.GiveUpAt = First.GiveUpAt;
   std::weak_ptr<RelaySession> Weak = weak_from_this();
--- a/src/Relays/RelaySession.h
+++ b/src/Relays/RelaySession.h
@@ -68,6 +68,8 @@
   struct PendingRequest {
     TargetRequest Request;
     unsigned Priority = 0;
+    /// Client account that the request belongs to; may be empty.
+    std::string Account;
     /// Time at which the request is refused if it has no link.
     TimePoint GiveUpAt;
   };
@@ -128,6 +130,8 @@
   /// Whether a link was requested and neither granted nor refused.
   bool AwaitingGrant = false;
   LinkGrant CurrentGrant;
+  /// Account for which CurrentGrant was acquired.
+  std::string CurrentAccount;
   SessionValues Values;
   std::map<std::string, PreparedStatement> Prepared;
   SessionPhase Phase = SessionPhase::Idle;
--- a/src/Statements/CallerMessage.h
+++ b/src/Statements/CallerMessage.h
@@ -11,6 +11,8 @@
 /// Request of a caller to open its session on \c Database.
 struct OpenSession {
   std::string Database;
+  /// API key of the caller; empty if it gave none.
+  std::string Key;
 };
 
 /// Request of a caller to end its session.
--- a/src/Statements/StatementCodec.h
+++ b/src/Statements/StatementCodec.h
@@ -42,8 +42,10 @@
   /// Decodes a line that was received from a target.
   virtual TargetMessage decodeTarget(std::string_view Line) const = 0;
   /// Encodes the request that opens a connection to the target \p Instance of
-  /// \p Group.
+  /// \p Group for the statements of the client account \p Account; empty if
+  /// they belong to none.
   virtual void encodeOpen(std::string &Out, std::string_view Group,
+                          std::string_view Account,
                           std::string_view Instance) const = 0;
   /// Encodes a caller's read, write or commit. If \p MinPosition is given, the
   /// target must refuse the request unless it has applied the log up to that
--- a/test/Emulator/EmulatedInstance.cpp
+++ b/test/Emulator/EmulatedInstance.cpp
@@ -88,6 +88,7 @@
                      .Text = Line,
                      .Instance = Owner.Id,
                      .Connection = Number,
+                     .Account = Account,
                      .InTransaction = State != 'I',
                      .Values = valuesText()};
     bool DropsReply = false;
@@ -102,7 +103,7 @@
 
   void open(std::string Line) {
     std::string Group = takeWord(Line);
-    takeWord(Line);
+    Account = takeWord(Line);
     bool Wrong =
         Group != Owner.Group.name() || (!Line.empty() && Line != Owner.Id);
     if (Wrong || Owner.connections() > Owner.MaxConnections) {
@@ -273,6 +274,8 @@
 
   EmulatedInstance &Owner;
   std::uint64_t Number;
+  /// Who the caller says that it is.
+  std::string Account;
   std::shared_ptr<LineStream> Stream;
   boost::asio::steady_timer WorkTimer;
   std::deque<std::string> Lines;
--- a/test/Emulator/EmulatedInstance.h
+++ b/test/Emulator/EmulatedInstance.h
@@ -18,6 +18,8 @@
   std::string Text;
   std::string Instance;
   std::uint64_t Connection = 0;
+  /// Who the connection says that it serves.
+  std::string Account;
   /// Whether a transaction was open when the request arrived.
   bool InTransaction = false;
   /// Session values of the connection, as "name=value;".
--- a/test/Platform/LineProtocolTest.cpp
+++ b/test/Platform/LineProtocolTest.cpp
@@ -104,7 +104,7 @@
 
 BOOST_AUTO_TEST_CASE(controlRequestsHaveNoCallerId) {
   std::string Out;
-  Codec.encodeOpen(Out, "huvo11a", "i-7f");
+  Codec.encodeOpen(Out, "huvo11a", "", "i-7f");
   Codec.encodeBegin(Out, false, std::nullopt);
   Codec.encodeBegin(Out, true, LogPosition{.WrittenIn = 3, .Index = 12});
   Codec.encodeRollback(Out);
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -122,15 +122,15 @@
 }
 
 ProxyCaller::ProxyCaller(ProxyWorld &World, ProxyService &Service,
-                         const std::string &Database)
+                         const std::string &Database, const std::string &Key)
     : World(World), Socket(World.Loop) {
   Tcp::acceptor Acceptor(
       World.Loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   Socket.connect(Acceptor.local_endpoint());
   Service.accept(Acceptor.accept());
   Socket.non_blocking(true);
-  send("STARTUP " + Database + " someone");
-  receive();
+  send("STARTUP " + Database + " " + Key);
+  Opening = receive();
 }
 
 void ProxyCaller::sendRaw(const std::string &Bytes) {
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -73,11 +73,12 @@
 /// \brief A connected caller of a proxy in a ProxyWorld.
 class ProxyCaller {
 public:
-  ProxyCaller(ProxyWorld &World, const std::string &Database)
-      : ProxyCaller(World, *World.Service, Database) {}
+  ProxyCaller(ProxyWorld &World, const std::string &Database,
+              const std::string &Key = "someone")
+      : ProxyCaller(World, *World.Service, Database, Key) {}
   /// Connects to \p Service, the proxy of another VM in the same \p World.
   ProxyCaller(ProxyWorld &World, ProxyService &Service,
-              const std::string &Database);
+              const std::string &Database, const std::string &Key = "someone");
 
   void send(const std::string &Line) { sendRaw(Line + "\r\n"); }
   void sendRaw(const std::string &Bytes);
@@ -90,6 +91,8 @@
   /// joined by " | ".
   std::string ask(const std::string &Text);
   const std::string &lastId() const { return LastId; }
+  /// Returns the lines of the response to the opening message.
+  const std::vector<std::string> &opening() const { return Opening; }
   /// Returns whether the proxy closes the connection within 5 s.
   bool isClosed();
   void close() { Socket.close(); }
@@ -103,6 +106,7 @@
   boost::asio::ip::tcp::socket Socket;
   std::string Received;
   std::string LastId;
+  std::vector<std::string> Opening;
   bool ConnectionEnded = false;
 };
 
--- a/test/Relays/RelayTest.cpp
+++ b/test/Relays/RelayTest.cpp
@@ -207,7 +207,7 @@
     SweepsAfterWait += IsLate ? 1 : 0;
   });
   for (std::size_t I = 0; I < Links.size(); ++I) {
-    Links[I]->setPriorityAndWait(0, MaxWait);
+    Links[I]->setRelayOptions(0, MaxWait, {});
     Links[I]->runStatement("c" + std::to_string(I), "WRITE i1 x", std::nullopt,
                            Captures[I]->hook());
   }
