--- a/test/Platform/EntryDecodersTest.cpp
+++ b/test/Platform/EntryDecodersTest.cpp
@@ -132,6 +132,20 @@
     }
 }
 
+// Errors are logged, and the text that ends too early may end in a key.
+BOOST_AUTO_TEST_CASE(errorsOfTruncatedConfigurationsContainNoKey) {
+  const std::string Text = R"({"configVersion":7,"routes":[],"services":[],)"
+                           R"("tenants":[{"name":"a","apiKeys":["secret"]}]})";
+  for (std::size_t Size = 0; Size < Text.size(); ++Size) {
+    Result<ProxyConfig> Read =
+        platform::decodeConfiguration(Text.substr(0, Size));
+    const Error *E = errorOf(Read);
+    BOOST_REQUIRE(E);
+    BOOST_TEST(E->Message.find("secr") == std::string::npos);
+    BOOST_TEST(E->Message.find("line 1") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(decodersHandleArbitraryText) {
   BOOST_TEST(rc::check([](const std::string &Text) {
     platform::decodeInstance("i", Text);
