cicadawindctl config check, and the active configuration for operators

Cause: operators have no command that checks a configuration before it is sent, and cannot see what differs from the version in force. Change: the command reads a file, and the version in force from a file or from GET /configuration of a running proxy. The page is served on the operators' address only, with a salted digest in place of each key.

--- a/src/Cli/CtlMain.cpp
+++ b/src/Cli/CtlProgram.cpp
@@ -1,4 +1,7 @@
+#include "Cli/CtlProgram.h"
+
 #include "Cli/Commands.h"
+#include "Cli/ConfigCheckCommand.h"
 #include "Cli/OperatorClient.h"
 #include "Cli/ProxyCommands.h"
 #include "Observability/Log.h"
@@ -22,6 +25,11 @@
 DEFINE_int32(timeout_s, 20, "timeout of --wait in seconds");
 DEFINE_string(submission, "",
               "note submit: id of an earlier submission to repeat");
+DEFINE_string(file, "", "config check: file of the next configuration");
+DEFINE_string(in_force, "", "config check: file of the configuration in force");
+DEFINE_string(vm, "",
+              "config check: operator address, ip:port, of a running proxy "
+              "whose configuration is in force");
 DECLARE_bool(help);
 DECLARE_bool(version);
 
@@ -33,12 +41,15 @@
 Usage: cicadawindctl --daemon=IP:PORT[,IP:PORT] --operator_key_file=FILE COMMAND
        cicadawindctl --proxies=IP:PORT[,IP:PORT] status
        cicadawindctl check FILE | explain ID [LOG...]
+       cicadawindctl config check --file=FILE [--in_force=FILE | --vm=IP:PORT]
 
 Commands for proxies
   status                 show VMs, active configuration versions, and each
                          group's primary and term
   check FILE             check a proxy's settings file and print every error
                          with its line
+  config check           check a configuration before it is sent, and show
+                         what differs from the one in force
   explain ID [LOG...]    show the cause of a request's outcome, from proxies'
                          logs or from standard input
 
@@ -55,7 +66,8 @@
                          another target becomes primary
 
 Flags
-  --output=json, --json  for status, check, explain and note history
+  --output=json, --json  for status, check, config check, explain and note
+                         history
   --wait --timeout_s=20  for note submit and target drain
   --submission=ID        repeat an earlier submission whose outcome is unknown
 
@@ -63,6 +75,8 @@
   0 done   1 refused, nothing changed   2 wrong usage   3 daemon or store
   unreachable, nothing changed   4 outcome unknown, repeat the submission
   5 accepted, but not active at every daemon before the timeout
+  config check: 0 no findings   1 warnings only   2 errors, unreadable input or
+  wrong usage   3 no errors, but the version in force cannot be had
   check: 1 if the file is invalid. explain: 1 if no line names the request
 )";
 
@@ -93,6 +107,11 @@
   return std::nullopt;
 }
 
+static bool isConfigCheck(const std::vector<std::string> &Arguments) {
+  return Arguments.size() == 2 && Arguments[0] == "config" &&
+         Arguments[1] == "check";
+}
+
 static ExitCode runCommand(OperatorClient &Client, const CommandOptions &Opts,
                            const std::string &Command,
                            const CommandArguments &Rest) {
@@ -113,7 +132,7 @@
   return ExitCode::Usage;
 }
 
-int main(int Argc, char **Argv) {
+int cicadawind::runCtl(int Argc, char **Argv, const ConfigDecoder &Decode) {
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineNonHelpFlags(&Argc, &Argv, true);
   std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
@@ -130,6 +149,12 @@
                       .Wait = FLAGS_wait,
                       .WaitTimeout = std::chrono::seconds(FLAGS_timeout_s),
                       .Submission = FLAGS_submission};
+  if (isConfigCheck(Arguments))
+    return static_cast<int>(checkConfiguration({.File = FLAGS_file,
+                                                .InForce = FLAGS_in_force,
+                                                .Vm = FLAGS_vm,
+                                                .Json = Opts.Json},
+                                               Decode));
   if (std::optional<ExitCode> Code = runProxyCommand(Opts, Arguments))
     return static_cast<int>(*Code);
   std::ifstream KeyFile(FLAGS_operator_key_file);
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Daemons/ProxyDaemon.h"
 
 #include "Async/AsyncSignal.h"
+#include "Daemons/ConfigPage.h"
 #include "Daemons/HeldSignals.h"
 #include "Daemons/PortOpener.h"
 #include "Daemons/ProxyStatus.h"
@@ -247,6 +248,12 @@
   return Response;
 }
 
+HttpResponse ProxyDaemon::showConfig() const {
+  HttpResponse Response;
+  Response.Body = configPageOf(Service.config(), makeSalt()).dump();
+  return Response;
+}
+
 void ProxyDaemon::sweep(TimePoint Now) {
   Service.sweep(Now);
   Peers.sweep(Now);
@@ -275,6 +282,13 @@
   };
   HttpHandler Operators =
       [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+    // Peers and collectors of metrics do not get the accounts' names.
+    if (Request.Path == ConfigPagePath)
+      co_return showConfig();
+    co_return handleOperatorRequest(Request);
+  };
+  HttpHandler Collectors =
+      [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
     co_return handleOperatorRequest(Request);
   };
   const ProxySettings &Settings = Opts.Settings;
@@ -293,7 +307,7 @@
     });
   if (AreOpen && !Settings.Metrics.empty())
     AreOpen = Opener.open("metrics", [&] {
-      MetricsServer = serveHttp(Settings.Metrics, Operators);
+      MetricsServer = serveHttp(Settings.Metrics, Collectors);
     });
   return AreOpen;
 }
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -67,7 +67,10 @@
   void checkSettings();
   void reloadSettings();
   void listenForSignals();
+  /// Serves operators, collectors of metrics and peers.
   HttpResponse handleOperatorRequest(const HttpRequest &Request) const;
+  /// Serves the active configuration without keys, to operators only.
+  HttpResponse showConfig() const;
   void sweep(TimePoint Now);
 
   boost::asio::io_context &Loop;
