Quotas: a rate limit over all VMs, as a policy module

Cause: an account's limit holds for all VMs together, whatever is cut off. Change: QuotaService and its parts by docs/design/rate-limit.md: shares of the failure domains, votes, leases of issuers, buckets, requests for permits. No I/O and no clock; nothing uses it yet.

--- /dev/null
+++ b/src/Quotas/Electorate.h
@@ -0,0 +1,46 @@
+#ifndef CICADAWIND_QUOTAS_ELECTORATE_H
+#define CICADAWIND_QUOTAS_ELECTORATE_H
+
+#include <cstddef>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+/// \class Electorate
+/// \brief The VMs of a failure domain that vote on its issuers.
+///
+/// VMs that are no longer known are left out only while this VM reaches a
+/// majority of those that it knew before, so that the smaller part of a failure
+/// domain never takes itself for the whole. votersOf() costs
+/// O(VMs of the failure domain). Not thread safe.
+class Electorate {
+public:
+  /// Limits the messages of an issuer in large failure domains.
+  static constexpr std::size_t MaxVoters = 15;
+
+  explicit Electorate(std::string OwnVm) : OwnVm(std::move(OwnVm)) {}
+
+  /// Sets the VMs of the own failure domain that count, and those of them that
+  /// are live; both with or without this VM.
+  void update(std::set<std::string> Known, const std::set<std::string> &Live);
+  /// Returns the number of VMs of the failure domain; 0 before update().
+  std::size_t domainSize() const { return Members.size(); }
+  /// Returns the VMs that vote on the issuer of \p Partition, by the order in
+  /// which they become issuer.
+  std::vector<std::string> votersOf(unsigned Partition) const;
+  /// Returns the number of votes that \p Voters have to give: at least half of
+  /// them and one more, so that two issuers cannot be chosen even if one VM
+  /// votes twice, because a copy of it runs, or if two VMs' lists differ by
+  /// one. Up to three VMs this would be all, so there a majority is enough.
+  static std::size_t majorityOf(std::size_t Voters);
+
+private:
+  std::string OwnVm;
+  std::set<std::string> Members;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Quotas/QuotaService.h
@@ -0,0 +1,133 @@
+#ifndef CICADAWIND_QUOTAS_QUOTASERVICE_H
+#define CICADAWIND_QUOTAS_QUOTASERVICE_H
+
+#include "Core/Clock.h"
+#include "Core/Random.h"
+#include "Membership/VmEntry.h"
+#include "Quotas/Electorate.h"
+#include "Quotas/IssuerSeat.h"
+#include "Quotas/IssuerVotes.h"
+#include "Quotas/LimitShares.h"
+#include "Quotas/PermitClient.h"
+#include "Quotas/PermitOutcome.h"
+#include "Quotas/QuotaCounts.h"
+#include "Quotas/QuotaMessage.h"
+#include "Quotas/QuotaTimes.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cicadawind {
+
+class AccountDirectory;
+
+/// \class QuotaService
+/// \brief One VM's part in the rate limit of client accounts over all VMs.
+///
+/// Asks for permits for this VM's operations, votes on the issuers of its
+/// failure domain, and issues permits where it is the issuer. Sends nothing
+/// unless an account has a limit, except for votes. Performs no input or output
+/// and reads no clock. Memory is O(accounts + VMs). Not thread safe.
+class QuotaService {
+public:
+  struct Options {
+    std::string Vm;
+    std::string FailureDomain;
+    /// Region of each failure domain; the same on all VMs.
+    std::map<std::string, std::string> Regions;
+    RandomSource Random;
+    /// When this process started, or later.
+    TimePoint StartedAt;
+    std::function<void(const std::string &Vm, const QuotaMessage &)> Send;
+    /// Operations of an account beyond its limit that are tolerated.
+    unsigned ToleratedOperations = 0;
+    QuotaTimes Times;
+    /// Called when this VM becomes the issuer of a partition, and when it is
+    /// none any more; may be empty.
+    std::function<void(unsigned Partition, bool Begins)> OnLease;
+    /// Called for each operation that is refused because its account is over
+    /// its limit; may be empty.
+    std::function<void(const std::string &Account, Duration RetryAfter)>
+        OnOverLimit;
+  };
+  using Hook = std::function<void(const PermitOutcome &)>;
+
+  explicit QuotaService(Options NewOpts);
+  QuotaService(const QuotaService &) = delete;
+  QuotaService &operator=(const QuotaService &) = delete;
+
+  /// Sets the accounts of the active configuration.
+  void setAccounts(const AccountDirectory &Accounts, TimePoint Now);
+  /// Sets the other live VMs. Those that leave are asked for nothing.
+  void setPeers(const std::vector<VmEntry> &LivePeers);
+  /// Sets the VMs of the own failure domain that count for a majority, live or
+  /// not. Until then this VM neither claims a lease nor votes.
+  void setVoters(const std::set<std::string> &OwnDomain);
+  /// Returns whether an account has a limit.
+  bool isActive() const { return IsActive; }
+
+  /// Asks for a permit for one operation of \p Account. Calls \p OnOutcome
+  /// exactly once, maybe before it returns, unless cancel() is called: Granted
+  /// at once if the account has no limit or is not known; otherwise at the
+  /// first sweep() after \p GiveUpAt at the latest. A permit is to be used at
+  /// once. Returns a ticket for cancel().
+  std::uint64_t admit(const std::string &Account, TimePoint GiveUpAt,
+                      TimePoint Now, Hook OnOutcome);
+  /// The hook is not called any more.
+  void cancel(std::uint64_t Ticket) { Client.cancel(Ticket); }
+
+  void receive(const std::string &From, const QuotaMessage &Message,
+               TimePoint Now);
+  /// Applies time limits; called every few milliseconds.
+  void sweep(TimePoint Now);
+  /// Gives up the leases of this VM for good, because it stops.
+  void leave(TimePoint Now);
+
+  QuotaCounts counts() const;
+
+private:
+  void handle(const std::string &From, const IssuerClaim &Claim, TimePoint Now);
+  void handle(const std::string &From, const IssuerVote &Vote, TimePoint Now);
+  void handle(const std::string &From, const IssuerRelease &Release, TimePoint);
+  void handle(const std::string &From, const PermitRequest &Request,
+              TimePoint Now);
+  void handle(const std::string &From, const PermitReply &Reply, TimePoint Now);
+  std::optional<PermitReply::Item>
+  take(unsigned Partition, const PermitRequest::Item &Asked, TimePoint Now);
+  bool mayIssue() const { return IsActive && !IsLeaving; }
+  void sweepSeat(unsigned Partition, TimePoint Now);
+  void sendClaim(unsigned Partition, TimePoint Now);
+  void sendRelease(unsigned Partition);
+  void recordVote(unsigned Partition, std::uint64_t Number,
+                  const std::string &Voter, TimePoint Now);
+  /// Reports a lease that has begun or ended since the last call.
+  void reportLease(unsigned Partition, TimePoint Now);
+  /// Returns this VM's rank among the live candidates; empty if it is none.
+  std::optional<std::size_t> rankIn(unsigned Partition, TimePoint Now) const;
+  PermitClient::Options clientOptions();
+
+  Options Opts;
+  LimitShares Shares;
+  IssuerVotes Votes;
+  Electorate Domain;
+  std::vector<IssuerSeat> Seats;
+  PermitClient Client;
+  /// Identifies this process.
+  std::uint64_t Incarnation;
+  std::uint64_t LastClaim = 0;
+  /// VMs of the own failure domain that are live and do not leave.
+  std::set<std::string> LiveVms;
+  bool IsActive = false;
+  bool IsLeaving = false;
+  /// Partitions whose lease has been reported as begun.
+  std::set<unsigned> ReportedLeases;
+  QuotaCounts Counts;
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/src/Quotas/QuotaTimes.h
@@ -0,0 +1,41 @@
+#ifndef CICADAWIND_QUOTAS_QUOTATIMES_H
+#define CICADAWIND_QUOTAS_QUOTATIMES_H
+
+#include "Core/Clock.h"
+
+namespace cicadawind {
+
+/// \class QuotaTimes
+/// \brief Times of the rate limit, the same on all VMs.
+struct QuotaTimes {
+  /// Time for which a VM keeps its vote, from the arrival of the claim on.
+  Duration LeaseLength = std::chrono::milliseconds(800);
+  /// Part of LeaseLength that a holder does not use, since the rates of two
+  /// VMs' clocks differ.
+  Duration ClockMargin = std::chrono::milliseconds(20);
+  Duration RenewInterval = std::chrono::milliseconds(250);
+  /// Time after which a claim without a majority has failed.
+  Duration ClaimTimeout = std::chrono::milliseconds(150);
+  /// Additional wait of each next candidate before its claim.
+  Duration RankDelay = std::chrono::milliseconds(150);
+  /// Maximum random wait after a failed claim.
+  Duration MaxClaimBackoff = std::chrono::milliseconds(200);
+  /// Time in which a permit may be used, from the sending of the request on.
+  Duration PermitLifetime = std::chrono::milliseconds(300);
+  /// Time after which a request to a VM of the same region or of another one
+  /// counts as lost. A permit that arrives later may still be used.
+  Duration NearReplyTimeout = std::chrono::milliseconds(40);
+  Duration FarReplyTimeout = std::chrono::milliseconds(120);
+  /// Time for which a VM that did not reply is passed over.
+  Duration SuspicionDuration = std::chrono::seconds(1);
+  /// Time for which no permit is asked of a failure domain without an issuer.
+  Duration OwnDomainPause = std::chrono::milliseconds(50);
+  Duration OtherDomainPause = std::chrono::milliseconds(250);
+  /// Minimum time for which a denial is remembered.
+  Duration MinOwnDenial = std::chrono::milliseconds(20);
+  Duration MinOtherDenial = std::chrono::milliseconds(200);
+};
+
+} // namespace cicadawind
+
+#endif
--- /dev/null
+++ b/test/Quotas/ElectorateTest.cpp
@@ -0,0 +1,58 @@
+#define BOOST_TEST_MODULE Electorate
+#include <boost/test/unit_test.hpp>
+
+#include "Quotas/Electorate.h"
+
+using namespace cicadawind;
+
+namespace {
+
+std::set<std::string> vms(int From, int To) {
+  std::set<std::string> Out;
+  for (int I = From; I <= To; ++I)
+    Out.insert("v" + std::to_string(I));
+  return Out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(twoMajoritiesShareAVmEvenIfOneVotesTwice) {
+  for (std::size_t Voters = 4; Voters <= Electorate::MaxVoters; ++Voters) {
+    std::size_t Majority = Electorate::majorityOf(Voters);
+    BOOST_TEST(2 * Majority > Voters + 1);
+    // One of the two knows one VM more.
+    BOOST_TEST(Majority + Electorate::majorityOf(Voters + 1) > Voters + 1);
+  }
+  BOOST_TEST(Electorate::majorityOf(1) == 1);
+  BOOST_TEST(Electorate::majorityOf(2) == 2);
+  BOOST_TEST(Electorate::majorityOf(3) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(vmsThatAreForgottenAreLeftOut) {
+  Electorate Domain("v1");
+  BOOST_TEST(Domain.domainSize() == 0);
+  Domain.update(vms(2, 9), vms(2, 9));
+  BOOST_TEST(Domain.domainSize() == 9);
+  Domain.update(vms(1, 6), vms(2, 6));
+  BOOST_TEST(Domain.domainSize() == 6);
+}
+
+// Otherwise it would choose an issuer beside that of the others.
+BOOST_AUTO_TEST_CASE(theSmallerPartOfADomainForgetsNobody) {
+  Electorate Domain("v1");
+  Domain.update(vms(1, 9), vms(2, 9));
+  Domain.update(vms(1, 5), vms(2, 5));
+  BOOST_TEST(Domain.domainSize() == 9);
+  Domain.update(vms(1, 1), {});
+  BOOST_TEST(Domain.domainSize() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(votersAreTheSameForAllVms) {
+  Electorate First("v1");
+  Electorate Second("v2");
+  First.update(vms(1, 30), vms(2, 30));
+  Second.update(vms(1, 30), vms(2, 30));
+  BOOST_TEST(First.votersOf(1) == Second.votersOf(1));
+  BOOST_TEST(First.votersOf(1) != First.votersOf(2));
+  BOOST_TEST(First.votersOf(1).size() == Electorate::MaxVoters);
+}
