Rate limit: messages between VMs, driver in the proxy, setting

Cause: QuotaService has to reach the other VMs and the configuration. Change: five messages about votes and permits in PeerMessage, passed to PeerExchange::onQuotaMessage; RateLimitDriver feeds QuotaService with accounts, peers and voters and reports metrics and log lines; ProxyDaemon::quota() for the sessions. Setting limits.quota_tolerance.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -131,6 +131,17 @@
   return Out;
 }
 
+static RateLimitDriver::Options
+rateLimitOptions(const ProxySettings &Settings) {
+  RateLimitDriver::Options Out;
+  Out.Vm = Settings.Vm;
+  Out.FailureDomain = Settings.FailureDomain;
+  Out.Regions = Settings.Regions;
+  Out.Random = seededRandom();
+  Out.ToleratedOperations = Settings.ToleratedOperations;
+  return Out;
+}
+
 } // namespace internal
 
 ProxyDaemon::ProxyDaemon(boost::asio::io_context &Loop, Options NewOpts,
@@ -140,6 +151,7 @@
       Peers(Loop, internal::peerOptions(Opts.Settings), *Opts.Http, Service),
       Promotions(Loop, internal::promotionOptions(Opts.Settings), Service,
                  Peers, *Opts.Store, *Opts.Promotions, Meter),
+      RateLimits(internal::rateLimitOptions(Opts.Settings), Peers, Meter),
       Registration(VmRegistration::Options{}, *Opts.Store, *Opts.Listings,
                    Peers),
       Relay(Loop, {.Address = Opts.Settings.BindAddress,
@@ -160,7 +172,10 @@
   Peers.onRequest([this](const HttpRequest &Request) {
     return handleOperatorRequest(Request);
   });
-  Service.onConfig([this] { Peers.announce(); });
+  Service.onConfig([this] {
+    Peers.announce();
+    RateLimits.setAccounts(Service.config().Accounts);
+  });
   Service.onTargets([this] { Peers.announce(); });
   Opts.Listings->setWatching(false);
   Service.setQueryPeers(
@@ -228,6 +243,7 @@
 void ProxyDaemon::beginPlannedStop() {
   Service.beginDrain(Opts.Settings.TerminationGracePeriod);
   Peers.broadcastLeaving();
+  RateLimits.leave();
 }
 
 HttpResponse
@@ -253,6 +269,7 @@
   Opts.Listings->setWatching(Peers.mayReadStore(Now));
   Registration.renewIfRestored(Loop, Service.targetsRevision());
   Promotions.sweep(Now);
+  RateLimits.sweep(Now);
   // Sessions that this VM relays for other VMs also finish their requests and
   // transactions before it stops, unless the time for the drain has passed.
   bool RelaysNothing = Relay.busySessions() == 0;
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_DAEMONS_PROXYDAEMON_H
 
 #include "Async/LoopTimers.h"
+#include "Daemons/RateLimitDriver.h"
 #include "Exchange/PeerExchange.h"
 #include "Exchange/VmRegistration.h"
 #include "Http/HttpServer.h"
@@ -52,6 +53,7 @@
 
   ProxyService &service() { return Service; }
   PeerExchange &peers() { return Peers; }
+  QuotaService &quota() { return RateLimits.quota(); }
   TimerService &timers() { return Timers.service(); }
 
   /// Listens and serves until a planned stop has ended.
@@ -77,6 +79,7 @@
   ProxyService Service;
   PeerExchange Peers;
   PromotionDriver Promotions;
+  RateLimitDriver RateLimits;
   VmRegistration Registration;
   RelayService Relay;
   TcpListener Callers;
--- /dev/null
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -0,0 +1,139 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#include "Daemons/RateLimitDriver.h"
+
+#include "Accounts/AccountDirectory.h"
+#include "Exchange/PeerExchange.h"
+#include "Observability/Log.h"
+#include "Observability/Metrics.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace cicadawind {
+namespace internal {
+
+static const Log Logger("quota");
+constexpr Duration VotersInterval = std::chrono::milliseconds(500);
+constexpr Duration ReportInterval = std::chrono::seconds(1);
+constexpr Duration OverLimitLogInterval = std::chrono::seconds(10);
+/// Maximum number of accounts that are logged in each interval.
+constexpr std::size_t MaxLoggedAccounts = 10;
+
+static void logLease(unsigned Partition, bool Begins) {
+  Logger.info(Begins ? "issues permits of a partition"
+                     : "issues no more permits of a partition",
+              {{"partition", std::to_string(Partition)}});
+}
+
+} // namespace internal
+
+RateLimitDriver::RateLimitDriver(Options Opts, PeerExchange &Peers,
+                                 Metrics &Meter)
+    : Peers(Peers), Meter(Meter), Quota(quotaOptions(std::move(Opts))) {
+  Peers.onQuotaMessage(
+      [this](const std::string &From, const QuotaMessage &Message) {
+        Quota.receive(From, Message, BootClock::now());
+      });
+}
+
+QuotaService::Options RateLimitDriver::quotaOptions(Options Opts) {
+  QuotaService::Options Out;
+  Out.Vm = Opts.Vm;
+  Out.FailureDomain = Opts.FailureDomain;
+  Out.Regions = std::move(Opts.Regions);
+  Out.Random = std::move(Opts.Random);
+  Out.StartedAt = BootClock::now();
+  Out.ToleratedOperations = Opts.ToleratedOperations;
+  Out.Send = [this](const std::string &Vm, const QuotaMessage &Message) {
+    Peers.send(Vm, Message);
+  };
+  Out.OnLease = internal::logLease;
+  Out.OnOverLimit = [this](const std::string &Account, Duration) {
+    ++Refused[Account];
+  };
+  return Out;
+}
+
+void RateLimitDriver::setAccounts(const AccountDirectory &Accounts) {
+  Quota.setAccounts(Accounts, BootClock::now());
+}
+
+std::set<std::string> RateLimitDriver::ownVoters(TimePoint Now) const {
+  std::string Domain = Peers.self().FailureDomain;
+  std::set<std::string> Out;
+  for (const std::string &Vm : Peers.voters(Now)) {
+    const VmEntry *Entry = Peers.members().find(Vm);
+    if (Entry && Entry->FailureDomain == Domain)
+      Out.insert(Vm);
+  }
+  return Out;
+}
+
+void RateLimitDriver::updateFleet(TimePoint Now) {
+  if (!Peers.knowsFleet(Now))
+    return;
+  const std::vector<VmEntry> &Live = Peers.livePeers(Now);
+  bool IsNew = LiveVersion != Peers.livePeersVersion();
+  if (IsNew)
+    Quota.setPeers(Live);
+  LiveVersion = Peers.livePeersVersion();
+  if (!IsNew && Now < NextVoters)
+    return;
+  NextVoters = Now + internal::VotersInterval;
+  Quota.setVoters(ownVoters(Now));
+}
+
+void RateLimitDriver::sweep(TimePoint Now) {
+  updateFleet(Now);
+  Quota.sweep(Now);
+  if (!Quota.isActive() || Now < NextReport)
+    return;
+  NextReport = Now + internal::ReportInterval;
+  reportCounts();
+  logOverLimit(Now);
+}
+
+void RateLimitDriver::leave() { Quota.leave(BootClock::now()); }
+
+void RateLimitDriver::reportCounts() {
+  QuotaCounts Counts = Quota.counts();
+  auto Count = [this](const char *Name, const MetricLabels &Labels,
+                      std::uint64_t Old, std::uint64_t New) {
+    Meter.count(Name, Labels, static_cast<double>(New - Old));
+  };
+  Count("permits_total", {{"outcome", "issued"}}, Reported.Issued,
+        Counts.Issued);
+  Count("permits_total", {{"outcome", "denied"}}, Reported.Denied,
+        Counts.Denied);
+  Count("limited_operations_total", {{"outcome", "granted"}}, Reported.Granted,
+        Counts.Granted);
+  Count("limited_operations_total", {{"outcome", "over_limit"}},
+        Reported.OverLimit, Counts.OverLimit);
+  Count("limited_operations_total", {{"outcome", "unavailable"}},
+        Reported.Unavailable, Counts.Unavailable);
+  Meter.set("permit_leases", static_cast<double>(Counts.Leases));
+  Meter.set("permit_buckets", static_cast<double>(Counts.Buckets));
+  Reported = Counts;
+}
+
+void RateLimitDriver::logOverLimit(TimePoint Now) {
+  if (Refused.empty() || Now < NextLog)
+    return;
+  NextLog = Now + internal::OverLimitLogInterval;
+  std::vector<std::pair<std::uint64_t, std::string>> Most;
+  for (const auto &[Account, Count] : Refused)
+    Most.emplace_back(Count, Account);
+  std::sort(Most.rbegin(), Most.rend());
+  std::size_t Logged = std::min(Most.size(), internal::MaxLoggedAccounts);
+  for (std::size_t I = 0; I < Logged; ++I)
+    internal::Logger.info(
+        "account over its rate limit",
+        {{"account", Most[I].second},
+         {"refused", std::to_string(Most[I].first)},
+         {"other_accounts", std::to_string(Most.size() - Logged)}});
+  Refused.clear();
+}
+
+} // namespace cicadawind
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -143,6 +143,8 @@
     handleReport(*Report, Now);
   else if (const auto *Notice = std::get_if<PromotionNotice>(&Decoded))
     handleNotice(*Notice);
+  else if (const auto *Quota = std::get_if<PeerQuotaMessage>(&Decoded))
+    handleQuota(*Quota);
   else if (LeaseHook)
     LeaseHook(Decoded, [this](const PeerMessage &Reply) {
       // An error is ignored, since the peer asks again.
@@ -157,6 +159,22 @@
     NoticeHook(Notice);
 }
 
+void PeerExchange::handleQuota(const PeerQuotaMessage &Message) {
+  if (QuotaHook && Message.From != Opts.Vm)
+    QuotaHook(Message.From, Message.Message);
+}
+
+void PeerExchange::send(const std::string &Vm, const QuotaMessage &Message) {
+  const VmEntry *Entry = Fleet.members().find(Vm);
+  auto Listed = ListedAddresses.find(Vm);
+  if (Entry)
+    sendTo(Entry->RouterPeer,
+           PeerQuotaMessage{.From = Opts.Vm, .Message = Message});
+  else if (Listed != ListedAddresses.end())
+    sendTo(Listed->second,
+           PeerQuotaMessage{.From = Opts.Vm, .Message = Message});
+}
+
 void PeerExchange::send(const std::set<std::string> &Vms,
                         const PeerMessage &Message) {
   std::map<std::string, std::string> Addresses = ListedAddresses;
@@ -322,6 +340,16 @@
   updateServicePeers(Now);
 }
 
+bool PeerExchange::knowsFleet(TimePoint Now) const {
+  if (HasList)
+    return true;
+  bool HasSeeds = std::any_of(
+      Opts.SeedAddresses.begin(), Opts.SeedAddresses.end(),
+      [this](const std::string &Each) { return Each != Opts.Address; });
+  return Now - StartedAt >= Opts.DiscoveryTimeout &&
+         (!HasSeeds || !livePeers(Now).empty());
+}
+
 void PeerExchange::updateServicePeers(TimePoint Now) {
   // A VM that knows only a part of the fleet would take the targets'
   // connections of the others.
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -139,6 +139,14 @@
     LeaseHook = std::move(Hook);
   }
 
+  /// Sends \p Message to the VM \p Vm, if its address is known.
+  void send(const std::string &Vm, const QuotaMessage &Message);
+  /// Sets the hook that is called for each message about rate limits.
+  void onQuotaMessage(
+      std::function<void(const std::string &From, const QuotaMessage &)> Hook) {
+    QuotaHook = std::move(Hook);
+  }
+
   /// Sets the hook that responds to HTTP requests other than for the state.
   void onRequest(std::function<HttpResponse(const HttpRequest &)> Hook) {
     RequestHook = std::move(Hook);
@@ -158,6 +166,10 @@
   /// Returns a number that increases whenever livePeers() has changed.
   std::uint64_t livePeersVersion() const { return Fleet.liveVersion(); }
   const MemberTable &members() const { return Fleet.members(); }
+  /// Returns whether the live peers and the voters count as the whole fleet.
+  /// Without a list of VMs, the live peers of a VM with seeds do not, if there
+  /// are none.
+  bool knowsFleet(TimePoint Now) const;
   /// Returns the VMs whose majority decides about leases and promotions.
   std::set<std::string> voters(TimePoint Now) const {
     return Voters.voters(Now);
@@ -260,6 +272,7 @@
   /// proof from another region.
   bool needsRemoteProof(const GroupDispatcher &Group, TimePoint Now) const;
   void handleNotice(const PromotionNotice &Notice);
+  void handleQuota(const PeerQuotaMessage &Message);
   void sendTo(const std::string &Address, const PeerMessage &Message);
   /// Returns a hello that says nothing of other VMs.
   PeerHello ownHello() const;
@@ -352,6 +365,7 @@
   ByteBudget DirectBudget;
   std::function<void(const PromotionNotice &)> NoticeHook;
   std::function<void(const PeerMessage &, const ReplyFunction &)> LeaseHook;
+  std::function<void(const std::string &From, const QuotaMessage &)> QuotaHook;
   VoterList Voters;
   /// Addresses of the VMs that the store listed, by name.
   std::map<std::string, std::string> ListedAddresses;
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -1,6 +1,7 @@
 #include "Exchange/PeerMessage.h"
 
 #include "Documents/JsonParsing.h"
+#include "Exchange/QuotaMessageCodec.h"
 #include "Membership/VmEntryCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -178,6 +179,12 @@
               {"settled", Message.IsSettled}};
 }
 
+static Json toJson(const PeerQuotaMessage &Message) {
+  Json Out = cicadawind::toJson(Message.Message);
+  Out["from"] = Message.From;
+  return Out;
+}
+
 static LeaseQuery leaseQueryFrom(const Json &In) {
   LeaseQuery Out;
   Out.From = In.at("from").get<std::string>();
@@ -361,6 +368,9 @@
     return proposalAnswerFrom(In);
   if (Type == "end")
     return proposalEndFrom(In);
+  if (std::optional<QuotaMessage> Quota = quotaMessageFrom(In))
+    return PeerQuotaMessage{.From = In.at("from").get<std::string>(),
+                            .Message = std::move(*Quota)};
   throw std::invalid_argument("unknown message '" + Type + "'");
 }
 
--- a/src/Exchange/PeerMessage.h
+++ b/src/Exchange/PeerMessage.h
@@ -8,6 +8,7 @@
 #include "Membership/ContactAge.h"
 #include "Membership/FleetMention.h"
 #include "Membership/VmEntry.h"
+#include "Quotas/QuotaMessage.h"
 
 #include <cstdint>
 #include <optional>
@@ -174,9 +175,16 @@
   bool IsSettled = false;
 };
 
-using PeerMessage = std::variant<PeerHello, PrimaryQuery, PrimaryReport,
-                                 PromotionNotice, LeaseQuery, LeaseAnswer,
-                                 ProposalRequest, ProposalAnswer, ProposalEnd>;
+/// A message about the rate limit of client accounts.
+struct PeerQuotaMessage {
+  std::string From;
+  QuotaMessage Message;
+};
+
+using PeerMessage =
+    std::variant<PeerHello, PrimaryQuery, PrimaryReport, PromotionNotice,
+                 LeaseQuery, LeaseAnswer, ProposalRequest, ProposalAnswer,
+                 ProposalEnd, PeerQuotaMessage>;
 
 /// Encodes \p Message in CBOR, small enough for a datagram.
 std::string encodePeerMessage(const PeerMessage &Message);
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t MinDrainMs = 1000;
 constexpr std::int64_t MaxDrainMs = 3600000;
 
+constexpr std::int64_t MaxToleratedOperations = 100000;
+
 constexpr Millis MinGracePeriod = std::chrono::seconds(1);
 constexpr Millis MaxGracePeriod = std::chrono::hours(1);
 
@@ -92,6 +94,8 @@
   Compare(Out.AtRestart, "drain_ms", TargetDrainTime == Newer.TargetDrainTime);
   Compare(Out.AtRestart, "max_descriptors",
           MaxDescriptors == Newer.MaxDescriptors);
+  Compare(Out.AtRestart, "quota_tolerance",
+          ToleratedOperations == Newer.ToleratedOperations);
   return Out;
 }
 
@@ -143,6 +147,8 @@
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
+  Out.ToleratedOperations = static_cast<unsigned>(Reader.numberOr(
+      "limits", "quota_tolerance", 0, 0, internal::MaxToleratedOperations));
   Out.TerminationGracePeriod =
       Reader.secondsOr("limits", "grace_s", Out.TerminationGracePeriod,
                        internal::MinGracePeriod, internal::MaxGracePeriod);
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -31,6 +31,7 @@
 [limits]
 max_descriptors = 4300
 grace_s = 6
+quota_tolerance = 20
 )";
 
 /// Returns the valid settings with \p Old replaced by \p New.
@@ -52,6 +53,7 @@
   BOOST_TEST(Parsed.RelayPort == 7441);
   BOOST_TEST(Parsed.TerminationGracePeriod.count() == 6000);
   BOOST_TEST(Parsed.TargetDrainTime.count() == 10000);
+  BOOST_TEST(Parsed.ToleratedOperations == 20);
 }
 
 BOOST_AUTO_TEST_CASE(aVmListensOnItsAddressUnlessItIsToldAnother) {
@@ -87,6 +89,8 @@
       {"store = ", "shop = ", "platform.store"},
       {"grace_s = 6", "grace_s = 0", "limits.grace_s"},
       {"drain_ms = 10000", "drain_ms = 0", "platform.drain_ms"},
+      {"quota_tolerance = 20", "quota_tolerance = -1",
+       "limits.quota_tolerance"},
       {"[limits]", "[limits", "s.toml:"},
   };
   for (const Case &Each : Table) {
@@ -117,6 +121,10 @@
   BOOST_TEST(Level.AtRestart == "");
   New = ProxySettings::parse(with("10.1.0.8:8784", "10.1.0.8:1"), "s.toml");
   BOOST_TEST(valueOf(Old).changesTo(valueOf(New)).AtRestart == "callers");
+  New = ProxySettings::parse(with("quota_tolerance = 20\n", ""), "s.toml");
+  BOOST_TEST(valueOf(New).ToleratedOperations == 0);
+  BOOST_TEST(valueOf(Old).changesTo(valueOf(New)).AtRestart ==
+             "quota_tolerance");
 }
 
 // The platform's figures may be fractions.
