--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -87,6 +87,10 @@
   /// Gives up the leases of this VM for good, because it stops.
   void leave(TimePoint Now);
 
+  /// Returns whether this VM issues the permits of \p Partition.
+  bool isIssuer(unsigned Partition, TimePoint Now) {
+    return Seats.at(Partition).isIssuer(Now);
+  }
   QuotaCounts counts() const;
 
 private:
