--- a/src/Quotas/PermitOutcome.h
+++ b/src/Quotas/PermitOutcome.h
@@ -9,16 +9,15 @@
 /// \brief Whether an operation of a client account may run.
 struct PermitOutcome {
   enum class Kind {
-    /// The operation may run.
     Granted,
-    /// The account is over its rate limit.
+    /// The account has used up its rate limit.
     OverLimit,
-    /// No VM that issues the account's permits answered in time.
+    /// No issuer replied in time.
     Unavailable,
   };
 
   Kind Result = Kind::Unavailable;
-  /// For OverLimit: time after which an operation may be granted a permit.
+  /// Only set for OverLimit: time after which a permit may be had.
   Duration RetryAfter = Duration::zero();
 };
 
