--- a/src/Quotas/LimitShares.cpp
+++ b/src/Quotas/LimitShares.cpp
@@ -37,8 +37,8 @@
 }
 
 bool LimitShares::isShared(const LimitShare &Total) const {
-  return toleratesOneEach() ||
-         Total.Capacity >= static_cast<double>(Opts.FailureDomains.size());
+  auto Domains = static_cast<double>(Opts.FailureDomains.size());
+  return toleratesOneEach() || Total.Capacity >= MinShareCapacity * Domains;
 }
 
 std::vector<std::string>
--- a/src/Quotas/LimitShares.h
+++ b/src/Quotas/LimitShares.h
@@ -28,8 +28,9 @@
 /// \class LimitShares
 /// \brief Divides rate limits among the failure domains.
 ///
-/// Each issues an equal share, so that it goes on while it is cut off. A share
-/// that holds less than one permit would never issue any: unless the settings
+/// Each issues an equal share, so that it goes on while it is cut off. If a
+/// share holds less than MinShareCapacity, most operations would find no permit
+/// in their own domain, and below one permit none ever: unless the settings
 /// tolerate one operation more for each failure domain, one of them, by hash,
 /// issues the whole limit. The shares of an account are such that permits used
 /// in Options::Window, up to the lifetime of a permit after they were issued,
@@ -50,6 +51,8 @@
     Duration PermitLifetime = std::chrono::milliseconds(300);
   };
 
+  static constexpr double MinShareCapacity = 2;
+
   explicit LimitShares(Options NewOpts);
 
   /// Returns the failure domains that issue permits of \p Account.
--- a/test/Quotas/LimitSharesTest.cpp
+++ b/test/Quotas/LimitSharesTest.cpp
@@ -48,6 +48,9 @@
 BOOST_AUTO_TEST_CASE(aSmallLimitIsIssuedByOneDomain) {
   BOOST_TEST(shares(6).issuersOf(account(278, 278)).size() == 6);
   BOOST_TEST(shares(6).issuersOf(account(1.5, 1.5)).size() == 1);
+  // The capacity is the burst and 0.495 times the rate.
+  BOOST_TEST(shares(6).issuersOf(account(1, 11.6)).size() == 6);
+  BOOST_TEST(shares(6).issuersOf(account(1, 11.4)).size() == 1);
   std::set<std::string> Homes;
   for (int I = 0; I < 100; ++I)
     Homes.insert(shares(6)
