Tests: leases of the rate limit between real processes

Cause: the driver, the messages and the start order were only tested with one VM and a fake peer. Change: RateLimitTest on six processes behind relays: an issuer that is killed, and one that is suspended, are replaced, and the latter knows it afterwards. RelayedFleet takes accounts, reads a metric and sends signals.

--- /dev/null
+++ b/test/System/RateLimitTest.cpp
@@ -0,0 +1,80 @@
+// Boost.Asio 1.74's coroutine headers need <utility> to come first.
+#include <utility>
+
+#define BOOST_TEST_MODULE RateLimit
+#include <boost/test/unit_test.hpp>
+
+#include "Quotas/LimitShares.h"
+#include "System/RelayedFleet.h"
+#include "TestFlags.h"
+
+#include <csignal>
+
+using namespace cicadawind;
+using namespace cicadawind::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration StartTimeout = 20s;
+/// Time in which a new issuer is chosen and its metric is written.
+constexpr Duration SuccessionTimeout = 4s;
+
+/// Processes whose configuration has an account with a limit.
+struct LimitedFleet : RelayedFleet {
+  LimitedFleet()
+      : RelayedFleet({.Programs = textFlag("programs", "build"),
+                      .Accounts =
+                          R"([{"name":"a","apiKeys":["k"],"ratePerS":50,)"
+                          R"("burst":50}])"}) {}
+
+  /// Returns how many leases the VMs other than \p Without have.
+  double leases(std::size_t Without) const {
+    double Sum = 0;
+    for (std::size_t I = 0; I < vms(); ++I)
+      if (I != Without)
+        Sum += metric(I, "permit_leases").value_or(0);
+    return Sum;
+  }
+  bool hasAllLeases(std::size_t Without) const {
+    return leases(Without) == QuotaPartitions;
+  }
+  /// Returns the index of a VM that has a lease.
+  std::size_t issuer() const {
+    for (std::size_t I = 0; I < vms(); ++I)
+      if (metric(I, "permit_leases").value_or(0) > 0)
+        return I;
+    return vms();
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(anIssuerThatIsKilledIsReplaced) {
+  LimitedFleet Fleet;
+  std::size_t Nobody = Fleet.vms();
+  BOOST_REQUIRE(
+      Fleet.runUntil(StartTimeout, [&] { return Fleet.hasAllLeases(Nobody); }));
+  std::size_t Issuer = Fleet.issuer();
+  BOOST_REQUIRE(Issuer < Fleet.vms());
+  Fleet.signal(Issuer, SIGKILL);
+  BOOST_TEST(Fleet.runUntil(SuccessionTimeout,
+                            [&] { return Fleet.hasAllLeases(Issuer); }));
+}
+
+BOOST_AUTO_TEST_CASE(anIssuerThatIsSuspendedIsReplacedAndKnowsIt) {
+  LimitedFleet Fleet;
+  std::size_t Nobody = Fleet.vms();
+  BOOST_REQUIRE(
+      Fleet.runUntil(StartTimeout, [&] { return Fleet.hasAllLeases(Nobody); }));
+  std::size_t Issuer = Fleet.issuer();
+  BOOST_REQUIRE(Issuer < Fleet.vms());
+  Fleet.signal(Issuer, SIGSTOP);
+  BOOST_TEST(Fleet.runUntil(SuccessionTimeout,
+                            [&] { return Fleet.hasAllLeases(Issuer); }));
+  Fleet.signal(Issuer, SIGCONT);
+  BOOST_TEST(Fleet.runUntil(SuccessionTimeout, [&] {
+    return Fleet.metric(Issuer, "permit_leases") == 0.0;
+  }));
+  BOOST_TEST(Fleet.hasAllLeases(Issuer));
+}
--- a/test/System/RelayedFleet.cpp
+++ b/test/System/RelayedFleet.cpp
@@ -36,7 +36,8 @@
   return "127.0.77." + std::to_string(Index + 1);
 }
 
-RelayedFleet::RelayedFleet(Options Opts) : Store(Loop, "127.0.0.1", 0) {
+RelayedFleet::RelayedFleet(Options Opts)
+    : Accounts(Opts.Accounts), Store(Loop, "127.0.0.1", 0) {
   int PeerPort = Ports.nextPair();
   int StorePort = Ports.next();
   StoreRelay =
@@ -88,6 +89,8 @@
                     {"headerTimeoutMs", 3000},
                     {"idleTimeoutMs", 15000},
                     {"txIdleMs", 2000}};
+  if (!Accounts.empty())
+    Spec["tenants"] = nlohmann::json::parse(Accounts);
   Store.put(platform::ConfigKind, platform::ConfigName, std::move(Spec));
   return "db" + std::to_string(Version);
 }
@@ -115,6 +118,31 @@
   return true;
 }
 
+std::optional<double> RelayedFleet::metric(std::size_t Index,
+                                           const std::string &Name) const {
+  using Tcp = boost::asio::ip::tcp;
+  boost::asio::io_context Own;
+  Tcp::socket Socket(Own);
+  boost::system::error_code Code;
+  Socket.connect(tcpEndpoint("127.0.0.1", Processes[Index]->metrics()), Code);
+  setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &CallTimeout,
+             sizeof CallTimeout);
+  std::string Request =
+      "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  boost::asio::write(Socket, boost::asio::buffer(Request), Code);
+  std::string Reply;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Reply), Code);
+  std::string Start = "\ncicadawind_" + Name + " ";
+  std::size_t At = Reply.find(Start);
+  if (At == std::string::npos)
+    return std::nullopt;
+  return std::stod(Reply.substr(At + Start.size()));
+}
+
+void RelayedFleet::signal(std::size_t Index, int Number) {
+  Processes.at(Index)->signal(Number);
+}
+
 bool RelayedFleet::runUntil(Duration Timeout,
                             const std::function<bool()> &Condition) {
   TimePoint End = BootClock::now() + Timeout;
--- a/test/System/RelayedFleet.h
+++ b/test/System/RelayedFleet.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
     /// Folder that contains the programs.
     std::string Programs;
     std::size_t Vms = 6;
+    /// JSON list of the client accounts of the configuration; empty if it does
+    /// not tell accounts apart.
+    std::string Accounts;
   };
 
   explicit RelayedFleet(Options Opts);
@@ -44,6 +48,13 @@
   bool opens(std::size_t Index, const std::string &Database) const;
   /// Returns whether all VMs do.
   bool allOpen(const std::string &Database) const;
+  std::size_t vms() const { return Processes.size(); }
+  /// Returns the value of the metric \p Name, without labels, of the VM
+  /// \p Index; empty if it has none or does not reply.
+  std::optional<double> metric(std::size_t Index,
+                               const std::string &Name) const;
+  /// Sends the signal \p Number to the process of the VM \p Index.
+  void signal(std::size_t Index, int Number);
   /// Runs store and relays until \p Condition holds; returns whether it does
   /// within \p Timeout.
   bool runUntil(Duration Timeout, const std::function<bool()> &Condition);
@@ -57,6 +68,7 @@
   static std::string boundAddress(std::size_t Index);
   static std::string relayAddress(std::size_t Index);
 
+  std::string Accounts;
   boost::asio::io_context Loop;
   PortBlock Ports;
   emulator::EmulatedStore Store;
