Issue what a rate limit tolerates; standby relays keep few connections

Change: (1) settings quota_overage and quota_window_s beside quota_tolerance; what is tolerated raises the rate. (2) a VM that only stands in for relays, or leaves, has a part of what relays leave free and keeps no idle connections.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -139,7 +139,7 @@
   Out.FailureDomain = Settings.FailureDomain;
   Out.Regions = Settings.Regions;
   Out.Random = seededRandom();
-  Out.ToleratedOperations = Settings.ToleratedOperations;
+  Out.Tolerance = Settings.LimitTolerance;
   return Out;
 }
 
--- a/src/Daemons/RateLimitDriver.cpp
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -45,7 +45,7 @@
   Out.Regions = std::move(Opts.Regions);
   Out.Random = std::move(Opts.Random);
   Out.StartedAt = BootClock::now();
-  Out.ToleratedOperations = Opts.ToleratedOperations;
+  Out.Tolerance = Opts.Tolerance;
   Out.Send = [this](const std::string &Vm, const QuotaMessage &Message) {
     Peers.send(Vm, Message);
   };
--- a/src/Daemons/RateLimitDriver.h
+++ b/src/Daemons/RateLimitDriver.h
@@ -29,7 +29,7 @@
     /// Region of each failure domain.
     std::map<std::string, std::string> Regions;
     RandomSource Random;
-    unsigned ToleratedOperations = 0;
+    RateTolerance Tolerance;
   };
 
   RateLimitDriver(Options Opts, PeerExchange &Peers, Metrics &Meter);
--- a/src/Links/RelayPlan.cpp
+++ b/src/Links/RelayPlan.cpp
@@ -52,10 +52,21 @@
 
 void RelayPlan::indexExclusions() {
   Excluded.assign(Peers.size() + 1, false);
-  if (Exclusions.empty())
-    return;
-  for (VmIndex I : AllVms)
-    Excluded[I] = isExcluded(entryAt(I).Vm);
+  if (!Exclusions.empty())
+    for (VmIndex I : AllVms)
+      Excluded[I] = isExcluded(entryAt(I).Vm);
+  if (ServesAccounts && IsLeaving)
+    Excluded[Peers.size()] = true;
+}
+
+void RelayPlan::setServesAccounts(bool Serves) {
+  if (std::exchange(ServesAccounts, Serves) != Serves)
+    recordChange();
+}
+
+void RelayPlan::setLeaving() {
+  if (!std::exchange(IsLeaving, true))
+    recordChange();
 }
 
 const VmEntry &RelayPlan::entryAt(VmIndex Index) const {
@@ -169,6 +180,13 @@
   return It->second;
 }
 
+unsigned RelayPlan::relayShare(unsigned MaxConnections, bool Standby) const {
+  double Fraction = Standby ? Opts.ReservedFraction : 1 - Opts.ReservedFraction;
+  double Share =
+      MaxConnections * Fraction / static_cast<double>(Opts.RelaysPerTarget);
+  return std::max(1U, static_cast<unsigned>(Share));
+}
+
 TargetPath RelayPlan::pathTo(const TargetEntry &Target,
                              unsigned MaxConnections) const {
   TargetPath Path;
@@ -178,13 +196,11 @@
     return Path;
   }
   const std::vector<VmIndex> &Chosen = relaysFor(Target);
-  bool IsRelay =
-      RelayRequestedUntil.count(Target.Instance) != 0 ||
+  bool IsChosen =
       std::find(Chosen.begin(), Chosen.end(), Peers.size()) != Chosen.end();
-  if (IsRelay) {
-    double SharePerRelay = MaxConnections * (1 - Opts.ReservedFraction) /
-                           static_cast<double>(Opts.RelaysPerTarget);
-    Path.Share = std::max(1U, static_cast<unsigned>(SharePerRelay));
+  if (IsChosen || RelayRequestedUntil.count(Target.Instance) != 0) {
+    Path.Standby = ServesAccounts && !IsChosen;
+    Path.Share = relayShare(MaxConnections, Path.Standby);
     return Path;
   }
   Path.Direct = false;
--- a/src/Links/RelayPlan.h
+++ b/src/Links/RelayPlan.h
@@ -21,6 +21,9 @@
   /// Number of connections that the VM may have to the target, or to all of
   /// its relays together.
   unsigned Share = 1;
+  /// Whether the VM connects to the target only because peers asked it to
+  /// relay. It then keeps no connections that are not in use.
+  bool Standby = false;
   /// VMs that relay its statements, in the order in which to use them; empty
   /// for a direct path.
   std::vector<VmEntry> Relays;
@@ -82,6 +85,14 @@
   /// Returns the number of VMs, including this one.
   std::size_t vms() const { return Peers.size() + 1; }
 
+  /// Sets whether a connection to a target serves one client account only.
+  /// Relays then keep connections that are not in use, so a VM that is no relay
+  /// of a target, but was asked to relay, gets a part of what relays leave
+  /// free, as standby. So does this VM while it leaves.
+  void setServesAccounts(bool Serves);
+  /// Records that this VM leaves.
+  void setLeaving();
+
   /// Records that \p Vm could not be reached and excludes it for a while.
   void markUnreachable(const std::string &Vm, TimePoint Now);
   /// Records that a peer asks this VM to relay statements to \p Instance.
@@ -123,6 +134,9 @@
     bool Expired = false;
   };
 
+  /// Returns the share of a VM that relays to a target with \p MaxConnections
+  /// connections, as one of its relays or as standby.
+  unsigned relayShare(unsigned MaxConnections, bool Standby) const;
   bool isExcluded(const std::string &Vm) const;
   /// Sets Excluded from Exclusions.
   void indexExclusions();
@@ -141,6 +155,8 @@
   /// Relays by target, as of Version.
   mutable std::map<std::string, std::vector<VmIndex>> Cache;
   std::uint64_t Version = 0;
+  bool ServesAccounts = false;
+  bool IsLeaving = false;
   /// By VM. An expired exclusion is kept for its length once more, so that a
   /// VM which is unreachable again is excluded for twice that time.
   std::map<std::string, Exclusion> Exclusions;
--- a/src/Links/TargetConnections.cpp
+++ b/src/Links/TargetConnections.cpp
@@ -450,9 +450,13 @@
     if (IsOffPath(Each))
       Each.Link->close();
   Duration Limit = Path.Direct ? Opts.IdleTimeout : Opts.RelayedIdleTimeout;
-  if (ServesAccounts)
+  if (ServesAccounts && !Path.Standby)
     Limit = Opts.AccountIdleTimeout;
   removeClosed();
+  while (ServesAccounts && AllLinks.size() > Path.Share && !FreeLinks.empty()) {
+    FreeLinks.front().Link->close();
+    removeClosed();
+  }
   // The first link in the list was used least recently.
   while (AllLinks.size() > 1 && !FreeLinks.empty() &&
          Now - FreeLinks.front().Since > Limit) {
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -107,6 +107,7 @@
                          {"accounts", internal::describe(Config->Accounts)},
                          {"groups", std::to_string(Config->Groups.size())}});
   Meter.set("config_version", static_cast<double>(Config->Version));
+  Plan.setServesAccounts(Config->Accounts.isEnabled());
   updateGroups();
   if (Previous->Version == 0)
     openWaitingSessions();
@@ -339,6 +340,7 @@
   if (Drain)
     return;
   Drain.emplace(BootClock::now(), Grace);
+  Plan.setLeaving();
   internal::Logger.info("leaving",
                         {{"sessions", std::to_string(Sessions.size())}});
 }
--- a/src/Quotas/LimitShares.cpp
+++ b/src/Quotas/LimitShares.cpp
@@ -21,19 +21,27 @@
 }
 
 LimitShare LimitShares::totalOf(const RateLimit &Limit) const {
-  double Window = inSeconds(Opts.Window);
-  double WindowWithLifetime = inSeconds(Opts.Window + Opts.PermitLifetime);
+  const RateTolerance &Tolerance = Opts.Tolerance;
+  double Window = inSeconds(Tolerance.Window);
+  double WindowWithLifetime = inSeconds(Tolerance.Window + Opts.PermitLifetime);
   double Allowed = Limit.PerSecond * Window + Limit.Burst;
   double Rate = Limit.PerSecond * Opts.RateShare;
   // A bucket that holds less than one permit would never issue one.
   Rate = std::min(Rate, (Allowed - 1) / WindowWithLifetime);
   if (Rate <= 0)
     return {};
-  return {.PerSecond = Rate, .Capacity = Allowed - Rate * WindowWithLifetime};
+  double Capacity = Allowed - Rate * WindowWithLifetime;
+  double Tolerated = Allowed * Tolerance.Fraction;
+  // shareOf() adds one operation for each failure domain.
+  if (toleratesOneEach())
+    Tolerated +=
+        Tolerance.Operations - static_cast<double>(Opts.FailureDomains.size());
+  return {.PerSecond = Rate + Tolerated / WindowWithLifetime,
+          .Capacity = Capacity};
 }
 
 bool LimitShares::toleratesOneEach() const {
-  return Opts.FailureDomains.size() <= Opts.ToleratedOperations;
+  return Opts.FailureDomains.size() <= Opts.Tolerance.Operations;
 }
 
 bool LimitShares::isShared(const LimitShare &Total) const {
--- a/src/Quotas/LimitShares.h
+++ b/src/Quotas/LimitShares.h
@@ -3,6 +3,7 @@
 
 #include "Accounts/ClientAccount.h"
 #include "Core/Clock.h"
+#include "Quotas/RateTolerance.h"
 
 #include <string>
 #include <vector>
@@ -33,17 +34,17 @@
 /// in their own domain, and below one permit none ever: unless the settings
 /// tolerate one operation more for each failure domain, one of them, by hash,
 /// issues the whole limit. The shares of an account are such that permits used
-/// in Options::Window, up to the lifetime of a permit after they were issued,
-/// do not exceed the limit. A value type.
+/// in RateTolerance::Window, up to the lifetime of a permit after they were
+/// issued, do not exceed the limit by more than is tolerated. What is tolerated
+/// raises the rate: an account that asks for more than its limit is served up
+/// to the bound. An account whose limit admits no operation is issued nothing.
+/// A value type.
 class LimitShares {
 public:
   struct Options {
     /// Names of all failure domains.
     std::vector<std::string> FailureDomains;
-    /// Operations beyond the limit of an account that are tolerated.
-    unsigned ToleratedOperations = 0;
-    /// Time over which a limit is judged.
-    Duration Window = std::chrono::seconds(5);
+    RateTolerance Tolerance;
     /// Part of the limit's rate at which permits are issued. What is left of
     /// the limit over the Window adds to the capacity, which lets through the
     /// peaks of accounts that stay below their limit.
--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -13,7 +13,7 @@
     Out.FailureDomains.push_back(Domain);
   if (Opts.Regions.count(Opts.FailureDomain) == 0)
     Out.FailureDomains.push_back(Opts.FailureDomain);
-  Out.ToleratedOperations = Opts.ToleratedOperations;
+  Out.Tolerance = Opts.Tolerance;
   Out.PermitLifetime = Opts.Times.PermitLifetime;
   return Out;
 }
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -43,8 +43,7 @@
     /// When this process started, or later.
     TimePoint StartedAt;
     std::function<void(const std::string &Vm, const QuotaMessage &)> Send;
-    /// Operations of an account beyond its limit that are tolerated.
-    unsigned ToleratedOperations = 0;
+    RateTolerance Tolerance;
     QuotaTimes Times;
     /// Called when this VM becomes the issuer of a partition, and when it is
     /// none any more; may be empty.
--- a/src/Quotas/Quotas.h
+++ b/src/Quotas/Quotas.h
@@ -22,5 +22,6 @@
 #include "Quotas/QuotaMessage.h"
 #include "Quotas/QuotaService.h"
 #include "Quotas/QuotaTimes.h"
+#include "Quotas/RateTolerance.h"
 
 #endif
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -19,6 +19,9 @@
 constexpr std::int64_t MaxDrainMs = 3600000;
 
 constexpr std::int64_t MaxToleratedOperations = 100000;
+/// Several times the lifetime of a permit.
+constexpr Millis MinLimitWindow = std::chrono::seconds(1);
+constexpr Millis MaxLimitWindow = std::chrono::hours(1);
 
 constexpr Millis MinGracePeriod = std::chrono::seconds(1);
 constexpr Millis MaxGracePeriod = std::chrono::hours(1);
@@ -60,6 +63,16 @@
     Reader.checkEndpoint("peers", "seeds", Seed);
 }
 
+static RateTolerance readLimitTolerance(SettingsReader &Reader) {
+  RateTolerance Out;
+  Out.Operations = static_cast<unsigned>(Reader.numberOr(
+      "limits", "quota_tolerance", 0, 0, MaxToleratedOperations));
+  Out.Fraction = Reader.decimalOr("limits", "quota_overage", 0, 0, 1);
+  Out.Window = Reader.secondsOr("limits", "quota_window_s", Out.Window,
+                                MinLimitWindow, MaxLimitWindow);
+  return Out;
+}
+
 } // namespace internal
 
 ProxySettings::Changes
@@ -95,7 +108,11 @@
   Compare(Out.AtRestart, "max_descriptors",
           MaxDescriptors == Newer.MaxDescriptors);
   Compare(Out.AtRestart, "quota_tolerance",
-          ToleratedOperations == Newer.ToleratedOperations);
+          LimitTolerance.Operations == Newer.LimitTolerance.Operations);
+  Compare(Out.AtRestart, "quota_overage",
+          LimitTolerance.Fraction == Newer.LimitTolerance.Fraction);
+  Compare(Out.AtRestart, "quota_window_s",
+          LimitTolerance.Window == Newer.LimitTolerance.Window);
   return Out;
 }
 
@@ -147,8 +164,7 @@
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
-  Out.ToleratedOperations = static_cast<unsigned>(Reader.numberOr(
-      "limits", "quota_tolerance", 0, 0, internal::MaxToleratedOperations));
+  Out.LimitTolerance = internal::readLimitTolerance(Reader);
   Out.TerminationGracePeriod =
       Reader.secondsOr("limits", "grace_s", Out.TerminationGracePeriod,
                        internal::MinGracePeriod, internal::MaxGracePeriod);
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 #include "Core/Result.h"
+#include "Quotas/RateTolerance.h"
 
 #include <cstdint>
 #include <map>
@@ -63,9 +64,8 @@
   /// Limit on the process's open file descriptors; the largest number of
   /// sessions is derived from it.
   std::size_t MaxDescriptors = 0;
-  /// Operations of a client account beyond its rate limit that operators
-  /// tolerate in any time for which the limit is judged.
-  unsigned ToleratedOperations = 0;
+  /// By how much operators let client accounts exceed their rate limits.
+  RateTolerance LimitTolerance;
   /// Time between the request to stop and the moment when the platform kills
   /// the process.
   Millis TerminationGracePeriod = std::chrono::seconds(6);
--- a/src/Settings/SettingsReader.cpp
+++ b/src/Settings/SettingsReader.cpp
@@ -113,17 +113,25 @@
                                  const std::string &Key, Millis Fallback,
                                  Millis Min, Millis Max) {
   using Seconds = std::chrono::duration<double>;
+  Seconds Value(decimalOr(Section, Key, Seconds(Fallback).count(),
+                          Seconds(Min).count(), Seconds(Max).count()));
+  return std::chrono::duration_cast<Millis>(Value);
+}
+
+double SettingsReader::decimalOr(const std::string &Section,
+                                 const std::string &Key, double Fallback,
+                                 double Min, double Max) {
   const toml::node *Node = find(Section, Key);
   if (!Node)
     return Fallback;
   std::optional<double> Value =
       Node->is_number() ? Node->value<double>() : std::nullopt;
   // A value that is not a number fails both comparisons.
-  if (Value && *Value >= Seconds(Min).count() && *Value <= Seconds(Max).count())
-    return std::chrono::duration_cast<Millis>(Seconds(*Value));
+  if (Value && *Value >= Min && *Value <= Max)
+    return *Value;
   addError(Section, Key,
-           "must be a number from " + std::to_string(Seconds(Min).count()) +
-               " to " + std::to_string(Seconds(Max).count()));
+           "must be a number from " + std::to_string(Min) + " to " +
+               std::to_string(Max));
   return Min;
 }
 
--- a/src/Settings/SettingsReader.h
+++ b/src/Settings/SettingsReader.h
@@ -46,6 +46,12 @@
   std::int64_t number(const std::string &Section, const std::string &Key,
                       std::int64_t Min, std::int64_t Max);
 
+  /// Returns the number under \p Key, which may have decimals, or \p Fallback
+  /// if there is none. Records an error and returns \p Min unless it is from \p
+  /// Min to \p Max.
+  double decimalOr(const std::string &Section, const std::string &Key,
+                   double Fallback, double Min, double Max);
+
   /// Reads an optional time from \p Min to \p Max, which is written as a number
   /// of seconds and may be a fraction; returns \p Fallback if the key is
   /// missing and \p Min after an error.
--- a/test/Links/RelayPlanTest.cpp
+++ b/test/Links/RelayPlanTest.cpp
@@ -216,3 +216,44 @@
   Plan.sweep(Start + 11s);
   BOOST_TEST(!Plan.pathTo(Target, MaxConnections).Direct);
 }
+
+// Connections of an account are kept while they are not in use, so all relays
+// and those that stand in for them must stay below the target's limit.
+BOOST_AUTO_TEST_CASE(standbyRelaysTakeAPartOfWhatRelaysLeaveFree) {
+  Fleet Vms(60);
+  TargetEntry Target = targetIn("a", "d1");
+  for (RelayPlan &Plan : Vms.Plans) {
+    Plan.setServesAccounts(true);
+    Plan.recordRelayRequest("a", Start);
+  }
+  unsigned OfRelays = 0;
+  unsigned OfStandby = 0;
+  for (const RelayPlan &Plan : Vms.Plans) {
+    TargetPath Path = Plan.pathTo(Target, MaxConnections);
+    BOOST_TEST(Path.Direct);
+    if (Path.Standby)
+      OfStandby = Path.Share;
+    else
+      OfRelays += Path.Share;
+  }
+  BOOST_TEST(OfRelays == 24U);
+  BOOST_TEST(OfRelays + 3 * OfStandby <= MaxConnections);
+  BOOST_TEST(OfStandby == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingVmIsNoRelayWhereConnectionsServeAccounts) {
+  for (bool ServesAccounts : {false, true}) {
+    Fleet Vms(60);
+    TargetEntry Target = targetIn("a", "d1");
+    std::size_t RelaysBefore = 0;
+    std::size_t RelaysAfter = 0;
+    for (RelayPlan &Plan : Vms.Plans) {
+      Plan.setServesAccounts(ServesAccounts);
+      RelaysBefore += Plan.pathTo(Target, MaxConnections).Direct;
+      Plan.setLeaving();
+      RelaysAfter += Plan.pathTo(Target, MaxConnections).Direct;
+    }
+    BOOST_TEST(RelaysBefore == 3U);
+    BOOST_TEST(RelaysAfter == (ServesAccounts ? 0U : 3U));
+  }
+}
