Credit a new issuer for the time in which nobody issued permits

Change: votes say for how long their VM has issued nothing. If all VMs of a failure domain vote for one claim, the bucket is filled for the shortest of these times, as if it had begun then.

--- a/src/Exchange/QuotaMessageCodec.cpp
+++ b/src/Exchange/QuotaMessageCodec.cpp
@@ -28,7 +28,8 @@
           {"p", Message.Partition},
           {"i", Message.Incarnation},
           {"n", Message.Number},
-          {"yes", Message.Granted}};
+          {"yes", Message.Granted},
+          {"idle", Message.Idle.count()}};
 }
 
 static Json quotaJson(const IssuerRelease &Message) {
@@ -90,11 +91,22 @@
           .DomainSize = numberFrom(In.at("size"))};
 }
 
+/// Longest time that is accepted, so that no peer makes times overflow.
+constexpr Millis MaxIdle = std::chrono::hours(24);
+
+static Millis idleFrom(const Json &In) {
+  Millis Idle(In.get<std::int64_t>());
+  if (Idle < Millis::zero())
+    throw std::invalid_argument("a negative time");
+  return std::min(Idle, MaxIdle);
+}
+
 static IssuerVote voteFrom(const Json &In) {
   return {.Partition = partitionFrom(In),
           .Incarnation = numberFrom(In.at("i")),
           .Number = numberFrom(In.at("n")),
-          .Granted = In.at("yes").get<bool>()};
+          .Granted = In.at("yes").get<bool>(),
+          .Idle = idleFrom(In.at("idle"))};
 }
 
 static IssuerRelease releaseFrom(const Json &In) {
--- a/src/Quotas/IssuerSeat.h
+++ b/src/Quotas/IssuerSeat.h
@@ -30,6 +30,8 @@
   bool isIssuer(TimePoint Now) {
     if (Issuer.isIssuing() && !Lease.isHeld(Now))
       Issuer.end();
+    if (Issuer.isIssuing())
+      IssuedUntil = Now;
     return Issuer.isIssuing();
   }
   /// Returns the permits, or nothing if this VM is not the issuer.
@@ -51,17 +53,27 @@
         {.IsHeld = isIssuer(Now), .IsTaken = IsTaken, .Rank = Rank}, Now);
   }
   void recordClaim(std::uint64_t Number, std::set<std::string> Voters,
-                   std::size_t Majority, TimePoint Now) {
-    Lease.recordClaim(Number, std::move(Voters), Majority, Now);
+                   std::size_t Majority, std::size_t DomainSize,
+                   TimePoint Now) {
+    Lease.recordClaim(Number, std::move(Voters), Majority, DomainSize, Now);
   }
   /// Returns whether this VM becomes the issuer with the vote.
-  bool recordVote(std::uint64_t Number, const std::string &Voter,
+  bool recordVote(std::uint64_t Number, const std::string &Voter, Duration Idle,
                   TimePoint Now) {
-    bool Begins = Lease.recordVote(Number, Voter, Now);
+    bool Begins = Lease.recordVote(Number, Voter, Idle, Now);
     if (Begins)
       Issuer.begin(Now);
+    if (Issuer.isIssuing())
+      Issuer.credit(Lease.takeIdleTime());
     return Begins;
   }
+  /// Returns the time for which this VM, which started at \p StartedAt, has
+  /// issued no permit.
+  Duration idleTime(TimePoint StartedAt, TimePoint Now) {
+    if (isIssuer(Now))
+      return Duration::zero();
+    return Now - std::max(StartedAt, IssuedUntil);
+  }
   void end() {
     Lease.end();
     Issuer.end();
@@ -71,6 +83,8 @@
   IssuerLease Lease;
   IssuerCandidacy Candidacy;
   PermitIssuer Issuer;
+  /// When this VM was last seen to be the issuer.
+  TimePoint IssuedUntil;
 };
 
 } // namespace cicadawind
--- a/src/Quotas/PermitBucket.cpp
+++ b/src/Quotas/PermitBucket.cpp
@@ -23,6 +23,12 @@
   Permits = std::min(Permits, Share.Capacity);
 }
 
+void PermitBucket::credit(Duration Time) {
+  double Seconds = std::chrono::duration<double>(Time).count();
+  Permits = std::min(Permits + std::max(Seconds, 0.0) * Share.PerSecond,
+                     Share.Capacity);
+}
+
 unsigned PermitBucket::take(unsigned Count, TimePoint Now) {
   fill(Now);
   unsigned Taken = std::min(Count, static_cast<unsigned>(Permits));
--- a/src/Quotas/PermitBucket.h
+++ b/src/Quotas/PermitBucket.h
@@ -18,6 +18,9 @@
 
   /// Applies \p NewShare from \p Now on.
   void setShare(const LimitShare &NewShare, TimePoint Now);
+  /// Adds what would have been filled in \p Time, in which no permit of the
+  /// account was issued here or elsewhere.
+  void credit(Duration Time);
   /// Takes up to \p Count permits and returns how many.
   unsigned take(unsigned Count, TimePoint Now);
   /// Returns when the caller, to whom a permit was denied, may ask again. Each
--- a/src/Quotas/PermitIssuer.cpp
+++ b/src/Quotas/PermitIssuer.cpp
@@ -20,6 +20,11 @@
     Buckets.try_emplace(Account, Share, Now);
 }
 
+void PermitIssuer::credit(Duration Time) {
+  for (auto &[Account, Bucket] : Buckets)
+    Bucket.credit(Time);
+}
+
 void PermitIssuer::end() {
   IsIssuing = false;
   Buckets.clear();
--- a/src/Quotas/PermitIssuer.h
+++ b/src/Quotas/PermitIssuer.h
@@ -25,6 +25,8 @@
   void setShares(Shares NewShares, TimePoint Now);
   /// Begins to issue, with empty buckets.
   void begin(TimePoint Now);
+  /// Credits all buckets for \p Time before the lease began; see PermitBucket.
+  void credit(Duration Time);
   /// Drops all buckets.
   void end();
   bool isIssuing() const { return IsIssuing; }
--- a/src/Quotas/QuotaMessage.h
+++ b/src/Quotas/QuotaMessage.h
@@ -35,6 +35,9 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t Number = 0;
   bool Granted = false;
+  /// Time for which the sender has issued no permit of the partition, not
+  /// rounded up.
+  Millis Idle = Millis::zero();
 };
 
 /// Says that the sender makes no use of votes for its claims up to Number.
--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -127,14 +127,21 @@
   Opts.Send(From, IssuerVote{.Partition = Claim.Partition,
                              .Incarnation = Claim.Incarnation,
                              .Number = Claim.Number,
-                             .Granted = Votes.vote(From, Claim, Known, Now)});
+                             .Granted = Votes.vote(From, Claim, Known, Now),
+                             .Idle = idleTime(Claim.Partition, Now)});
 }
 
 void QuotaService::handle(const std::string &From, const IssuerVote &Vote,
                           TimePoint Now) {
   if (Vote.Incarnation == Incarnation && Vote.Granted &&
       Vote.Partition < QuotaPartitions)
-    recordVote(Vote.Partition, Vote.Number, From, Now);
+    recordVote(Vote.Partition, Vote.Number, From, Vote.Idle, Now);
+}
+
+Millis QuotaService::idleTime(unsigned Partition, TimePoint Now) {
+  if (Partition >= QuotaPartitions)
+    return Millis::zero();
+  return toMillis(Seats[Partition].idleTime(Opts.StartedAt, Now));
 }
 
 void QuotaService::handle(const std::string &From, const IssuerRelease &Release,
@@ -164,10 +171,11 @@
 }
 
 void QuotaService::recordVote(unsigned Partition, std::uint64_t Number,
-                              const std::string &Voter, TimePoint Now) {
+                              const std::string &Voter, Duration Idle,
+                              TimePoint Now) {
   if (!mayIssue())
     return;
-  Seats[Partition].recordVote(Number, Voter, Now);
+  Seats[Partition].recordVote(Number, Voter, Idle, Now);
   reportLease(Partition, Now);
 }
 
@@ -205,12 +213,13 @@
                     .Number = ++LastClaim,
                     .DomainSize = Domain.domainSize()};
   Seats[Partition].recordClaim(Claim.Number, {Voters.begin(), Voters.end()},
-                               Electorate::majorityOf(Voters.size()), Now);
+                               Electorate::majorityOf(Voters.size()),
+                               Claim.DomainSize, Now);
   for (const std::string &Vm : Voters)
     if (Vm != Opts.Vm)
       Opts.Send(Vm, Claim);
   if (Votes.vote(Opts.Vm, Claim, Claim.DomainSize, Now))
-    recordVote(Partition, Claim.Number, Opts.Vm, Now);
+    recordVote(Partition, Claim.Number, Opts.Vm, idleTime(Partition, Now), Now);
 }
 
 void QuotaService::sendRelease(unsigned Partition) {
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -106,7 +106,9 @@
   void sendClaim(unsigned Partition, TimePoint Now);
   void sendRelease(unsigned Partition);
   void recordVote(unsigned Partition, std::uint64_t Number,
-                  const std::string &Voter, TimePoint Now);
+                  const std::string &Voter, Duration Idle, TimePoint Now);
+  /// Returns the time for which this VM has issued no permit of \p Partition.
+  Millis idleTime(unsigned Partition, TimePoint Now);
   /// Reports a lease that has begun or ended since the last call.
   void reportLease(unsigned Partition, TimePoint Now);
   /// Returns this VM's rank among the live candidates; empty if it is none.
--- a/test/Quotas/IssuerLeaseTest.cpp
+++ b/test/Quotas/IssuerLeaseTest.cpp
@@ -24,54 +24,54 @@
 
 BOOST_AUTO_TEST_CASE(aLeaseLastsFromTheSendingOfItsClaim) {
   IssuerLease Lease = lease();
-  Lease.recordClaim(1, Voters, 2, at(0s));
-  BOOST_TEST(!Lease.recordVote(1, "v1", at(0s)));
+  Lease.recordClaim(1, Voters, 2, 3, at(0s));
+  BOOST_TEST(!Lease.recordVote(1, "v1", 0s, at(0s)));
   BOOST_TEST(!Lease.isHeld(at(100ms)));
-  BOOST_TEST(Lease.recordVote(1, "v2", at(100ms)));
+  BOOST_TEST(Lease.recordVote(1, "v2", 0s, at(100ms)));
   BOOST_TEST(Lease.isHeld(at(779ms)));
   BOOST_TEST(!Lease.isHeld(at(780ms)));
 }
 
 BOOST_AUTO_TEST_CASE(onlyVotesOfDistinctVotersForOneClaimCount) {
   IssuerLease Lease = lease();
-  Lease.recordClaim(1, Voters, 2, at(0s));
-  Lease.recordClaim(2, Voters, 2, at(250ms));
-  BOOST_TEST(!Lease.recordVote(1, "v1", at(260ms)));
-  BOOST_TEST(!Lease.recordVote(1, "v1", at(260ms)));
-  BOOST_TEST(!Lease.recordVote(1, "v9", at(260ms)));
-  BOOST_TEST(!Lease.recordVote(2, "v2", at(260ms)));
-  BOOST_TEST(!Lease.recordVote(3, "v2", at(260ms)));
+  Lease.recordClaim(1, Voters, 2, 3, at(0s));
+  Lease.recordClaim(2, Voters, 2, 3, at(250ms));
+  BOOST_TEST(!Lease.recordVote(1, "v1", 0s, at(260ms)));
+  BOOST_TEST(!Lease.recordVote(1, "v1", 0s, at(260ms)));
+  BOOST_TEST(!Lease.recordVote(1, "v9", 0s, at(260ms)));
+  BOOST_TEST(!Lease.recordVote(2, "v2", 0s, at(260ms)));
+  BOOST_TEST(!Lease.recordVote(3, "v2", 0s, at(260ms)));
   BOOST_TEST(!Lease.isHeld(at(260ms)));
 }
 
 BOOST_AUTO_TEST_CASE(aRenewalProlongsTheLease) {
   IssuerLease Lease = lease();
-  Lease.recordClaim(1, Voters, 2, at(0s));
-  Lease.recordVote(1, "v1", at(0s));
-  BOOST_TEST(Lease.recordVote(1, "v2", at(0s)));
-  Lease.recordClaim(2, Voters, 2, at(250ms));
-  Lease.recordVote(2, "v1", at(250ms));
-  BOOST_TEST(!Lease.recordVote(2, "v3", at(300ms)));
+  Lease.recordClaim(1, Voters, 2, 3, at(0s));
+  Lease.recordVote(1, "v1", 0s, at(0s));
+  BOOST_TEST(Lease.recordVote(1, "v2", 0s, at(0s)));
+  Lease.recordClaim(2, Voters, 2, 3, at(250ms));
+  Lease.recordVote(2, "v1", 0s, at(250ms));
+  BOOST_TEST(!Lease.recordVote(2, "v3", 0s, at(300ms)));
   // A late vote for the first claim shortens nothing.
-  BOOST_TEST(!Lease.recordVote(1, "v3", at(310ms)));
+  BOOST_TEST(!Lease.recordVote(1, "v3", 0s, at(310ms)));
   BOOST_TEST(Lease.isHeld(at(1029ms)));
   BOOST_TEST(!Lease.isHeld(at(1030ms)));
 }
 
 BOOST_AUTO_TEST_CASE(votesThatArriveTooLateBeginNoLease) {
   IssuerLease Lease = lease();
-  Lease.recordClaim(1, Voters, 2, at(0s));
-  Lease.recordVote(1, "v1", at(1ms));
-  BOOST_TEST(!Lease.recordVote(1, "v2", at(780ms)));
+  Lease.recordClaim(1, Voters, 2, 3, at(0s));
+  Lease.recordVote(1, "v1", 0s, at(1ms));
+  BOOST_TEST(!Lease.recordVote(1, "v2", 0s, at(780ms)));
   BOOST_TEST(!Lease.isHeld(at(780ms)));
 }
 
 BOOST_AUTO_TEST_CASE(votesBeforeTheEndHaveNoEffectAfterIt) {
   IssuerLease Lease = lease();
-  Lease.recordClaim(1, Voters, 2, at(0s));
-  Lease.recordVote(1, "v1", at(1ms));
+  Lease.recordClaim(1, Voters, 2, 3, at(0s));
+  Lease.recordVote(1, "v1", 0s, at(1ms));
   Lease.end();
-  BOOST_TEST(!Lease.recordVote(1, "v2", at(2ms)));
+  BOOST_TEST(!Lease.recordVote(1, "v2", 0s, at(2ms)));
   BOOST_TEST(!Lease.isHeld(at(2ms)));
 }
 
@@ -112,3 +112,26 @@
   BOOST_TEST((Each.next(Held, at(500ms)) == Action::Claim));
   BOOST_TEST((Each.next({.Rank = 0}, at(1300ms)) == Action::Release));
 }
+
+// After a restart of a whole failure domain nobody has issued anything for as
+// long as votes are withheld.
+BOOST_AUTO_TEST_CASE(votesOfTheWholeDomainTellForHowLongNoneWasIssued) {
+  IssuerLease Lease{{}};
+  Lease.recordClaim(1, Voters, 2, 3, at(0s));
+  Lease.recordVote(1, "v1", 900ms, at(0s));
+  BOOST_TEST(Lease.recordVote(1, "v2", 800ms, at(10ms)));
+  BOOST_TEST((Lease.takeIdleTime() == 0s));
+  Lease.recordVote(1, "v3", 850ms, at(20ms));
+  // The second VM issued nothing from -790 ms to 10 ms.
+  BOOST_TEST((Lease.takeIdleTime() == 800ms));
+  BOOST_TEST((Lease.takeIdleTime() == 0s));
+}
+
+BOOST_AUTO_TEST_CASE(votesOfAPartOfTheDomainDoNotTellWhetherPermitsWereIssued) {
+  IssuerLease Lease{{}};
+  Lease.recordClaim(1, Voters, 2, 4, at(0s));
+  for (const char *Voter : {"v1", "v2", "v3"})
+    Lease.recordVote(1, Voter, 5s, at(1ms));
+  BOOST_TEST(Lease.isHeld(at(2ms)));
+  BOOST_TEST((Lease.takeIdleTime() == 0s));
+}
--- a/test/Quotas/PermitIssuerTest.cpp
+++ b/test/Quotas/PermitIssuerTest.cpp
@@ -22,8 +22,8 @@
 struct ClaimingSeat : IssuerSeat {
   ClaimingSeat() : IssuerSeat(QuotaTimes{}, [] { return std::uint64_t{0}; }) {
     setShares(OneAccount, at(0s));
-    recordClaim(1, {"v1", "v2"}, 2, at(0s));
-    recordVote(1, "v1", at(0s));
+    recordClaim(1, {"v1", "v2"}, 2, 3, at(0s));
+    recordVote(1, "v1", 0s, at(0s));
   }
 };
 
@@ -66,7 +66,7 @@
 BOOST_AUTO_TEST_CASE(permitsAreIssuedOnlyUnderTheLease) {
   ClaimingSeat Seat;
   BOOST_TEST(!Seat.take({.Account = "a", .Count = 1}, at(10ms)));
-  BOOST_TEST(Seat.recordVote(1, "v2", at(10ms)));
+  BOOST_TEST(Seat.recordVote(1, "v2", 0s, at(10ms)));
   BOOST_TEST(Seat.take({.Account = "a", .Count = 9}, at(700ms))->Granted == 5);
   BOOST_TEST(!Seat.take({.Account = "a", .Count = 1}, at(780ms)));
   BOOST_TEST(Seat.buckets() == 0);
@@ -75,9 +75,9 @@
 // A VM that was suspended does not notice it before the next message.
 BOOST_AUTO_TEST_CASE(aLeaseAfterAGapBeginsWithEmptyBuckets) {
   ClaimingSeat Seat;
-  Seat.recordVote(1, "v2", at(0s));
-  Seat.recordClaim(2, {"v1", "v2"}, 2, at(2s));
-  Seat.recordVote(2, "v1", at(2s));
-  BOOST_TEST(Seat.recordVote(2, "v2", at(2s)));
+  Seat.recordVote(1, "v2", 0s, at(0s));
+  Seat.recordClaim(2, {"v1", "v2"}, 2, 3, at(2s));
+  Seat.recordVote(2, "v1", 0s, at(2s));
+  BOOST_TEST(Seat.recordVote(2, "v2", 0s, at(2s)));
   BOOST_TEST(Seat.take({.Account = "a", .Count = 1}, at(2s))->Granted == 0);
 }
