--- a/src/Daemons/RateLimitDriver.cpp
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -39,6 +39,11 @@
 }
 
 QuotaService::Options RateLimitDriver::quotaOptions(Options Opts) {
+  if (Opts.Regions.count(Opts.FailureDomain) == 0)
+    internal::Logger.warning(
+        "setting 'regions' lacks the failure domain of this VM; the failure "
+        "domains together may exceed rate limits",
+        {{"domain", Opts.FailureDomain}});
   QuotaService::Options Out;
   Out.Vm = Opts.Vm;
   Out.FailureDomain = Opts.FailureDomain;
--- a/src/Quotas/Electorate.cpp
+++ b/src/Quotas/Electorate.cpp
@@ -1,6 +1,5 @@
 #include "Quotas/Electorate.h"
 
-#include "Core/Random.h"
 #include "Quotas/IssuerOrder.h"
 
 #include <algorithm>
@@ -23,14 +22,14 @@
       }));
   if (!Members.empty() && Reached < majorityOf(Members.size()))
     Known.insert(Members.begin(), Members.end());
+  if (Known == Members)
+    return;
   Members = std::move(Known);
-}
-
-std::vector<std::string> Electorate::votersOf(unsigned Partition) const {
-  std::vector<std::string> Out =
-      inIssuerOrder({Members.begin(), Members.end()}, Partition);
-  Out.resize(std::min(Out.size(), MaxVoters));
-  return Out;
+  for (unsigned Partition = 0; Partition < QuotaPartitions; ++Partition) {
+    Voters[Partition] =
+        inIssuerOrder({Members.begin(), Members.end()}, Partition);
+    Voters[Partition].resize(std::min(Members.size(), MaxVoters));
+  }
 }
 
 } // namespace cicadawind
--- a/src/Quotas/Electorate.h
+++ b/src/Quotas/Electorate.h
@@ -1,6 +1,9 @@
 #ifndef CICADAWIND_QUOTAS_ELECTORATE_H
 #define CICADAWIND_QUOTAS_ELECTORATE_H
 
+#include "Quotas/LimitShares.h"
+
+#include <array>
 #include <cstddef>
 #include <set>
 #include <string>
@@ -13,8 +16,8 @@
 ///
 /// VMs that are no longer known are left out only while this VM reaches a
 /// majority of those that it knew before, so that the smaller part of a failure
-/// domain never takes itself for the whole. votersOf() costs
-/// O(VMs of the failure domain). Not thread safe.
+/// domain never takes itself for the whole. update() costs
+/// O(VMs of the failure domain), votersOf() O(1). Not thread safe.
 class Electorate {
 public:
   /// Limits the messages of an issuer in large failure domains.
@@ -29,7 +32,9 @@
   std::size_t domainSize() const { return Members.size(); }
   /// Returns the VMs that vote on the issuer of \p Partition, by the order in
   /// which they become issuer.
-  std::vector<std::string> votersOf(unsigned Partition) const;
+  const std::vector<std::string> &votersOf(unsigned Partition) const {
+    return Voters.at(Partition);
+  }
   /// Returns the number of votes that \p Voters have to give: at least half of
   /// them and one more, so that two issuers cannot be chosen even if one VM
   /// votes twice, because a copy of it runs, or if two VMs' lists differ by
@@ -39,6 +44,7 @@
 private:
   std::string OwnVm;
   std::set<std::string> Members;
+  std::array<std::vector<std::string>, QuotaPartitions> Voters;
 };
 
 } // namespace cicadawind
--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -198,7 +198,7 @@
 }
 
 void QuotaService::sendClaim(unsigned Partition, TimePoint Now) {
-  std::vector<std::string> Voters = Domain.votersOf(Partition);
+  const std::vector<std::string> &Voters = Domain.votersOf(Partition);
   IssuerClaim Claim{.FailureDomain = Opts.FailureDomain,
                     .Partition = Partition,
                     .Incarnation = Incarnation,
