--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -4,6 +4,7 @@
 #include "Daemons/ProxyDaemon.h"
 
 #include "Async/AsyncSignal.h"
+#include "Daemons/ConfigPage.h"
 #include "Daemons/HeldSignals.h"
 #include "Daemons/PortOpener.h"
 #include "Daemons/ProxyStatus.h"
@@ -131,6 +132,17 @@
   return Out;
 }
 
+static RateLimitDriver::Options
+rateLimitOptions(const ProxySettings &Settings) {
+  RateLimitDriver::Options Out;
+  Out.Vm = Settings.Vm;
+  Out.FailureDomain = Settings.FailureDomain;
+  Out.Regions = Settings.Regions;
+  Out.Random = seededRandom();
+  Out.Tolerance = Settings.LimitTolerance;
+  return Out;
+}
+
 } // namespace internal
 
 ProxyDaemon::ProxyDaemon(boost::asio::io_context &Loop, Options NewOpts,
@@ -140,6 +152,7 @@
       Peers(Loop, internal::peerOptions(Opts.Settings), *Opts.Http, Service),
       Promotions(Loop, internal::promotionOptions(Opts.Settings), Service,
                  Peers, *Opts.Store, *Opts.Promotions, Meter),
+      RateLimits(internal::rateLimitOptions(Opts.Settings), Peers, Meter),
       Registration(VmRegistration::Options{}, *Opts.Store, *Opts.Listings,
                    Peers),
       Relay(Loop, {.Address = Opts.Settings.BindAddress,
@@ -160,8 +173,18 @@
   Peers.onRequest([this](const HttpRequest &Request) {
     return handleOperatorRequest(Request);
   });
-  Service.onConfig([this] { Peers.announce(); });
+  Service.onConfig([this] {
+    Peers.announce();
+    RateLimits.setAccounts(Service.config().Accounts);
+  });
   Service.onTargets([this] { Peers.announce(); });
+  Service.setAdmit(
+      [this](const std::string &Account, TimePoint GiveUpAt,
+             QuotaService::Hook OnOutcome) {
+        return RateLimits.quota().admit(Account, GiveUpAt, BootClock::now(),
+                                        std::move(OnOutcome));
+      },
+      [this](std::uint64_t Ticket) { RateLimits.quota().cancel(Ticket); });
   Opts.Listings->setWatching(false);
   Service.setQueryPeers(
       [this](const std::string &Group, const std::string &Instance) {
@@ -228,6 +251,7 @@
 void ProxyDaemon::beginPlannedStop() {
   Service.beginDrain(Opts.Settings.TerminationGracePeriod);
   Peers.broadcastLeaving();
+  RateLimits.leave();
 }
 
 HttpResponse
@@ -247,12 +271,19 @@
   return Response;
 }
 
+HttpResponse ProxyDaemon::showConfig() const {
+  HttpResponse Response;
+  Response.Body = configPageOf(Service.config(), makeSalt()).dump();
+  return Response;
+}
+
 void ProxyDaemon::sweep(TimePoint Now) {
   Service.sweep(Now);
   Peers.sweep(Now);
   Opts.Listings->setWatching(Peers.mayReadStore(Now));
   Registration.renewIfRestored(Loop, Service.targetsRevision());
   Promotions.sweep(Now);
+  RateLimits.sweep(Now);
   // Sessions that this VM relays for other VMs also finish their requests and
   // transactions before it stops, unless the time for the drain has passed.
   bool RelaysNothing = Relay.busySessions() == 0;
@@ -275,6 +306,13 @@
   };
   HttpHandler Operators =
       [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+    // Peers and collectors of metrics do not get the accounts' names.
+    if (Request.Path == ConfigPagePath)
+      co_return showConfig();
+    co_return handleOperatorRequest(Request);
+  };
+  HttpHandler Collectors =
+      [this](HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
     co_return handleOperatorRequest(Request);
   };
   const ProxySettings &Settings = Opts.Settings;
@@ -293,7 +331,7 @@
     });
   if (AreOpen && !Settings.Metrics.empty())
     AreOpen = Opener.open("metrics", [&] {
-      MetricsServer = serveHttp(Settings.Metrics, Operators);
+      MetricsServer = serveHttp(Settings.Metrics, Collectors);
     });
   return AreOpen;
 }
