Pool a target's connections where a share is smaller than its slots

Cause: with 33 VMs and 51 connections each VM has one connection to a target of 5 slots. The callers of one VM queue behind one statement, or behind one session that rests inside a transaction, while slots and other VMs' connections are free. After a power loss of all VMs, 33 new connections meet 33 that the targets still hold, 66 > 51.

Change: with `[targets] pool_scarce_connections`, three relays pool the connections of a target whose equal share would be smaller than its number of slots. This concerns the sites of 33 VMs (51 / 33 = 1 < 5) and of 91 VMs (130 / 91 = 1 < 4); the small sites (2 >= 2, 4 >= 2) and those that relay already are served as before. A group of which all VMs reach one target without a relay has all VMs as voters.

RelayPlanTest and ProxySettingsTest pass; the rest was not run.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -83,6 +83,7 @@
   Out.Regions = Settings.Regions;
   Out.Random = seededRandom();
   Out.AwaitsPeers = true;
+  Out.PoolsScarceConnections = Settings.PoolsScarceConnections;
   Out.Group.Leaving.ServiceTime = Settings.TargetDrainTime;
   if (!Settings.PlatformFences) {
     Out.Group.FailureDetector.LostAfter = LeasedLostAfter;
--- a/src/Links/RelayPlan.cpp
+++ b/src/Links/RelayPlan.cpp
@@ -120,9 +120,16 @@
   return std::exchange(Changed, false);
 }
 
-bool RelayPlan::allDirect(unsigned MaxConnections) const {
+unsigned RelayPlan::minDirectShare(const TargetEntry &Target) const {
+  if (!Opts.PoolsScarceConnections)
+    return Opts.MinDirectShare;
+  return std::max(Opts.MinDirectShare, Target.Slots);
+}
+
+bool RelayPlan::allDirect(const TargetEntry &Target,
+                          unsigned MaxConnections) const {
   return vms() <= Opts.RelaysPerTarget ||
-         MaxConnections / vms() >= Opts.MinDirectShare;
+         MaxConnections / vms() >= minDirectShare(Target);
 }
 
 void RelayPlan::appendBest(const TargetEntry &Target,
@@ -172,7 +179,7 @@
 TargetPath RelayPlan::pathTo(const TargetEntry &Target,
                              unsigned MaxConnections) const {
   TargetPath Path;
-  if (allDirect(MaxConnections)) {
+  if (allDirect(Target, MaxConnections)) {
     Path.Share =
         std::max<unsigned>(1, MaxConnections / static_cast<unsigned>(vms()));
     return Path;
@@ -203,7 +210,7 @@
 std::set<std::string> RelayPlan::relaysOf(const TargetEntry &Target,
                                           unsigned MaxConnections) const {
   std::set<std::string> Out;
-  if (allDirect(MaxConnections))
+  if (allDirect(Target, MaxConnections))
     return Out;
   for (VmIndex I : relaysFor(Target))
     Out.insert(entryAt(I).Vm);
--- a/src/Links/RelayPlan.h
+++ b/src/Links/RelayPlan.h
@@ -32,15 +32,16 @@
 /// \brief Chooses the VMs that connect to a target if the target does not
 /// accept enough connections for all VMs.
 ///
-/// If every VM can have MinDirectShare connections, or if there are at most
+/// If every VM can have minDirectShare() connections, or if there are at most
 /// RelaysPerTarget VMs, every VM connects to the target itself. Otherwise
-/// RelaysPerTarget VMs relay the statements of all VMs. They are chosen by
-/// rendezvous hashing, first among the VMs in the target's failure domain, then
-/// among those in its region, then among all. VMs with the same view of the
-/// fleet choose the same relays. A VM that is asked to relay does so even if
-/// its own view differs. Does no input or output. The relays of a target are
-/// computed once for each change of the plan, in O(VMs in its failure domain),
-/// or O(VMs) if that has too few.
+/// RelaysPerTarget VMs relay the statements of all VMs, so that a connection
+/// serves whichever VM has demand. They are chosen by rendezvous hashing, first
+/// among the VMs in the target's failure domain, then among those in its
+/// region, then among all. VMs with the same view of the fleet choose the same
+/// relays. A VM that is asked to relay does so even if its own view differs.
+/// Does no input or output. The relays of a target are computed once for each
+/// change of the plan, in O(VMs in its failure domain), or O(VMs) if that has
+/// too few.
 class RelayPlan {
 public:
   struct Options {
@@ -56,6 +57,11 @@
     /// Connections that each VM must be able to have for all VMs to connect
     /// directly.
     unsigned MinDirectShare = 1;
+    /// Whether relays also pool the connections of a target of which an equal
+    /// share would be smaller than the number of its slots. Such a share is
+    /// used up by one VM's callers while slots and other VMs' connections are
+    /// free. The same on all VMs.
+    bool PoolsScarceConnections = false;
     /// Part of a target's connections that relays leave free for VMs that
     /// become relays when others are lost.
     double ReservedFraction = 0.2;
@@ -102,7 +108,10 @@
   /// Index of a VM in Peers, or Peers.size() for this VM.
   using VmIndex = std::size_t;
 
-  bool allDirect(unsigned MaxConnections) const;
+  /// Returns the number of connections that each VM must be able to have to
+  /// \p Target for all VMs to connect directly.
+  unsigned minDirectShare(const TargetEntry &Target) const;
+  bool allDirect(const TargetEntry &Target, unsigned MaxConnections) const;
   /// Returns the relays of \p Target, best first.
   const std::vector<VmIndex> &relaysFor(const TargetEntry &Target) const;
   std::vector<VmIndex> chooseRelays(const TargetEntry &Target) const;
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -44,6 +44,7 @@
   Out.FailureDomain = Opts.FailureDomain;
   Out.Region = Opts.Region;
   Out.Regions = Opts.Regions;
+  Out.PoolsScarceConnections = Opts.PoolsScarceConnections;
   return Out;
 }
 
@@ -180,8 +181,13 @@
   auto Found = Groups.find(Group);
   if (Found == Groups.end())
     return Out;
-  for (const TargetEntry &Entry : Found->second->entries())
-    Out.merge(Plan.relaysOf(Entry, maxConnections(*Config, Group)));
+  for (const TargetEntry &Entry : Found->second->entries()) {
+    std::set<std::string> Relays =
+        Plan.relaysOf(Entry, maxConnections(*Config, Group));
+    if (Relays.empty())
+      return {};
+    Out.merge(Relays);
+  }
   return Out;
 }
 
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -51,6 +51,8 @@
     /// Whether setPeers() will be called. Until then no connections are opened
     /// ahead of requests, because the number of VMs that share them is unknown.
     bool AwaitsPeers = false;
+    /// See RelayPlan::Options::PoolsScarceConnections.
+    bool PoolsScarceConnections = false;
     /// Options of every group's dispatcher; those that depend on the VM or the
     /// group are overwritten.
     GroupDispatcher::Options Group;
@@ -82,7 +84,7 @@
   /// Returns the names of the voters of \p Group: the VMs whose reports are
   /// counted when the VMs decide whether its primary is lost, because they
   /// connect to one of its targets without a relay. Empty if all VMs connect to
-  /// all of them without one, so that every VM is a voter.
+  /// one of them without a relay, so that every VM is a voter.
   std::set<std::string> votersFor(const std::string &Group) const;
   /// Returns the names of the VMs that relay to the primary of \p Group; empty
   /// if all VMs connect to it without a relay, or no primary is known.
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -90,6 +90,8 @@
           PlatformFences == Newer.PlatformFences);
   Compare(Out.AtRestart, "lease_ms", LeaseLength == Newer.LeaseLength);
   Compare(Out.AtRestart, "drain_ms", TargetDrainTime == Newer.TargetDrainTime);
+  Compare(Out.AtRestart, "pool_scarce_connections",
+          PoolsScarceConnections == Newer.PoolsScarceConnections);
   Compare(Out.AtRestart, "max_descriptors",
           MaxDescriptors == Newer.MaxDescriptors);
   return Out;
@@ -140,6 +142,8 @@
   Out.TargetDrainTime = Millis(
       Reader.numberOr("platform", "drain_ms", Out.TargetDrainTime.count(),
                       internal::MinDrainMs, internal::MaxDrainMs));
+  Out.PoolsScarceConnections =
+      Reader.booleanOr("targets", "pool_scarce_connections", false);
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -60,6 +60,11 @@
   /// Time for which a target that leaves still receives new requests.
   Millis TargetDrainTime = std::chrono::seconds(7);
 
+  /// Whether a few VMs pool a target's connections for all VMs where an equal
+  /// share would be smaller than the number of the target's slots. If not, they
+  /// do so only where the target accepts fewer connections than there are VMs.
+  bool PoolsScarceConnections = false;
+
   /// Limit on the process's open file descriptors; the largest number of
   /// sessions is derived from it.
   std::size_t MaxDescriptors = 0;
--- a/test/Links/RelayPlanTest.cpp
+++ b/test/Links/RelayPlanTest.cpp
@@ -21,7 +21,7 @@
 
 /// A fleet of VMs in six failure domains, and the RelayPlan of each VM.
 struct Fleet {
-  explicit Fleet(std::size_t Count) {
+  explicit Fleet(std::size_t Count, bool PoolsScarceConnections = false) {
     for (std::size_t I = 0; I < Count; ++I) {
       VmEntry Entry;
       Entry.Vm = nameOf(I);
@@ -34,6 +34,7 @@
       Opts.Vm = nameOf(I);
       Opts.FailureDomain = domainOf(I);
       Opts.Region = regionOf(domainOf(I));
+      Opts.PoolsScarceConnections = PoolsScarceConnections;
       for (std::size_t D = 0; D < 6; ++D)
         Opts.Regions[domainOf(D)] = regionOf(domainOf(D));
       Plans.emplace_back(Opts);
@@ -61,6 +62,21 @@
   return TargetEntry{.Instance = Name, .Group = "g", .FailureDomain = Domain};
 }
 
+TargetEntry targetWithSlots(unsigned Slots) {
+  TargetEntry Out = targetIn("a", "d4");
+  Out.Slots = Slots;
+  return Out;
+}
+
+/// Returns the number of VMs that connect to \p Target themselves.
+std::size_t directVms(const Fleet &F, const TargetEntry &Target,
+                      unsigned Connections) {
+  return static_cast<std::size_t>(
+      std::count_if(F.Plans.begin(), F.Plans.end(), [&](const RelayPlan &Plan) {
+        return Plan.pathTo(Target, Connections).Direct;
+      }));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(vmsOfASmallFleetConnectDirectly) {
@@ -216,3 +232,46 @@
   Plan.sweep(Start + 11s);
   BOOST_TEST(!Plan.pathTo(Target, MaxConnections).Direct);
 }
+
+// The load that this answers: 33 VMs share 51 connections to a target with
+// 5 slots, and the callers of a few VMs ask for most of what it can do. With
+// one connection each, these VMs queue while slots are free.
+BOOST_AUTO_TEST_CASE(aShareBelowTheTargetsSlotsIsPooled) {
+  Fleet Pooling(33, true);
+  TargetEntry Target = targetWithSlots(5);
+  BOOST_TEST(directVms(Pooling, Target, 51) == 3U);
+  BOOST_TEST(Pooling.Plans[0].relaysOf(Target, 51).size() == 3U);
+  unsigned Sum = 0;
+  for (const RelayPlan &Plan : Pooling.Plans) {
+    TargetPath Path = Plan.pathTo(Target, 51);
+    Sum += Path.Direct ? Path.Share : 0;
+    BOOST_TEST((Path.Direct || Path.Share >= Target.Slots));
+  }
+  BOOST_TEST(Sum <= 51U);
+}
+
+BOOST_AUTO_TEST_CASE(aShareOfAsManyConnectionsAsSlotsIsNotPooled) {
+  Fleet Pooling(7, true);
+  BOOST_TEST(directVms(Pooling, targetWithSlots(2), 16) == 7U);
+  BOOST_TEST(directVms(Pooling, targetWithSlots(3), 16) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(scarceConnectionsAreNotPooledUnlessTheOptionsSaySo) {
+  Fleet Sharing(33);
+  BOOST_TEST(directVms(Sharing, targetWithSlots(5), 51) == 33U);
+  BOOST_TEST(Sharing.Plans[0].relaysOf(targetWithSlots(5), 51).empty());
+}
+
+// Guards against connections beyond the target's limit while VMs are lost one
+// after the other and the rest passes from relays to direct connections.
+BOOST_AUTO_TEST_CASE(pooledSharesStayWithinTheLimitAsTheFleetShrinks) {
+  for (std::size_t Count = 33; Count >= 2; --Count) {
+    Fleet Pooling(Count, true);
+    unsigned Sum = 0;
+    for (const RelayPlan &Plan : Pooling.Plans) {
+      TargetPath Path = Plan.pathTo(targetWithSlots(5), 51);
+      Sum += Path.Direct ? Path.Share : 0;
+    }
+    BOOST_TEST_CONTEXT(Count << " VMs") { BOOST_TEST(Sum <= 51U); }
+  }
+}
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -52,6 +52,19 @@
   BOOST_TEST(Parsed.RelayPort == 7441);
   BOOST_TEST(Parsed.TerminationGracePeriod.count() == 6000);
   BOOST_TEST(Parsed.TargetDrainTime.count() == 10000);
+  BOOST_TEST(!Parsed.PoolsScarceConnections);
+}
+
+BOOST_AUTO_TEST_CASE(connectionsArePooledOnlyWhereTheSettingsSaySo) {
+  Result<ProxySettings> Read = ProxySettings::parse(
+      with("[limits]", "[targets]\npool_scarce_connections = true\n[limits]"),
+      "s.toml");
+  BOOST_REQUIRE(!errorOf(Read));
+  BOOST_TEST(valueOf(Read).PoolsScarceConnections);
+  Result<ProxySettings> Before = ProxySettings::parse(ValidSettings, "s.toml");
+  BOOST_REQUIRE(!errorOf(Before));
+  BOOST_TEST(valueOf(Before).changesTo(valueOf(Read)).AtRestart ==
+             "pool_scarce_connections");
 }
 
 BOOST_AUTO_TEST_CASE(aVmListensOnItsAddressUnlessItIsToldAnother) {
