--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -235,6 +235,7 @@
 ProxyDaemon::handleOperatorRequest(const HttpRequest &Request) const {
   HttpResponse Response;
   if (Request.Path == "/metrics") {
+    Service.publishConnections();
     Response.Body = Meter.text();
     Response.ContentType = "text/plain; version=0.0.4";
     return Response;
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -308,6 +308,23 @@
        {"took_ms", std::to_string(toMillis(Report.Latency).count())}});
 }
 
+void ProxyService::publishConnections() const {
+  for (const auto &[Name, Group] : Groups) {
+    std::size_t Relayed = 0;
+    for (const TargetEntry &Entry : Group->entries())
+      Relayed += Group->isDirect(Entry.Instance) ? 0 : 1;
+    ConnectionCount Connections = Group->connectionCount();
+    MetricLabels Labels{{"group", Name}};
+    Meter.set("targets_relayed", static_cast<double>(Relayed), Labels);
+    Meter.set("connections_open", static_cast<double>(Connections.Open),
+              Labels);
+    Meter.set("connections_allowed", static_cast<double>(Connections.Allowed),
+              Labels);
+    Meter.set("requests_waiting", static_cast<double>(Group->waiting()),
+              Labels);
+  }
+}
+
 void ProxyService::logSuppressedLines(TimePoint Now) {
   for (const auto &[Kind, Count] : RequestLogLimiter.takeSuppressed(Now)) {
     Meter.count("log_lines_left_out_total", {{"kind", Kind}},
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -163,6 +163,9 @@
     Opts.Group.RequestEvidence = std::move(RequestEvidence);
   }
   std::size_t sessions() const { return Sessions.size(); }
+  /// Sets the gauges of each group's connections, paths and waiting requests;
+  /// called when the metrics are read. Costs O(targets).
+  void publishConnections() const;
 
 private:
   /// Counts and logs a finished request.
--- a/test/Proxy/ProxyServiceTest.cpp
+++ b/test/Proxy/ProxyServiceTest.cpp
@@ -75,6 +75,21 @@
   BOOST_TEST(World.connections() <= Before);
 }
 
+// An operator must see from the metrics whether a VM's statements cross relays.
+BOOST_AUTO_TEST_CASE(theMetricsCountTheTargetsThatAreReachedThroughRelays) {
+  StartingVm World;
+  World.Starting->setPeers({});
+  World.Starting->publishConnections();
+  BOOST_TEST(World.Meter.text().find("targets_relayed{group=\"g\"} 0") !=
+             std::string::npos);
+  World.Starting->setPeers(StartingVm::others(60));
+  World.Starting->sweep(BootClock::now());
+  World.Starting->publishConnections();
+  std::string Text = World.Meter.text();
+  BOOST_TEST(Text.find("targets_relayed{group=\"g\"} 0") == std::string::npos);
+  BOOST_TEST(Text.find("requests_waiting{group=\"g\"} 0") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(aRequestIsServedBeforeTheFleetIsKnown) {
   StartingVm World;
   ProxyCaller Caller(World, *World.Starting, "latest");
