--- a/test/Links/ConnectionSharingTest.cpp
+++ b/test/Links/ConnectionSharingTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <iostream>
@@ -74,7 +75,8 @@
   Sharing Out;
   double Spare = Connections - Vms;
   for (std::size_t Vm = 0; Vm < Vms; ++Vm) {
-    Out.Pools.push_back({1 + static_cast<unsigned>(Spare * Weights[Vm] + 0.5)});
+    Out.Pools.push_back(
+        {1 + static_cast<unsigned>(std::lround(Spare * Weights[Vm]))});
     Out.ByVm.push_back({Vm});
   }
   return Out;
--- a/test/Proxy/ProxyServiceTest.cpp
+++ b/test/Proxy/ProxyServiceTest.cpp
@@ -17,7 +17,7 @@
 /// A ProxyWorld with the proxy of another VM, which has just started and does
 /// not know the fleet yet.
 struct StartingVm : ProxyWorld {
-  StartingVm() {
+  explicit StartingVm(bool PoolsScarceConnections = false) {
     ProxyService::Options Opts;
     Opts.Codec = &Codec;
     Opts.Vm = "vm-9";
@@ -26,6 +26,7 @@
     Opts.Regions = {{"d1", "r1"}};
     Opts.Random = [Engine = std::mt19937_64(3)]() mutable { return Engine(); };
     Opts.AwaitsPeers = true;
+    Opts.PoolsScarceConnections = PoolsScarceConnections;
     Starting = std::make_unique<ProxyService>(Loop, Opts, Meter);
     Starting->applyConfig(Config);
     Starting->applyTargets(listedTargets(), 1);
@@ -90,6 +91,18 @@
   BOOST_TEST(Text.find("requests_waiting{group=\"g\"} 0") != std::string::npos);
 }
 
+// All VMs connect to a target with few slots themselves, so all count as voters
+// on each other's lists, although relays pool the group's other targets.
+BOOST_AUTO_TEST_CASE(allVmsAreVotersIfAllConnectToOneTargetOfTheGroup) {
+  StartingVm World(true);
+  World.Starting->setPeers(StartingVm::others(4));
+  BOOST_TEST(!World.Starting->votersFor("g").empty());
+  std::vector<TargetEntry> Listed = World.listedTargets();
+  Listed.front().Slots = 1;
+  World.Starting->applyTargets(Listed, 2);
+  BOOST_TEST(World.Starting->votersFor("g").empty());
+}
+
 BOOST_AUTO_TEST_CASE(aRequestIsServedBeforeTheFleetIsKnown) {
   StartingVm World;
   ProxyCaller Caller(World, *World.Starting, "latest");
