--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -84,6 +84,7 @@
   Out.Regions = Settings.Regions;
   Out.Random = seededRandom();
   Out.AwaitsPeers = true;
+  Out.PoolsScarceConnections = Settings.PoolsScarceConnections;
   Out.Group.Leaving.ServiceTime = Settings.TargetDrainTime;
   if (!Settings.PlatformFences) {
     Out.Group.FailureDetector.LostAfter = LeasedLostAfter;
@@ -258,6 +259,7 @@
 ProxyDaemon::handleOperatorRequest(const HttpRequest &Request) const {
   HttpResponse Response;
   if (Request.Path == "/metrics") {
+    Service.publishConnections();
     Response.Body = Meter.text();
     Response.ContentType = "text/plain; version=0.0.4";
     return Response;
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -50,6 +50,7 @@
   Out.FailureDomain = Opts.FailureDomain;
   Out.Region = Opts.Region;
   Out.Regions = Opts.Regions;
+  Out.PoolsScarceConnections = Opts.PoolsScarceConnections;
   return Out;
 }
 
@@ -185,8 +186,13 @@
   auto Found = Groups.find(Group);
   if (Found == Groups.end())
     return Out;
-  for (const TargetEntry &Entry : Found->second->entries())
-    Out.merge(Plan.relaysOf(Entry, maxConnections(*Config, Group)));
+  for (const TargetEntry &Entry : Found->second->entries()) {
+    std::set<std::string> Relays =
+        Plan.relaysOf(Entry, maxConnections(*Config, Group));
+    if (Relays.empty())
+      return {};
+    Out.merge(Relays);
+  }
   return Out;
 }
 
@@ -308,6 +314,23 @@
        {"took_ms", std::to_string(toMillis(Report.Latency).count())}});
 }
 
+void ProxyService::publishConnections() const {
+  for (const auto &[Name, Group] : Groups) {
+    std::size_t Relayed = 0;
+    for (const TargetEntry &Entry : Group->entries())
+      Relayed += Group->isDirect(Entry.Instance) ? 0 : 1;
+    ConnectionCount Connections = Group->connectionCount();
+    MetricLabels Labels{{"group", Name}};
+    Meter.set("targets_relayed", static_cast<double>(Relayed), Labels);
+    Meter.set("connections_open", static_cast<double>(Connections.Open),
+              Labels);
+    Meter.set("connections_allowed", static_cast<double>(Connections.Allowed),
+              Labels);
+    Meter.set("requests_waiting", static_cast<double>(Group->waiting()),
+              Labels);
+  }
+}
+
 void ProxyService::logSuppressedLines(TimePoint Now) {
   for (const auto &[Kind, Count] : RequestLogLimiter.takeSuppressed(Now)) {
     Meter.count("log_lines_left_out_total", {{"kind", Kind}},
--- a/src/Quotas/QuotaTimes.h
+++ b/src/Quotas/QuotaTimes.h
@@ -9,15 +9,15 @@
 /// \brief Times of the rate limit, the same on all VMs.
 struct QuotaTimes {
   /// Time for which a VM keeps its vote, from the arrival of the claim on.
-  Duration LeaseLength = std::chrono::milliseconds(800);
+  Duration LeaseLength = std::chrono::milliseconds(500);
   /// Part of LeaseLength that a holder does not use, since the rates of two
   /// VMs' clocks differ.
   Duration ClockMargin = std::chrono::milliseconds(20);
-  Duration RenewInterval = std::chrono::milliseconds(250);
+  Duration RenewInterval = std::chrono::milliseconds(160);
   /// Time after which a claim without a majority has failed.
-  Duration ClaimTimeout = std::chrono::milliseconds(150);
+  Duration ClaimTimeout = std::chrono::milliseconds(120);
   /// Additional wait of each next candidate before its claim.
-  Duration RankDelay = std::chrono::milliseconds(150);
+  Duration RankDelay = std::chrono::milliseconds(120);
   /// Maximum random wait after a failed claim.
   Duration MaxClaimBackoff = std::chrono::milliseconds(200);
   /// Time in which a permit may be used, from the sending of the request on.
--- a/test/Quotas/PermitIssuerTest.cpp
+++ b/test/Quotas/PermitIssuerTest.cpp
@@ -20,7 +20,9 @@
 
 /// A seat whose claim at 0 s needs the votes of "v1" and "v2".
 struct ClaimingSeat : IssuerSeat {
-  ClaimingSeat() : IssuerSeat(QuotaTimes{}, [] { return std::uint64_t{0}; }) {
+  ClaimingSeat()
+      : IssuerSeat(QuotaTimes{.LeaseLength = 800ms},
+                   [] { return std::uint64_t{0}; }) {
     setShares(OneAccount, at(0s));
     recordClaim(1, {"v1", "v2"}, 2, 3, at(0s));
     recordVote(1, "v1", 0s, at(0s));
