Statements begin slowly at a target that has started or recovered

Change: TargetConnections holds a SlowStart; GroupDispatcher asks it before it grants a connection, so that a read goes to the next target if the pace is used up. It begins for a target that is listed anew, that is reached again, or whose entry of the first list announces a warm-up. The time that an entry announces is decoded, not compared and not passed on. Off unless targets.slow_start is set. Log lines, a counter and the reason of a refusal name it.

--- a/src/Admission/SlowStart.h
+++ b/src/Admission/SlowStart.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 
@@ -45,8 +46,9 @@
     /// counts for the length of a pause, so that pauses do not outlast the
     /// warm-up by much.
     Duration FirstReplyTime = std::chrono::milliseconds(50);
-    /// Time that a statement waits for another target before it is taken for
-    /// one that no other target can serve now.
+    /// Time that a statement waits for another target, and at most half of the
+    /// time that it may wait, before it is taken for one that no other target
+    /// can serve now.
     Duration Patience = std::chrono::milliseconds(100);
     /// Time after which the target's quickest replies since its start are
     /// accepted as a reference, although its peers are quicker.
@@ -95,9 +97,11 @@
   /// Likewise for a statement that no other target can serve. At least one such
   /// statement may always run.
   bool allowsWithoutAlternative(std::size_t Running, TimePoint Now) const;
-  /// Returns whether a statement that has waited for \p Waited is taken for one
-  /// that no other target can serve now.
-  bool isOverdue(Duration Waited) const { return Waited >= Opts.Patience; }
+  /// Returns whether a statement that has waited for \p Waited and may wait for
+  /// \p MaxWait is taken for one that no other target can serve now.
+  bool isOverdue(Duration Waited, Duration MaxWait) const {
+    return Waited >= std::min(Opts.Patience, MaxWait / 2);
+  }
 
   /// Records that the target served a statement within \p ReplyTime.
   /// \p PeerTime is the usual reply time of the target's peers; empty if it
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -84,6 +84,7 @@
   Out.Random = seededRandom();
   Out.AwaitsPeers = true;
   Out.Group.Leaving.ServiceTime = Settings.TargetDrainTime;
+  Out.Group.Links.UsesSlowStart = Settings.SlowStart;
   if (!Settings.PlatformFences) {
     Out.Group.FailureDetector.LostAfter = LeasedLostAfter;
     Out.Group.FailureDetector.VetoWindow = LeasedVetoWindow;
--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -108,6 +108,7 @@
 }
 
 void GroupDispatcher::setTargets(const std::vector<TargetEntry> &Entries) {
+  bool IsFirstList = Targets.empty();
   std::map<std::string, const TargetEntry *> Listed;
   for (const TargetEntry &Entry : Entries)
     Listed[Entry.Instance] = &Entry;
@@ -127,19 +128,21 @@
     Tracker.forget(Name);
   }
   for (const TargetEntry &Entry : Entries)
-    setTarget(Entry);
+    setTarget(Entry, IsFirstList);
   updatePrimary();
   IsInUse = true;
   scheduleDispatch();
 }
 
-void GroupDispatcher::setTarget(const TargetEntry &Entry) {
+void GroupDispatcher::setTarget(const TargetEntry &Entry, bool IsFirstList) {
   TargetConnections *Links = find(Entry.Instance);
   bool IsSame = Links && internal::isSameReport(Links->entry(), Entry);
   if (Links)
     Links->setEntry(Entry);
-  else
+  else {
     addTarget(Entry);
+    prepareSlowStart(Entry, IsFirstList);
+  }
   if (IsSame)
     return;
   viewOf(Entry.Instance)->Leaving = Entry.Leaving;
@@ -166,6 +169,7 @@
   TargetConnections::Options LinksOpts = Opts.Links;
   LinksOpts.Codec = Opts.Codec;
   LinksOpts.Group = Opts.Group;
+  LinksOpts.Random = Opts.Random;
   auto Links =
       std::make_shared<TargetConnections>(Loop, LinksOpts, Entry, Callbacks);
   Targets[Entry.Instance] = Links;
@@ -205,6 +209,7 @@
 GroupDispatcher::Ticket GroupDispatcher::submit(LinkRequest Request) {
   Ticket Id = ++LastTicket;
   IsInUse = true;
+  Request.SubmittedAt = BootClock::now();
   // The request is queued only after the attempt to grant it has failed, since
   // the hook that a grant calls may submit another request.
   if (tryGrant(Request, BootClock::now()))
@@ -265,6 +270,9 @@
   bool NeedsGuard = UsesPrimary && Links->path().Direct;
   if (NeedsGuard && !Guard->mayUse(Instance, BootClock::now()))
     return false;
+  TimePoint Now = BootClock::now();
+  if (!paceAllows(Instance, Request, HasAlternatives, Now))
+    return false;
   // The last free direct connection to the primary is kept for requests that
   // need the primary, unless no other target may serve this one.
   bool KeepLastFree = IsPrimary && !Request.NeedsPrimary && HasAlternatives &&
@@ -280,6 +288,8 @@
   Grant.IsPrimary = IsPrimary;
   if (!IsPrimary)
     Grant.MinPosition = Position;
+  if (!Request.PassedOver.empty())
+    reportSlowStart(Request.PassedOver == Instance ? "delayed" : "diverted");
   Request.Granted(std::move(Grant));
   return true;
 }
@@ -356,9 +366,12 @@
     Expired.push_back(std::move(It->second));
     It = Queue.erase(It);
   }
-  for (LinkRequest &Request : Expired)
+  for (LinkRequest &Request : Expired) {
+    if (!Request.PassedOver.empty())
+      reportSlowStart("expired");
     Request.Refused(Error{.Code = ErrorCode::Overloaded,
                           .Message = reasonToRefuse(Request, Now)});
+  }
 }
 
 std::string GroupDispatcher::reasonToRefuse(const LinkRequest &Request,
@@ -367,6 +380,9 @@
     return "the target leaves and receives no new requests";
   if (Tracker.primary().empty() && Request.NeedsPrimary)
     return "no primary is known";
+  if (!Request.PassedOver.empty())
+    return "no connection became free in time, and " + Request.PassedOver +
+           " is in slow start";
   return "no connection became free in time";
 }
 
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -43,6 +43,9 @@
     std::map<std::string, std::string> Regions;
     RandomSource Random;
     TargetConnections::Options Links;
+    /// Called for each request that the slow start of a target affected;
+    /// \p Effect is "diverted", "delayed" or "expired". May be empty.
+    std::function<void(const char *Effect)> OnSlowStart;
     /// How long targets that leave receive new requests.
     LeavingBound::Options Leaving;
     /// A read that needs a leadership proof causes a newer one to be requested
@@ -216,7 +219,7 @@
   /// Returns the connections to \p Instance; null if it is no target.
   TargetConnections *find(const std::string &Instance) const;
   InstanceView *viewOf(const std::string &Instance);
-  void setTarget(const TargetEntry &Entry);
+  void setTarget(const TargetEntry &Entry, bool IsFirstList);
   void addTarget(const TargetEntry &Entry);
   void dropTarget(const std::string &Instance);
   /// Grants \p Request a connection if one is free; otherwise opens one if that
@@ -232,6 +235,18 @@
   /// none for it. \p HasAlternatives says whether other targets may serve it.
   bool grantFrom(const std::string &Instance, LinkRequest &Request,
                  std::optional<LogPosition> Position, bool HasAlternatives);
+  /// Returns whether the slow start of \p Instance lets \p Request run now, and
+  /// records in it if not.
+  bool paceAllows(const std::string &Instance, LinkRequest &Request,
+                  bool HasAlternatives, TimePoint Now) const;
+  void reportSlowStart(const char *Effect) const;
+  /// Makes statements begin slowly at a target that was added.
+  void prepareSlowStart(const TargetEntry &Entry, bool IsFirstList);
+  /// Records the time that \p Reply of \p Instance took.
+  void recordReplyTime(const std::string &Instance, const TargetReply &Reply,
+                       TimePoint Now);
+  /// Returns the usual reply time of the other replicas that have settled.
+  std::optional<Duration> peerReplyTime(const std::string &Instance) const;
   /// Returns a VM that can relay to \p Instance if a direct connection fails;
   /// empty if none is known or \p Instance is not the primary.
   std::optional<VmEntry> fallbackRelayFor(const std::string &Instance,
--- a/src/Dispatch/GroupEvidence.cpp
+++ b/src/Dispatch/GroupEvidence.cpp
@@ -61,6 +61,8 @@
       Links->noteBusy();
     else if (Succeeded)
       Links->noteServed();
+    if (Succeeded && Reply.UsedSlot)
+      recordReplyTime(Instance, Reply, Now);
   }
   InstanceView *View = viewOf(Instance);
   if (!View)
@@ -74,6 +76,65 @@
     View->recordReply(*Reply.Ready.Position, toMillis(*Age), Now);
 }
 
+void GroupDispatcher::recordReplyTime(const std::string &Instance,
+                                      const TargetReply &Reply, TimePoint Now) {
+  TargetConnections *Links = find(Instance);
+  if (!Links || !Opts.Links.UsesSlowStart)
+    return;
+  std::optional<Duration> PeerTime;
+  if (Links->slowStart().isActive())
+    PeerTime = peerReplyTime(Instance);
+  Links->noteReplyTime(Now - Reply.SentAt, PeerTime, Now);
+}
+
+std::optional<Duration>
+GroupDispatcher::peerReplyTime(const std::string &Instance) const {
+  // A primary's statements differ from those of replicas.
+  if (Instance == Tracker.primary())
+    return std::nullopt;
+  Duration Sum = Duration::zero();
+  int Count = 0;
+  for (const auto &[Name, Links] : Targets) {
+    const SlowStart &Peer = Links->slowStart();
+    bool IsPeer = Name != Instance && Name != Tracker.primary();
+    if (!IsPeer || Peer.isActive() || !Peer.usualReplyTime())
+      continue;
+    Sum += *Peer.usualReplyTime();
+    ++Count;
+  }
+  if (Count == 0)
+    return std::nullopt;
+  return Sum / Count;
+}
+
+void GroupDispatcher::prepareSlowStart(const TargetEntry &Entry,
+                                       bool IsFirstList) {
+  // This VM may have just started itself, so the targets of the first list have
+  // settled unless their entries say otherwise.
+  TargetConnections *Links = find(Entry.Instance);
+  if (!IsFirstList)
+    Links->prepareSlowStart("target started");
+  else if (Entry.WarmUpHint)
+    Links->prepareSlowStart("target says that it is slow");
+}
+
+bool GroupDispatcher::paceAllows(const std::string &Instance,
+                                 LinkRequest &Request, bool HasAlternatives,
+                                 TimePoint Now) const {
+  const TargetConnections *Links = find(Instance);
+  if (!Links->slowStart().isActive() ||
+      Links->paceAllows(HasAlternatives, Request.SubmittedAt, Request.GiveUpAt,
+                        Now))
+    return true;
+  Request.PassedOver = Instance;
+  return false;
+}
+
+void GroupDispatcher::reportSlowStart(const char *Effect) const {
+  if (Opts.OnSlowStart)
+    Opts.OnSlowStart(Effect);
+}
+
 void GroupDispatcher::recordPeerProof(const std::string &Instance,
                                       LogPosition LogEnd,
                                       TimePoint RequestedAt) {
--- a/src/Links/LinkRequest.h
+++ b/src/Links/LinkRequest.h
@@ -33,6 +33,11 @@
   TimePoint NotBefore;
   /// Time at which the request is refused if it still waits for a connection.
   TimePoint GiveUpAt;
+  /// When the request was submitted; set by the dispatcher.
+  TimePoint SubmittedAt;
+  /// Target that was passed over last because of its slow start; set by the
+  /// dispatcher.
+  std::string PassedOver;
   /// Target that is not chosen while another one is suitable.
   std::string AvoidTarget;
   /// Called with the acquired connection.
--- a/src/Links/RelayPlan.cpp
+++ b/src/Links/RelayPlan.cpp
@@ -172,6 +172,7 @@
 TargetPath RelayPlan::pathTo(const TargetEntry &Target,
                              unsigned MaxConnections) const {
   TargetPath Path;
+  Path.Vms = static_cast<unsigned>(vms());
   if (allDirect(MaxConnections)) {
     Path.Share =
         std::max<unsigned>(1, MaxConnections / static_cast<unsigned>(vms()));
@@ -182,6 +183,7 @@
       RelayRequestedUntil.count(Target.Instance) != 0 ||
       std::find(Chosen.begin(), Chosen.end(), Peers.size()) != Chosen.end();
   if (IsRelay) {
+    Path.Vms = static_cast<unsigned>(Opts.RelaysPerTarget);
     double SharePerRelay = MaxConnections * (1 - Opts.ReservedFraction) /
                            static_cast<double>(Opts.RelaysPerTarget);
     Path.Share = std::max(1U, static_cast<unsigned>(SharePerRelay));
--- a/src/Links/RelayPlan.h
+++ b/src/Links/RelayPlan.h
@@ -24,6 +24,8 @@
   /// VMs that relay its statements, in the order in which to use them; empty
   /// for a direct path.
   std::vector<VmEntry> Relays;
+  /// Number of VMs that reach the target in the same way, this one included.
+  unsigned Vms = 1;
 
   bool operator==(const TargetPath &) const = default;
 };
--- a/src/Links/TargetConnections.cpp
+++ b/src/Links/TargetConnections.cpp
@@ -70,6 +70,11 @@
 }
 
 void TargetConnections::setPath(const TargetPath &NewPath) {
+  // A change of the number of VMs alone does not change the path.
+  Path.Vms = NewPath.Vms;
+  Pace.setUsage(usage());
+  if (!SlowStartCause.empty())
+    beginSlowStart(std::exchange(SlowStartCause, {}), BootClock::now());
   if (NewPath == Path)
     return;
   bool DirectChanged = NewPath.Direct != Path.Direct;
@@ -98,7 +103,8 @@
   unsigned Limit =
       Now < ReducedShareUntil ? std::min(Path.Share, ReducedShare) : Path.Share;
   if (AllLinks.size() >= Limit || Now < NextOpen ||
-      !Concurrency.allows(AllLinks.size()))
+      !Concurrency.allows(AllLinks.size()) ||
+      !Pace.allowsWithoutAlternative(AllLinks.size(), Now))
     return false;
   // Opening a connection occupies a slot of the target for longer than a
   // statement does.
@@ -162,6 +168,8 @@
     FailuresInRow = 0;
     return release(Link);
   }
+  if (UnreachableSince)
+    beginSlowStart("reached again", BootClock::now());
   UnreachableSince.reset();
   FailuresInRow = 0;
   Callbacks->OnContact(Entry.Instance);
@@ -200,9 +208,63 @@
 void TargetConnections::markUnreachable(TimePoint Now) {
   UnreachableSince = UnreachableSince.value_or(Now);
   LastDirectFailure = Now;
+  Pace.recordFailed(Now);
+}
+
+SlowStart::Usage TargetConnections::usage() const {
+  return {.Slots = Entry.Slots, .Vms = Path.Vms};
+}
+
+void TargetConnections::beginSlowStart(const std::string &Cause,
+                                       TimePoint Now) {
+  if (!Opts.UsesSlowStart)
+    return;
+  Pace.begin(usage(), Entry.WarmUpHint, toUnit(Opts.Random()), Now);
+  SlowSince = Now;
+  internal::Logger.info("slow start begins",
+                        {{"group", Opts.Group},
+                         {"target", Entry.Instance},
+                         {"why", Cause},
+                         {"vms", std::to_string(Path.Vms)},
+                         {"pace", std::to_string(Pace.pace())}});
+}
+
+void TargetConnections::logSlowStartEnd(TimePoint Now) {
+  if (!SlowSince || Pace.isActive())
+    return;
+  bool Settled = Pace.state() == SlowStart::State::Settled;
+  Millis Lasted = toMillis(Now - *std::exchange(SlowSince, {}));
+  internal::Logger.info(
+      "slow start ends",
+      {{"group", Opts.Group},
+       {"target", Entry.Instance},
+       {"why", Settled ? "replies are quick" : "time is over"},
+       {"took_ms", std::to_string(Lasted.count())},
+       {"pace", std::to_string(Pace.pace())}});
+}
+
+bool TargetConnections::paceAllows(bool HasAlternatives, TimePoint SubmittedAt,
+                                   TimePoint GiveUpAt, TimePoint Now) const {
+  bool MustRun = !HasAlternatives ||
+                 Pace.isOverdue(Now - SubmittedAt, GiveUpAt - SubmittedAt);
+  return MustRun ? Pace.allowsWithoutAlternative(inUse(), Now)
+                 : Pace.allows(inUse(), Now);
+}
+
+void TargetConnections::noteBusy() {
+  Concurrency.onRefused(inUse());
+  Pace.recordRefused(BootClock::now());
+}
+
+void TargetConnections::noteReplyTime(Duration Taken,
+                                      std::optional<Duration> PeerTime,
+                                      TimePoint Now) {
+  Pace.recordServed(Taken, PeerTime, Now);
+  logSlowStartEnd(Now);
 }
 
 void TargetConnections::recordTimeout(TimePoint Now) {
+  Pace.recordFailed(Now);
   if (Path.Direct)
     markUnreachable(Now);
   else
@@ -342,6 +404,8 @@
   endTimedOutControlRequests(Now);
   removeClosed();
   closeUnused(Now);
+  Pace.expire(Now);
+  logSlowStartEnd(Now);
 }
 
 void TargetConnections::close() {
--- a/src/Links/TargetConnections.h
+++ b/src/Links/TargetConnections.h
@@ -2,6 +2,8 @@
 #define CICADAWIND_LINKS_TARGETCONNECTIONS_H
 
 #include "Admission/ConcurrencyLimit.h"
+#include "Admission/SlowStart.h"
+#include "Core/Random.h"
 #include "Links/RelayPlan.h"
 #include "Links/TargetEntry.h"
 #include "Links/TargetLink.h"
@@ -55,6 +57,10 @@
     /// Time after the failure of a direct connection during which connections
     /// are opened through a peer that reaches the target, if there is one.
     Duration DirectRetryBackoff = std::chrono::milliseconds(1000);
+    /// Whether statements begin slowly at a target that has just started or
+    /// recovered. Random must then be set.
+    bool UsesSlowStart = false;
+    RandomSource Random;
   };
   /// Callbacks to the owner.
   struct Events {
@@ -117,7 +123,21 @@
   void noteServed() { Concurrency.onServed(); }
   /// Lowers that limit, after the target refused a statement because of
   /// overload.
-  void noteBusy() { Concurrency.onRefused(inUse()); }
+  void noteBusy();
+
+  /// Makes statements begin slowly once the path is known, because the target
+  /// has just started; \p Cause is logged.
+  void prepareSlowStart(const std::string &Cause) { SlowStartCause = Cause; }
+  /// Returns whether the slow start lets a request run now that was submitted
+  /// at \p SubmittedAt and expires at \p GiveUpAt. \p HasAlternatives says
+  /// whether other targets may serve it.
+  bool paceAllows(bool HasAlternatives, TimePoint SubmittedAt,
+                  TimePoint GiveUpAt, TimePoint Now) const;
+  /// Records the time that a statement took, for the slow start of this target
+  /// and its peers. \p PeerTime is the usual reply time of the peers.
+  void noteReplyTime(Duration Taken, std::optional<Duration> PeerTime,
+                     TimePoint Now);
+  const SlowStart &slowStart() const { return Pace; }
   /// Records that a request was not answered in time. Marks the target as
   /// unreachable if the path is direct, even if the request was sent through
   /// the fallback relay; otherwise selects the next relay. Closes the free
@@ -172,6 +192,10 @@
   /// Removes and returns the free link that was used last, or null.
   std::shared_ptr<TargetLink> popFreeLink();
   void markUnreachable(TimePoint Now);
+  SlowStart::Usage usage() const;
+  void beginSlowStart(const std::string &Cause, TimePoint Now);
+  /// Logs the end of a slow start, once.
+  void logSlowStartEnd(TimePoint Now);
 
   boost::asio::io_context &Loop;
   Options Opts;
@@ -197,6 +221,12 @@
   std::map<const TargetLink *, std::weak_ptr<TargetLink>> ControlLinks;
   /// Limits this VM's simultaneous statements at the target.
   ConcurrencyLimit Concurrency;
+  SlowStart Pace;
+  /// Cause of a slow start that begins when the path is known; empty if there
+  /// is none.
+  std::string SlowStartCause;
+  /// When the slow start began whose end has not been logged.
+  std::optional<TimePoint> SlowSince;
   unsigned OpeningCount = 0;
   /// Number of consecutive failures to open a connection, up to
   /// MaxOpenBackoffSteps.
--- a/src/Links/TargetEntry.h
+++ b/src/Links/TargetEntry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace cicadawind {
 
@@ -30,8 +31,20 @@
   /// Start of this run of the instance, as the registry gives it. It differs
   /// after the instance has started again under the same name.
   std::int64_t Incarnation = 0;
+  /// How much longer the target expects to be slow after its start, when it
+  /// wrote its entry; empty if it does not say so. Counts down, so it is
+  /// neither compared nor passed on to other VMs.
+  std::optional<Millis> WarmUpHint = std::nullopt;
 
-  bool operator==(const TargetEntry &) const = default;
+  /// Returns whether all but the hints are equal.
+  bool operator==(const TargetEntry &Other) const {
+    auto Tied = [](const TargetEntry &Each) {
+      return std::tie(Each.Instance, Each.Group, Each.Address,
+                      Each.FailureDomain, Each.Slots, Each.Leaving,
+                      Each.LeavingSince, Each.ClaimsPrimary, Each.Incarnation);
+    };
+    return Tied(*this) == Tied(Other);
+  }
 };
 
 } // namespace cicadawind
--- a/src/Links/TargetLink.cpp
+++ b/src/Links/TargetLink.cpp
@@ -108,6 +108,7 @@
   std::string Bytes;
   Opts.Codec->encodeStatement(Bytes, Id, Text, MinPosition);
   addPending(std::move(Hook));
+  Pending.back().Reply.UsedSlot = true;
   sendLine(Bytes);
 }
 
--- a/src/Links/TargetLink.h
+++ b/src/Links/TargetLink.h
@@ -29,6 +29,8 @@
   ReadyMessage Ready;
   /// When the request was sent.
   TimePoint SentAt;
+  /// Whether the request was a caller's statement, which needs a slot.
+  bool UsedSlot = false;
 };
 
 /// Session values by name.
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -234,6 +234,9 @@
     GroupOpts.OnRelayFailed = [this](const std::string &Vm) {
       Plan.markUnreachable(Vm, BootClock::now());
     };
+    GroupOpts.OnSlowStart = [this](const char *Effect) {
+      Meter.count("slow_start_statements_total", {{"effect", Effect}});
+    };
     Groups[Name] = std::make_unique<GroupDispatcher>(Loop, GroupOpts);
   }
   for (auto &[Name, Group] : Groups)
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -90,6 +90,7 @@
           PlatformFences == Newer.PlatformFences);
   Compare(Out.AtRestart, "lease_ms", LeaseLength == Newer.LeaseLength);
   Compare(Out.AtRestart, "drain_ms", TargetDrainTime == Newer.TargetDrainTime);
+  Compare(Out.AtRestart, "slow_start", SlowStart == Newer.SlowStart);
   Compare(Out.AtRestart, "max_descriptors",
           MaxDescriptors == Newer.MaxDescriptors);
   return Out;
@@ -140,6 +141,7 @@
   Out.TargetDrainTime = Millis(
       Reader.numberOr("platform", "drain_ms", Out.TargetDrainTime.count(),
                       internal::MinDrainMs, internal::MaxDrainMs));
+  Out.SlowStart = Reader.booleanOr("targets", "slow_start", false);
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -59,6 +59,9 @@
 
   /// Time for which a target that leaves still receives new requests.
   Millis TargetDrainTime = std::chrono::seconds(7);
+  /// Whether statements begin slowly at a target that has just started or
+  /// recovered.
+  bool SlowStart = false;
 
   /// Limit on the process's open file descriptors; the largest number of
   /// sessions is derived from it.
--- a/test/Admission/SlowStartTest.cpp
+++ b/test/Admission/SlowStartTest.cpp
@@ -26,6 +26,8 @@
 constexpr double ServiceMs = 20;
 /// Time within which a caller wants the reply.
 constexpr double ObjectiveMs = 400;
+/// Part of it that a statement may wait for a connection.
+constexpr int MaxWaitMs = 200;
 /// Statements a second at which the targets are as busy as at the new
 /// deployments' peak, and with a burst of 2.2.
 constexpr double UsualLoad = 190;
@@ -156,7 +158,8 @@
   bool mayRun(const Vm &Each, int Target, double Waited, double Now) const {
     std::size_t Running = Each.Running[Target];
     const SlowStart &Pace = Each.Pace[Target];
-    bool Overdue = Pace.isOverdue(milliseconds(static_cast<int>(Waited)));
+    bool Overdue = Pace.isOverdue(milliseconds(static_cast<int>(Waited)),
+                                  milliseconds(MaxWaitMs));
     bool Paced = Overdue ? Pace.allowsWithoutAlternative(Running, time(Now))
                          : Pace.allows(Running, time(Now));
     return Running < S.Connections && Each.Limit[Target].allows(Running) &&
--- a/test/Platform/EntryDecodersTest.cpp
+++ b/test/Platform/EntryDecodersTest.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "EntryDecoders.h"
+#include "Links/TargetChanges.h"
 #include "Observability/Log.h"
 
 #include <nlohmann/json.hpp>
@@ -49,6 +50,26 @@
   BOOST_TEST(Entry.Incarnation == 1780575724000);
 }
 
+// The time counts down, so a change of it alone must not cause messages between
+// VMs.
+BOOST_AUTO_TEST_CASE(theHintOfAWarmUpIsReadAndNotCompared) {
+  auto Decoded = [](const nlohmann::json &Left) {
+    std::string Text = with(Instance, "/coldRemainingMs", Left).dump();
+    Result<TargetEntry> Read = platform::decodeInstance("i-1", Text);
+    BOOST_REQUIRE(!errorOf(Read));
+    return valueOf(Read);
+  };
+  TargetEntry Slow = Decoded(4000);
+  BOOST_REQUIRE(Slow.WarmUpHint);
+  BOOST_TEST(Slow.WarmUpHint->count() == 4000);
+  BOOST_TEST(Decoded(1e300).WarmUpHint->count() == 3600000);
+  for (const nlohmann::json &None : {nlohmann::json(0), nlohmann::json(-5),
+                                     nlohmann::json("soon"), nlohmann::json()})
+    BOOST_TEST(!Decoded(None).WarmUpHint);
+  BOOST_TEST((Slow == Decoded(100)));
+  BOOST_TEST(hashOf(std::vector{Slow}) == hashOf(std::vector{Decoded(100)}));
+}
+
 // Other programs may write objects of the same kind; none of them may be taken
 // for an instance.
 BOOST_AUTO_TEST_CASE(malformedInstanceEntriesAreRejected) {
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -29,7 +29,7 @@
                      .LatencyObjective = Millis(500)};
 }
 
-ProxyWorld::ProxyWorld() {
+ProxyWorld::ProxyWorld(bool UsesSlowStart) {
   Log::start("test", LogLevel::Error);
   for (const std::string Id : {"a", "b", "c"})
     Instances[Id] = std::make_unique<emulator::EmulatedInstance>(
@@ -41,6 +41,7 @@
   Opts.Regions = {{"d1", "r1"}};
   auto Engine = std::make_shared<std::mt19937_64>(7);
   Opts.Random = [Engine] { return (*Engine)(); };
+  Opts.Group.Links.UsesSlowStart = UsesSlowStart;
   Service = std::make_unique<ProxyService>(Loop, Opts, Meter);
   Config = std::make_shared<ProxyConfig>();
   Config->Version = 1;
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -27,7 +27,7 @@
 /// rather than for durations where they can.
 class ProxyWorld {
 public:
-  ProxyWorld();
+  explicit ProxyWorld(bool UsesSlowStart = false);
   ~ProxyWorld();
 
   /// Runs the loop, with sweeps, until \p Condition holds; false if it does not
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -28,6 +28,8 @@
 orders = "10.200.0.160:8783"
 fencing_enforced = true
 drain_ms = 10000
+[targets]
+slow_start = true
 [limits]
 max_descriptors = 4300
 grace_s = 6
@@ -52,6 +54,7 @@
   BOOST_TEST(Parsed.RelayPort == 7441);
   BOOST_TEST(Parsed.TerminationGracePeriod.count() == 6000);
   BOOST_TEST(Parsed.TargetDrainTime.count() == 10000);
+  BOOST_TEST(Parsed.SlowStart);
 }
 
 BOOST_AUTO_TEST_CASE(aVmListensOnItsAddressUnlessItIsToldAnother) {
@@ -87,6 +90,7 @@
       {"store = ", "shop = ", "platform.store"},
       {"grace_s = 6", "grace_s = 0", "limits.grace_s"},
       {"drain_ms = 10000", "drain_ms = 0", "platform.drain_ms"},
+      {"slow_start = true", "slow_start = 1", "targets.slow_start"},
       {"[limits]", "[limits", "s.toml:"},
   };
   for (const Case &Each : Table) {
@@ -148,6 +152,7 @@
   for (const char *Each :
        {"operators = \"10.1.0.8:8782\"\n", "max_descriptors = 4300\n",
         "grace_s = 6\n", "fencing_enforced = true\n", "drain_ms = 10000\n",
+        "[targets]\nslow_start = true\n",
         "regions = [\"oaxaca=centro-sur\",\"queretaro=bajio\"]\n"})
     Text.replace(Text.find(Each), std::string(Each).size(), "");
   Result<ProxySettings> Read = ProxySettings::parse(Text, "settings.toml");
@@ -155,6 +160,7 @@
   BOOST_TEST(valueOf(Read).MaxDescriptors == 4096);
   BOOST_TEST(valueOf(Read).TerminationGracePeriod.count() == 6000);
   BOOST_TEST(valueOf(Read).TargetDrainTime.count() == 7000);
+  BOOST_TEST(!valueOf(Read).SlowStart);
   // A lease is safe with and without fencing.
   BOOST_TEST(!valueOf(Read).PlatformFences);
 }
