Slow start begins with half of the slots unless a warm-up is announced

Change: the first pace is half of the slots, a quarter if the target's entry says that it is slow; a read waits 20 ms for another target, not 100 ms.

--- a/src/Admission/SlowStart.cpp
+++ b/src/Admission/SlowStart.cpp
@@ -47,6 +47,7 @@
     Before = Usual;
   Users = NewUsage;
   Current = State::Active;
+  FirstShare = Hint ? Opts.AnnouncedFirstShare : Opts.FirstShare;
   Pace = firstPace();
   Begun = Now;
   Duration Hinted =
--- a/src/Admission/SlowStart.h
+++ b/src/Admission/SlowStart.h
@@ -29,7 +29,9 @@
 public:
   struct Options {
     /// Part of the target's slots that all VMs together use at first.
-    double FirstShare = 0.25;
+    double FirstShare = 0.5;
+    /// The same for a target that has said that it is slow.
+    double AnnouncedFirstShare = 0.25;
     /// Multiple of the target's slots that all VMs together may use when the
     /// slow start ends.
     double FullShare = 4;
@@ -49,7 +51,7 @@
     /// Time that a statement waits for another target, and at most half of the
     /// time that it may wait, before it is taken for one that no other target
     /// can serve now.
-    Duration Patience = std::chrono::milliseconds(100);
+    Duration Patience = std::chrono::milliseconds(20);
     /// Time after which the target's quickest replies since its start are
     /// accepted as a reference, although its peers are quicker.
     Duration SettleTime = std::chrono::seconds(5);
@@ -124,7 +126,7 @@
 
 private:
   double slotsPerVm() const;
-  double firstPace() const { return Opts.FirstShare * slotsPerVm(); }
+  double firstPace() const { return FirstShare * slotsPerVm(); }
   double leastPace() const;
   double fullPace() const;
   /// Returns the time that a pace below one waits after a reply that took
@@ -138,6 +140,8 @@
   Options Opts;
   Usage Users;
   State Current = State::Inactive;
+  /// Part of the slots at which the slow start began.
+  double FirstShare = 1;
   double Pace = 1;
   TimePoint Begun;
   TimePoint EndsAt;
--- a/test/Admission/SlowStartTest.cpp
+++ b/test/Admission/SlowStartTest.cpp
@@ -55,6 +55,8 @@
   double FlapPeriod = 0;
   double Length = 8000;
   bool UsesSlowStart = true;
+  /// Whether the starting target says how long it is slow.
+  bool Announced = false;
   std::uint64_t Seed = 1;
 };
 
@@ -114,10 +116,16 @@
   void begin(Vm &Each, double Now) {
     if (S.UsesSlowStart)
       Each.Pace[Starting].begin(
-          {.Slots = Slots, .Vms = static_cast<unsigned>(S.Vms)}, std::nullopt,
+          {.Slots = Slots, .Vms = static_cast<unsigned>(S.Vms)}, hint(Now),
           unit(), time(Now));
   }
 
+  std::optional<Duration> hint(double Now) const {
+    if (!S.Announced || Now >= S.SlowUntil)
+      return std::nullopt;
+    return milliseconds(static_cast<int>(S.SlowUntil - Now));
+  }
+
   bool isDown(double Now) const {
     return S.FlapPeriod > 0 && int(Now / S.FlapPeriod * 2) % 2 == 1;
   }
@@ -377,7 +385,7 @@
   Pace.expire(at(seconds(30)));
   BOOST_TEST(!Pace.isActive());
   Pace.begin(ManyVms, seconds(20), 0, at({}));
-  for (int I = 0; I < 6; ++I)
+  for (int I = 0; I < 7; ++I)
     Pace.recordServed(milliseconds(20), milliseconds(20), at({}));
   BOOST_TEST(!Pace.isActive());
 }
@@ -417,6 +425,8 @@
     BOOST_TEST(With.inTime() > Without.inTime() + 0.02);
     BOOST_TEST(With.FirstPeak <= 2 * Slots);
     BOOST_TEST(With.Refused == 0);
+    S.Announced = true;
+    BOOST_TEST(play(S, true).inTime() >= 0.99);
   }
 }
 
