Slow start ends sooner at VMs that send a target little

A reason of a refusal also named slow start where no connection was free anyway.

Change: the pace doubles every second once nothing has spoken against it for 4 s. Only a target with a free connection counts as passed over.

--- a/src/Admission/SlowStart.cpp
+++ b/src/Admission/SlowStart.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace cicadawind {
 namespace internal {
@@ -50,6 +51,7 @@
   FirstShare = Hint ? Opts.AnnouncedFirstShare : Opts.FirstShare;
   Pace = firstPace();
   Begun = Now;
+  RaisedFrom = Now + Opts.DoubtTime;
   Duration Hinted =
       std::min(Hint.value_or(Duration::zero()), Opts.MaxHintedDuration);
   EndsAt = Now + std::max(Opts.MaxDuration, Hinted);
@@ -60,9 +62,10 @@
 bool SlowStart::allows(std::size_t Running, TimePoint Now) const {
   if (!isActive() || Now >= EndsAt)
     return true;
-  if (Pace < 1)
+  double Current = paceAt(Now);
+  if (Current < 1)
     return Running == 0 && Now >= NextStart;
-  return static_cast<double>(Running) < Pace;
+  return static_cast<double>(Running) < Current;
 }
 
 bool SlowStart::allowsWithoutAlternative(std::size_t Running,
@@ -70,6 +73,19 @@
   return Running == 0 || allows(Running, Now);
 }
 
+double SlowStart::paceAt(TimePoint Now) const {
+  if (Now <= RaisedFrom)
+    return Pace;
+  double Doublings =
+      std::chrono::duration<double>(Now - RaisedFrom) / Opts.DoublingTime;
+  return std::min(Pace * std::exp2(Doublings), std::max(Pace, fullPace()));
+}
+
+void SlowStart::addTime(TimePoint Now) {
+  Pace = paceAt(Now);
+  RaisedFrom = std::max(RaisedFrom, Now);
+}
+
 void SlowStart::updateUsual(Duration ReplyTime) {
   Duration Last = Usual.value_or(ReplyTime);
   double Weight = ReplyTime < Last ? Opts.QuickerWeight : Opts.SlowerWeight;
@@ -88,13 +104,15 @@
   return Settled.value_or(Opts.FirstReplyTime);
 }
 
-void SlowStart::adaptTo(Duration ReplyTime, Duration Reference) {
+void SlowStart::adaptTo(Duration ReplyTime, Duration Reference, TimePoint Now) {
   Duration Beyond = ReplyTime - Opts.ReplyTimeMargin;
+  bool IsQuick = Beyond <= internal::scaled(Reference, Opts.QuickRatio);
+  RaisedFrom = IsQuick ? Now : Now + Opts.DoubtTime;
   // A pace below one gets few replies, so it rises faster if they show no queue
   // at the target.
   if (Pace < 1 && ReplyTime <= Reference)
     Pace = std::min(1.0, internal::UnqueuedFactor * Pace);
-  else if (Beyond <= internal::scaled(Reference, Opts.QuickRatio))
+  else if (IsQuick)
     Pace = std::min(2 * Pace, Pace + 1);
   else if (Beyond > internal::scaled(Reference, Opts.SlowRatio))
     Pace = std::max(Pace * Opts.SlowFactor, std::min(Pace, leastPace()));
@@ -108,7 +126,8 @@
   expire(Now);
   if (!isActive())
     return;
-  adaptTo(ReplyTime, reference(PeerTime, Now));
+  addTime(Now);
+  adaptTo(ReplyTime, reference(PeerTime, Now), Now);
   NextStart = Now + pauseAfter(ReplyTime);
 }
 
@@ -116,6 +135,8 @@
   expire(Now);
   if (!isActive())
     return;
+  addTime(Now);
+  RaisedFrom = Now + Opts.DoubtTime;
   Pace = std::max(Pace * Opts.RefusedFactor, std::min(Pace, leastPace()));
   NextStart = Now + pauseAfter(Usual.value_or(Opts.FirstReplyTime));
 }
@@ -124,6 +145,7 @@
   expire(Now);
   if (!isActive())
     return;
+  RaisedFrom = Now + Opts.DoubtTime;
   Pace = std::min(Pace, firstPace());
   NextStart = Now + pauseAfter(Usual.value_or(Opts.FirstReplyTime));
 }
--- a/src/Admission/SlowStart.h
+++ b/src/Admission/SlowStart.h
@@ -19,7 +19,8 @@
 /// took X, it then waits X * (1 / pace - 1), and its first statement is sent at
 /// a random time. Each reply that is about as quick as those of the target's
 /// peers, or as those of the target itself before, raises the pace, to
-/// four times the pace at most; a refusal halves it. The slow start ends when
+/// four times the pace at most; a refusal halves it. Time raises it as well
+/// while nothing speaks against that. The slow start ends when
 /// all VMs together could fill the target several times and its replies are
 /// still quick, and after a time in any case. Afterwards this class limits
 /// nothing. Each operation costs O(1). A value type.
@@ -52,6 +53,12 @@
     /// time that it may wait, before it is taken for one that no other target
     /// can serve now.
     Duration Patience = std::chrono::milliseconds(20);
+    /// Time in which the pace doubles while no reply speaks against it, so that
+    /// a VM that sends the target little does not limit itself for long.
+    Duration DoublingTime = std::chrono::seconds(1);
+    /// Time for which the start, a reply that is not quick, a refusal or a
+    /// failure speaks against a higher pace.
+    Duration DoubtTime = std::chrono::seconds(4);
     /// Time after which the target's quickest replies since its start are
     /// accepted as a reference, although its peers are quicker.
     Duration SettleTime = std::chrono::seconds(5);
@@ -134,8 +141,12 @@
   Duration pauseAfter(Duration ReplyTime) const;
   /// Returns the reply time that replies are compared with.
   Duration reference(std::optional<Duration> PeerTime, TimePoint Now) const;
+  /// Returns the pace at \p Now, with what time has added to it.
+  double paceAt(TimePoint Now) const;
+  /// Raises the pace by what time has added to it.
+  void addTime(TimePoint Now);
   void updateUsual(Duration ReplyTime);
-  void adaptTo(Duration ReplyTime, Duration Reference);
+  void adaptTo(Duration ReplyTime, Duration Reference, TimePoint Now);
 
   Options Opts;
   Usage Users;
@@ -145,6 +156,8 @@
   double Pace = 1;
   TimePoint Begun;
   TimePoint EndsAt;
+  /// Time from which the pace doubles every Options::DoublingTime.
+  TimePoint RaisedFrom;
   /// Time before which a pace below one sends no statement.
   TimePoint NextStart;
   /// Usual reply time, since the slow start if there was one.
--- a/src/Dispatch/GroupEvidence.cpp
+++ b/src/Dispatch/GroupEvidence.cpp
@@ -126,7 +126,9 @@
       Links->paceAllows(HasAlternatives, Request.SubmittedAt, Request.GiveUpAt,
                         Now))
     return true;
-  Request.PassedOver = Instance;
+  // Without a free connection the request would wait in any case.
+  if (Links->hasFree())
+    Request.PassedOver = Instance;
   return false;
 }
 
--- a/test/Admission/SlowStartTest.cpp
+++ b/test/Admission/SlowStartTest.cpp
@@ -376,6 +376,22 @@
   BOOST_TEST((Quiet.state() == SlowStart::State::TimedOut));
 }
 
+// A VM that sends the target nothing learns nothing from replies.
+BOOST_AUTO_TEST_CASE(TimeRaisesThePaceUnlessRepliesSpeakAgainstIt) {
+  SlowStart Quiet;
+  Quiet.begin(ManyVms, std::nullopt, 0, at({}));
+  SlowStart Doubtful = Quiet;
+  for (int Second = 0; Second < 5; ++Second)
+    Doubtful.recordServed(milliseconds(300), milliseconds(20),
+                          at(seconds(Second)));
+  BOOST_TEST(Doubtful.pace() < 0.1);
+  BOOST_TEST(!Doubtful.allows(0, at(milliseconds(4010))));
+  // One reply after a longer time ends it.
+  BOOST_TEST(Quiet.pace() < 0.1);
+  Quiet.recordServed(milliseconds(20), milliseconds(20), at(seconds(9)));
+  BOOST_TEST(!Quiet.isActive());
+}
+
 // The hint is bounded, and does not keep a target slow whose replies are quick.
 BOOST_AUTO_TEST_CASE(AHintOnlyMovesTheBound) {
   SlowStart Pace;
