--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -86,6 +86,7 @@
   Out.AwaitsPeers = true;
   Out.PoolsScarceConnections = Settings.PoolsScarceConnections;
   Out.Group.Leaving.ServiceTime = Settings.TargetDrainTime;
+  Out.Group.Links.UsesSlowStart = Settings.SlowStart;
   if (!Settings.PlatformFences) {
     Out.Group.FailureDetector.LostAfter = LeasedLostAfter;
     Out.Group.FailureDetector.VetoWindow = LeasedVetoWindow;
--- a/src/Links/LinkRequest.h
+++ b/src/Links/LinkRequest.h
@@ -32,12 +32,15 @@
   std::string Account;
   /// Lower numbers are served first.
   unsigned Priority = 0;
-  /// When the request was submitted; set by the dispatcher.
-  TimePoint Since;
   /// Time before which no connection is granted, after a target was too busy.
   TimePoint NotBefore;
   /// Time at which the request is refused if it still waits for a connection.
   TimePoint GiveUpAt;
+  /// When the request was submitted; set by the dispatcher.
+  TimePoint SubmittedAt;
+  /// Target that was passed over last because of its slow start; set by the
+  /// dispatcher.
+  std::string PassedOver;
   /// Target that is not chosen while another one is suitable.
   std::string AvoidTarget;
   /// Called with the acquired connection.
--- a/src/Links/RelayPlan.cpp
+++ b/src/Links/RelayPlan.cpp
@@ -197,6 +197,7 @@
 TargetPath RelayPlan::pathTo(const TargetEntry &Target,
                              unsigned MaxConnections) const {
   TargetPath Path;
+  Path.Vms = static_cast<unsigned>(vms());
   if (allDirect(Target, MaxConnections)) {
     Path.Share =
         std::max<unsigned>(1, MaxConnections / static_cast<unsigned>(vms()));
@@ -206,6 +207,7 @@
   bool IsChosen =
       std::find(Chosen.begin(), Chosen.end(), Peers.size()) != Chosen.end();
   if (IsChosen || RelayRequestedUntil.count(Target.Instance) != 0) {
+    Path.Vms = static_cast<unsigned>(Opts.RelaysPerTarget);
     Path.Standby = ServesAccounts && !IsChosen;
     Path.Share = relayShare(MaxConnections, Path.Standby);
     return Path;
--- a/src/Settings/ProxySettings.cpp
+++ b/src/Settings/ProxySettings.cpp
@@ -107,6 +107,7 @@
   Compare(Out.AtRestart, "drain_ms", TargetDrainTime == Newer.TargetDrainTime);
   Compare(Out.AtRestart, "pool_scarce_connections",
           PoolsScarceConnections == Newer.PoolsScarceConnections);
+  Compare(Out.AtRestart, "slow_start", SlowStart == Newer.SlowStart);
   Compare(Out.AtRestart, "max_descriptors",
           MaxDescriptors == Newer.MaxDescriptors);
   Compare(Out.AtRestart, "quota_tolerance",
@@ -165,6 +166,7 @@
                       internal::MinDrainMs, internal::MaxDrainMs));
   Out.PoolsScarceConnections =
       Reader.booleanOr("targets", "pool_scarce_connections", false);
+  Out.SlowStart = Reader.booleanOr("targets", "slow_start", false);
   constexpr std::int64_t MinDescriptors = 256;
   Out.MaxDescriptors = static_cast<std::size_t>(Reader.numberOr(
       "limits", "max_descriptors", 4096, MinDescriptors, 10000000));
--- a/src/Settings/ProxySettings.h
+++ b/src/Settings/ProxySettings.h
@@ -60,6 +60,9 @@
 
   /// Time for which a target that leaves still receives new requests.
   Millis TargetDrainTime = std::chrono::seconds(7);
+  /// Whether statements begin slowly at a target that has just started or
+  /// recovered.
+  bool SlowStart = false;
 
   /// Whether a few VMs pool a target's connections for all VMs where an equal
   /// share would be smaller than the number of the target's slots. If not, they
--- a/test/Settings/ProxySettingsTest.cpp
+++ b/test/Settings/ProxySettingsTest.cpp
@@ -28,6 +28,8 @@
 orders = "10.200.0.160:8783"
 fencing_enforced = true
 drain_ms = 10000
+[targets]
+slow_start = true
 [limits]
 max_descriptors = 4300
 grace_s = 6
@@ -55,11 +57,13 @@
   BOOST_TEST(Parsed.TargetDrainTime.count() == 10000);
   BOOST_TEST(Parsed.LimitTolerance.Operations == 20);
   BOOST_TEST(!Parsed.PoolsScarceConnections);
+  BOOST_TEST(Parsed.SlowStart);
 }
 
 BOOST_AUTO_TEST_CASE(connectionsArePooledOnlyWhereTheSettingsSaySo) {
   Result<ProxySettings> Read = ProxySettings::parse(
-      with("[limits]", "[targets]\npool_scarce_connections = true\n[limits]"),
+      with("slow_start = true",
+           "slow_start = true\npool_scarce_connections = true"),
       "s.toml");
   BOOST_REQUIRE(!errorOf(Read));
   BOOST_TEST(valueOf(Read).PoolsScarceConnections);
@@ -104,6 +108,7 @@
       {"drain_ms = 10000", "drain_ms = 0", "platform.drain_ms"},
       {"quota_tolerance = 20", "quota_tolerance = -1",
        "limits.quota_tolerance"},
+      {"slow_start = true", "slow_start = 1", "targets.slow_start"},
       {"[limits]", "[limits", "s.toml:"},
   };
   for (const Case &Each : Table) {
@@ -169,6 +174,7 @@
   for (const char *Each :
        {"operators = \"10.1.0.8:8782\"\n", "max_descriptors = 4300\n",
         "grace_s = 6\n", "fencing_enforced = true\n", "drain_ms = 10000\n",
+        "[targets]\nslow_start = true\n",
         "regions = [\"oaxaca=centro-sur\",\"queretaro=bajio\"]\n"})
     Text.replace(Text.find(Each), std::string(Each).size(), "");
   Result<ProxySettings> Read = ProxySettings::parse(Text, "settings.toml");
@@ -176,6 +182,7 @@
   BOOST_TEST(valueOf(Read).MaxDescriptors == 4096);
   BOOST_TEST(valueOf(Read).TerminationGracePeriod.count() == 6000);
   BOOST_TEST(valueOf(Read).TargetDrainTime.count() == 7000);
+  BOOST_TEST(!valueOf(Read).SlowStart);
   // A lease is safe with and without fencing.
   BOOST_TEST(!valueOf(Read).PlatformFences);
 }
