Wait for the first permits after a start; explain refusals by key and limit

Change: operations wait until the first permits are expected, at most until their timeout. cicadawindctl explain names the API key, the rate limit, missing issuers and slow start as causes.

--- a/src/Callers/CallerRequests.cpp
+++ b/src/Callers/CallerRequests.cpp
@@ -101,14 +101,16 @@
     return requestLink();
   std::uint64_t Id = ++StepId;
   std::weak_ptr<CallerSession> Weak = shared_from_this();
-  std::uint64_t NewTicket = Owner->Admit(
-      Account, Active->GiveUpAt, [Weak, Id](const PermitOutcome &Outcome) {
-        std::shared_ptr<CallerSession> Self = Weak.lock();
-        if (!Self || Self->StepId != Id)
-          return;
-        Self->PermitTicket = 0;
-        Self->onPermit(Outcome);
-      });
+  TimePoint ExpectedAt = std::min(Owner->PermitsExpectedAt, Active->Deadline);
+  std::uint64_t NewTicket =
+      Owner->Admit(Account, std::max(Active->GiveUpAt, ExpectedAt),
+                   [Weak, Id](const PermitOutcome &Outcome) {
+                     std::shared_ptr<CallerSession> Self = Weak.lock();
+                     if (!Self || Self->StepId != Id)
+                       return;
+                     Self->PermitTicket = 0;
+                     Self->onPermit(Outcome);
+                   });
   // Admit may have decided at once, and the request has gone on or has ended.
   if (StepId == Id && Active)
     PermitTicket = NewTicket;
@@ -117,6 +119,7 @@
 void CallerSession::onPermit(const PermitOutcome &Outcome) {
   switch (Outcome.Result) {
   case PermitOutcome::Kind::Granted:
+    extendWait();
     return requestLink();
   case PermitOutcome::Kind::OverLimit:
     return finishWithError(
@@ -417,14 +420,17 @@
     return finishWithError(Failure);
   if (Failure.Code == ErrorCode::Overloaded)
     Active->NotBefore = Now + internal::BusyBackoff;
-  // The next attempt may wait for a connection for the same time again.
-  Active->GiveUpAt =
-      std::max(Active->GiveUpAt,
-               std::min(Active->Deadline,
-                        Now + Route.LatencyObjective / internal::WaitDivisor));
+  extendWait();
   requestLink();
 }
 
+void CallerSession::extendWait() {
+  TimePoint End =
+      BootClock::now() + Route.LatencyObjective / internal::WaitDivisor;
+  Active->GiveUpAt =
+      std::max(Active->GiveUpAt, std::min(Active->Deadline, End));
+}
+
 void CallerSession::finishWithError(const Error &Failure) {
   if (Transaction.CurrentStage == CallerTransaction::Stage::BeginPending)
     Transaction.CurrentStage = CallerTransaction::Stage::Failed;
--- a/src/Callers/CallerSession.h
+++ b/src/Callers/CallerSession.h
@@ -64,6 +64,10 @@
         std::function<void(const PermitOutcome &)> Hook)>
         Admit;
     std::function<void(std::uint64_t Ticket)> CancelAdmit;
+    /// When permits are issued at the latest after this VM has started.
+    /// Operations that need one wait until then: it comes sooner than the
+    /// caller would after a refusal.
+    TimePoint PermitsExpectedAt;
     /// Logs and counts a finished request, a refused session, a malformed
     /// message or the end of an idle transaction. Not called for requests that
     /// the session completes successfully without a target.
@@ -156,6 +160,9 @@
   /// Makes another attempt if attempts and time are left; otherwise ends the
   /// request with \p Failure.
   void retryOrRefuse(Error Failure);
+  /// Lets the active request wait for a connection for as long as at its
+  /// arrival.
+  void extendWait();
   /// Releases the current link to the dispatcher, after a rollback if a
   /// transaction is open on it. Closes the link unless it is \p Healthy and all
   /// its requests are answered. If a rollback was sent over a healthy link, the
--- a/src/Cli/RequestExplanation.cpp
+++ b/src/Cli/RequestExplanation.cpp
@@ -85,6 +85,32 @@
          std::atoi(Connections.c_str() + Of + 4);
 }
 
+/// Diagnoses a request that its account's key or rate limit did not allow, or
+/// returns nothing.
+static std::optional<Diagnosis> diagnoseAccount(const Json &Request) {
+  std::string Code = textOf(Request, "code");
+  std::string Why = textOf(Request, "why");
+  if (Code == "rate_limited")
+    return Diagnosis{"account '" + textOf(Request, "account") +
+                         "' was over its rate limit: " + Why,
+                     "nothing if the caller asks for more than it may; "
+                     "otherwise raise the account's limit"};
+  if (Code == "unauthorized" && Why == "the API key was removed")
+    return Diagnosis{"the configuration in force no longer lists its API key",
+                     "give the caller another key of its account"};
+  if (Code == "unauthorized")
+    return Diagnosis{"the configuration in force does not list its API key",
+                     "see 'configuration in force' below for the version and "
+                     "its time"};
+  if (Why.find("issues permits") != std::string::npos)
+    return Diagnosis{"no VM issued permits of account '" +
+                         textOf(Request, "account") + "' when it came",
+                     "see 'issues permits of a partition' below; there is "
+                     "none for half a second after most VMs of a failure "
+                     "domain have started"};
+  return std::nullopt;
+}
+
 /// Diagnoses a request that waited for a connection and never got one.
 static Diagnosis diagnoseTimeout(const Json &Request,
                                  const std::vector<Json> &Evidence) {
@@ -103,6 +129,10 @@
   if (Missing)
     return {"fewer targets of its group took connections than usual",
             "see which targets the lines below name"};
+  std::string Why = textOf(Request, "why");
+  if (Why.find("is in slow start") != std::string::npos)
+    return {"a target had just started or recovered: " + Why,
+            "nothing if it ends within seconds; see 'slow start ends'"};
   std::string Connections = textOf(Request, "connections");
   std::optional<Millis> Uptime = uptimeOf(Request, Evidence);
   if (Uptime && isBelowShare(Connections))
@@ -127,6 +157,8 @@
     return {Tries.empty() ? "it was served at once"
                           : "it was served after failed attempts: " + Tries,
             "nothing"};
+  if (std::optional<Diagnosis> OfAccount = diagnoseAccount(Request))
+    return *OfAccount;
   if (Code == "overloaded" && Tries.empty())
     return diagnoseTimeout(Request, Evidence);
   if (Code == "overloaded")
--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -186,7 +186,8 @@
         return RateLimits.quota().admit(Account, GiveUpAt, BootClock::now(),
                                         std::move(OnOutcome));
       },
-      [this](std::uint64_t Ticket) { RateLimits.quota().cancel(Ticket); });
+      [this](std::uint64_t Ticket) { RateLimits.quota().cancel(Ticket); },
+      RateLimits.quota().firstPermitsAt());
   Opts.Listings->setWatching(false);
   Service.setQueryPeers(
       [this](const std::string &Group, const std::string &Instance) {
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -165,9 +165,11 @@
   /// Sets the functions that ask for permits for operations; see
   /// CallerSession::Host.
   void setAdmit(decltype(CallerSession::Host::Admit) Admit,
-                decltype(CallerSession::Host::CancelAdmit) Cancel) {
+                decltype(CallerSession::Host::CancelAdmit) Cancel,
+                TimePoint PermitsExpectedAt = TimePoint()) {
     Host->Admit = std::move(Admit);
     Host->CancelAdmit = std::move(Cancel);
+    Host->PermitsExpectedAt = PermitsExpectedAt;
   }
   std::size_t sessions() const { return Sessions.size(); }
   /// Sets the gauges of each group's connections, paths and waiting requests;
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -91,6 +91,12 @@
     return Seats.at(Partition).isIssuer(Now);
   }
   QuotaCounts counts() const;
+  /// Returns when permits are issued at the latest if all VMs have started with
+  /// this one.
+  TimePoint firstPermitsAt() const {
+    return Opts.StartedAt + Opts.Times.LeaseLength +
+           2 * Opts.Times.ClaimTimeout;
+  }
 
 private:
   void handle(const std::string &From, const IssuerClaim &Claim, TimePoint Now);
--- a/test/Callers/AccountSessionTest.cpp
+++ b/test/Callers/AccountSessionTest.cpp
@@ -216,3 +216,27 @@
   Caller.close();
   BOOST_TEST(World.runUntil([&] { return Cancelled == 7; }));
 }
+
+// After the start of all VMs there is no issuer for a moment. An operation
+// waits for the first one, beyond the time that it would wait for a connection.
+BOOST_AUTO_TEST_CASE(anOperationWaitsForTheFirstPermits) {
+  AccountWorld World;
+  TimePoint Expected = BootClock::now() + std::chrono::milliseconds(400);
+  TimePoint WaitsUntil;
+  std::function<void(const PermitOutcome &)> Waiting;
+  World.Service->setAdmit(
+      [&](const std::string &, TimePoint GiveUpAt,
+          const auto &Hook) -> std::uint64_t {
+        WaitsUntil = GiveUpAt;
+        Waiting = Hook;
+        return 1;
+      },
+      [](std::uint64_t) {}, Expected);
+  ProxyCaller Caller(World, "latest", "key-a1");
+  Caller.send("QUERY w1 WRITE i1 x");
+  World.runUntil([&] { return Waiting != nullptr; });
+  BOOST_TEST((WaitsUntil == Expected));
+  World.runFor(std::chrono::milliseconds(350));
+  Waiting(PermitOutcome{.Result = PermitOutcome::Kind::Granted});
+  BOOST_TEST(beginsWith(Caller.receive().at(0), "COMPLETE r-w1"));
+}
--- a/test/Cli/RequestExplanationTest.cpp
+++ b/test/Cli/RequestExplanationTest.cpp
@@ -75,6 +75,23 @@
       {{request("05.000",
                 R"("code":"overloaded","tries":"a:overloaded,a:overloaded")")},
        "too busy"},
+      {{request(
+           "05.000",
+           R"("code":"rate_limited","account":"dairy","why":"retry in 9 ms")")},
+       "account 'dairy' was over its rate limit: retry in 9 ms"},
+      {{request("05.000",
+                R"("code":"unauthorized","why":"the API key was removed")")},
+       "no longer lists its API key"},
+      {{request("05.000", R"("code":"unauthorized","why":"unknown API key")")},
+       "does not list its API key"},
+      {{request("05.000",
+                R"("code":"overloaded","tries":"","account":"dairy","why":)"
+                R"("no VM that issues permits of the account answered")")},
+       "no VM issued permits of account 'dairy'"},
+      {{request("05.000",
+                R"("code":"overloaded","tries":"","why":"no connection became )"
+                R"(free in time, and a is in slow start")")},
+       "a target had just started or recovered"},
       {{request(
            "05.000",
            R"("code":"replica_behind","tries":"b:replica_behind","at_least":"1.7")")},
