--- a/test/Accounts/AccountDirectoryTest.cpp
+++ b/test/Accounts/AccountDirectoryTest.cpp
@@ -53,7 +53,8 @@
       R"({"name":"","apiKeys":["k1"]})",
       R"({"name":"a b","apiKeys":["k1"]})",
       R"({"name":"a\r\n","apiKeys":["k1"]})",
-      R"({"name":")" + std::string(std::size_t{64} * 1024, 'a') + R"(","apiKeys":["k1"]})",
+      R"({"name":")" + std::string(std::size_t{64} * 1024, 'a') +
+          R"(","apiKeys":["k1"]})",
       R"({"name":"a","apiKeys":["k1"],"ratePerS":-1})",
       R"({"name":"a","apiKeys":["k1"],"ratePerS":5,"burst":-1})",
       R"({"name":"a","apiKeys":["k1"],"ratePerS":"5"})",
