Let no lease on an older term be renewed after a completed promotion

The logs: at 14.379 s the promoter says that its promotion to term 3 is completed, and all VMs let their leases be renewed that they had given up for it. One replica still follows term 2, which renews the lease on the old primary; writes that had waited are sent there at 14.393 s, and acknowledged. Excluded: accounts and pooling; the untouched code does the same. Change: a completed promotion names its term, below which nothing is renewed. PrimaryLeaseTest has the case.

--- a/src/Leases/PrimaryLease.cpp
+++ b/src/Leases/PrimaryLease.cpp
@@ -100,7 +100,8 @@
   RenewableFrom.reset();
 }
 
-void PrimaryLease::allowRenewal(TimePoint Now) {
+void PrimaryLease::allowRenewal(TimePoint Now, Term Leading) {
+  LowestRenewable = std::max(LowestRenewable, Leading);
   if (!RenewableFrom)
     RenewableFrom = Now;
   NextRequest = TimePoint();
@@ -172,7 +173,7 @@
       std::any_of(Replicas.begin(), Replicas.end(), [&](const Replica &Each) {
         return Each.PausedUpTo > *LeaseTerm;
       });
-  return IsPaused || (isGivenUp() && !RenewableFrom);
+  return IsPaused || (isGivenUp() && !isRenewable());
 }
 
 std::vector<std::string> PrimaryLease::statusDue(bool HasPeer, TimePoint Now) {
--- a/src/Leases/PrimaryLease.h
+++ b/src/Leases/PrimaryLease.h
@@ -104,8 +104,10 @@
   /// Gives up the lease on every primary of a term below \p Below at \p Now.
   void giveUp(Term Below, TimePoint Now);
   /// Allows that replicas renew the lease again, because the promotion for
-  /// which it was given up was cancelled.
-  void allowRenewal(TimePoint Now);
+  /// which it was given up was cancelled, or its successor leads \p Leading. A
+  /// lease on a primary of a lower term is never renewed then: a replica may
+  /// still follow it.
+  void allowRenewal(TimePoint Now, Term Leading = 0);
 
   const std::string &primary() const { return Primary; }
   /// Returns the term that the primary leads; empty if it is not known.
@@ -161,7 +163,10 @@
   /// Returns whether a lease that was given up may be renewed by evidence
   /// requested at \p At.
   bool isRenewedBy(TimePoint At) const {
-    return RenewableFrom && At >= *RenewableFrom;
+    return isRenewable() && At >= *RenewableFrom;
+  }
+  bool isRenewable() const {
+    return RenewableFrom && LeaseTerm && *LeaseTerm >= LowestRenewable;
   }
 
   Options Opts;
@@ -191,6 +196,8 @@
   Term GivenUpBelow = 0;
   TimePoint GivenUpAt;
   std::optional<TimePoint> RenewableFrom;
+  /// The highest term that a promotion is known to have opened.
+  Term LowestRenewable = 0;
   TimePoint NextRequest;
   TimePoint NextVotes;
   TimePoint NextPeerRequest;
--- a/src/Promotion/LeaseExchange.cpp
+++ b/src/Promotion/LeaseExchange.cpp
@@ -232,7 +232,7 @@
                              Message.End == Outcome::CancelledAll);
   if (!Renews)
     return;
-  Found->guard().lease()->allowRenewal(Now);
+  Found->guard().lease()->allowRenewal(Now, Message.Leading);
   internal::Logger.info("lease may be renewed",
                         {{"group", Message.Group},
                          {"holder", Message.From},
--- a/test/Leases/PrimaryLeaseTest.cpp
+++ b/test/Leases/PrimaryLeaseTest.cpp
@@ -158,3 +158,21 @@
   BOOST_TEST(Guard.replacedPrimaries() == std::vector<std::string>{"a"});
   BOOST_TEST(!Guard.acceptsClaim("a", at(30)));
 }
+
+// The successor leads term 2, and a replica that does not know it yet still
+// follows term 1. Writes on the old primary would be lost.
+BOOST_AUTO_TEST_CASE(aCompletedPromotionLetsNoLowerTermBeRenewed) {
+  EstablishedLease Lease;
+  Lease.recordStatus("b", replicaOf(1), at(100));
+  Lease.giveUp(2, at(200));
+  Lease.allowRenewal(at(300), 2);
+  Lease.recordStatus("c", replicaOf(1), at(310));
+  BOOST_TEST(!Lease.isValidAt(at(320)));
+  BOOST_TEST(Lease.isBlocked());
+  // Nor by votes, nor after a later promotion is cancelled.
+  Lease.recordVotes(1, Outcome::Supported, at(330));
+  Lease.giveUp(3, at(400));
+  Lease.allowRenewal(at(500));
+  Lease.recordStatus("c", replicaOf(1), at(510));
+  BOOST_TEST(!Lease.isValidAt(at(520)));
+}
