Review: reads lack commits after a decision that the store does not have

Cause: PromotionTokens::claim returns a reserved token although its decision could not be recorded; a cut-off machine that knows no primary then promotes the replaced one on the store's record alone. A zone with the primary is cut off while the store is away, with real processes.

--- a/review/shared-2/Clients.h
+++ b/review/shared-2/Clients.h
@@ -177,21 +177,6 @@
   return After.value() < 0.25 ? Broken : Held;
 }
 
-/// Returns the first of seven ports in a row that are free on all addresses;
-/// 0 if there are none.
-inline int freeBlock(const std::vector<std::string> &Ips) {
-  int Next = 21000 + static_cast<int>(getpid() % 9000);
-  for (int Tries = 0; Tries < 50; ++Tries) {
-    int First = Next;
-    bool AllFree = true;
-    for (int I = 0; I < 7; ++I)
-      AllFree &= freePort(Ips, Next) == First + I;
-    if (AllFree)
-      return First;
-  }
-  return 0;
-}
-
 } // namespace review
 
 #endif
--- a/review/shared-2/Loopback.h
+++ b/review/shared-2/Loopback.h
@@ -15,6 +15,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
@@ -35,6 +36,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -96,6 +98,21 @@
   return 0;
 }
 
+/// Returns the first of seven ports in a row that are free on all addresses;
+/// 0 if there are none.
+inline int freeBlock(const std::vector<std::string> &Ips) {
+  int Next = 21000 + static_cast<int>(getpid() % 9000);
+  for (int Tries = 0; Tries < 50; ++Tries) {
+    int First = Next;
+    bool AllFree = true;
+    for (int I = 0; I < 7; ++I)
+      AllFree &= freePort(Ips, Next) == First + I;
+    if (AllFree)
+      return First;
+  }
+  return 0;
+}
+
 /// The address of a machine that has been removed for good: connections to it
 /// hang. A listener whose queue of new connections is full drops the opening
 /// packets of further ones.
@@ -130,12 +147,17 @@
 };
 
 /// Passes connections on to \p Port of this host and replaces, in what comes
-/// back, one text by another of the same length. The emulated store cannot hold
+/// back, texts by others of the same length. The emulated store cannot hold
 /// bytes that are no UTF-8 itself.
 class Rewriter {
 public:
+  /// What is replaced, and by what; all of the same length.
+  using Texts = std::vector<std::pair<std::string, std::string>>;
+
   Rewriter(int Port, std::string From, std::string To)
-      : Target(Port), From(std::move(From)), To(std::move(To)) {
+      : Rewriter(Port, Texts{{std::move(From), std::move(To)}}) {}
+  Rewriter(int Port, Texts NewTexts)
+      : Target(Port), Replaced(std::move(NewTexts)) {
     Listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in A = loopback(0);
     bind(Listener, reinterpret_cast<sockaddr *>(&A), sizeof A);
@@ -197,14 +219,18 @@
       Held.append(Bytes, static_cast<std::size_t>(Got));
       std::size_t Ready = Held.size();
       if (Rewrites) {
-        for (std::size_t At = Held.find(From); At != std::string::npos;
-             At = Held.find(From, At))
-          Held.replace(At, From.size(), To);
-        // The beginning of the text may be at the end.
-        std::size_t Kept = std::min(From.size() - 1, Held.size());
-        while (Kept > 0 && Held.compare(Held.size() - Kept, Kept, From, 0,
-                                        Kept) != 0)
-          --Kept;
+        std::size_t Kept = 0;
+        for (const auto &[From, To] : Replaced) {
+          for (std::size_t At = Held.find(From); At != std::string::npos;
+               At = Held.find(From, At + To.size()))
+            Held.replace(At, From.size(), To);
+          // The beginning of the text may be at the end.
+          std::size_t Begun = std::min(From.size() - 1, Held.size());
+          while (Begun > 0 && Held.compare(Held.size() - Begun, Begun, From, 0,
+                                           Begun) != 0)
+            --Begun;
+          Kept = std::max(Kept, Begun);
+        }
         Ready -= Kept;
       }
       if (::send(Out, Held.data(), Ready, MSG_NOSIGNAL) !=
@@ -218,8 +244,7 @@
   }
 
   int Target;
-  std::string From;
-  std::string To;
+  Texts Replaced;
   int Listener = -1;
   int Own = 0;
   std::atomic<bool> Stopped = false;
@@ -252,9 +277,11 @@
       State[Id] = "ready";
       Seen[Id] = 0;
     }
-    Store->onPromote([this](const std::string &, const std::string &Id) {
-      return promote(Id);
-    });
+    Orders = std::make_unique<emulator::EmulatedStore>(Loop, "127.0.0.1", 0);
+    for (emulator::EmulatedStore *Each : {Store.get(), Orders.get()})
+      Each->onPromote([this](const std::string &, const std::string &Id) {
+        return promote(Id);
+      });
     json Config = configuration();
     if (!Tenants.is_null())
       Config["tenants"] = std::move(Tenants);
@@ -320,7 +347,14 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard;
   std::unique_ptr<emulator::EmulatedStore> Store;
+  /// The same calls at an address of their own, for orders while the store is
+  /// away.
+  std::unique_ptr<emulator::EmulatedStore> Orders;
   emulator::EmulatedGroup Group;
+  /// Time from the call to promote a target until it leads.
+  Duration PromoteTime = Duration::zero();
+  /// Whether the targets can't write to the store now.
+  bool HoldsEntries = false;
   std::map<std::string, std::unique_ptr<emulator::EmulatedInstance>> Instances;
 
 private:
@@ -349,7 +383,10 @@
               {"txIdleMs", 3000}}}};
   }
 
+public:
   void registerAll() {
+    if (HoldsEntries)
+      return;
     const std::map<std::string, std::string> Domains{
         {"a", Zones[0]}, {"b", Zones[1]}, {"c", Zones[2]}};
     for (const auto &[Id, Each] : Instances) {
@@ -368,14 +405,27 @@
     }
   }
 
+private:
   bool promote(const std::string &Id) {
     auto It = Instances.find(Id);
     if (It == Instances.end() || Group.at(Id).Down)
       return false;
+    if (PromoteTime == Duration::zero())
+      lead(Id);
+    else {
+      auto Timer = std::make_shared<boost::asio::steady_timer>(Loop);
+      Timer->expires_after(PromoteTime);
+      Timer->async_wait([this, Id, Timer](const auto &Code) {
+        if (!Code && !Group.at(Id).Down)
+          lead(Id);
+      });
+    }
+    return true;
+  }
+  void lead(const std::string &Id) {
     Group.promote(Id, BootClock::now());
     registerAll();
-    Log.line("platform: promoted " + Id);
-    return true;
+    Log.line("platform: " + Id + " leads the next term");
   }
 
   std::map<std::string, std::string> State;
@@ -403,6 +453,8 @@
     int DrainMs = 7000;
     /// Further lines of the section "limits".
     std::string Limits;
+    /// Address that the machine announces; empty for Ip.
+    std::string Announced;
   };
 
   explicit Proxy(Options NewOpts) : Opts(std::move(NewOpts)) {
@@ -412,7 +464,10 @@
          << Opts.Domain << "\"\nregion = \"" << Opts.Region
          << "\"\nregions = [" << Opts.Regions
          << "]\nlog_level = \"info\"\n\n[listen]\n"
-         << "address = \"" << Opts.Ip << "\"\ncallers = \"" << endpoint(0)
+         << "address = \""
+         << (Opts.Announced.empty() ? Opts.Ip : Opts.Announced)
+         << "\"\nbind_address = \"" << Opts.Ip << "\"\ncallers = \""
+         << endpoint(0)
          << "\"\nreadiness = \"" << endpoint(1) << "\"\noperators = \""
          << endpoint(2) << "\"\nmetrics = \"" << endpoint(3)
          << "\"\n\n[peers]\nfirst_port = " << Opts.Port + 4
@@ -557,6 +612,18 @@
     }
   }
 
+  /// Reads \p Count bytes; fewer if the connection ends.
+  std::string readBytes(std::size_t Count) {
+    char Bytes[4096];
+    while (Buffer.size() < Count) {
+      ssize_t Got = Socket >= 0 ? recv(Socket, Bytes, sizeof Bytes, 0) : -1;
+      if (Got <= 0)
+        break;
+      Buffer.append(Bytes, static_cast<std::size_t>(Got));
+    }
+    return Buffer.substr(0, Count);
+  }
+
 private:
   int Socket = -1;
   std::string Buffer;
