--- a/review/10/Case.cpp
+++ b/review/10/Case.cpp
@@ -1,244 +1,167 @@
-// A zone with the primary is cut off from the other zones while the store is
-// away. The others replace the primary under a reserved token; when the store
-// is back, the cut-off machine promotes the replaced primary again. Checks
-// STALE: reads of the new primary lacked commits that had been acknowledged
-// before and that are in the log at the end.
-#include "Partition.h"
+// A primary leaves while both of its replicas are down, and a proxy is
+// restarted meanwhile. Checks DRAIN: no statement reaches the leaving target
+// later than drainMs after the store has accepted that it leaves.
+#include "Clients.h"
 
-#include <map>
+#include <atomic>
 
 using namespace review;
 
 namespace {
 
-/// Length of the partition and of the store's outage.
-constexpr double CutS = 7.0;
-constexpr double StoreAwayS = 5.13;
-/// Time after the store's return at which the targets write their entries.
-constexpr double BeatS = 1.2;
+constexpr double DrainS = 7.0;
+constexpr double StableWindowS = 4.0;
+/// How much longer than drainMs the leaving target serves.
+constexpr double LingerS = 0.8;
 
-struct Acked {
-  TimePoint At;
-  long Value = 0;
-};
-struct ReadDone {
-  TimePoint SentAt;
-  long Value = 0;
+struct Sender {
+  Proxy *To;
+  std::string Prefix;
+  std::map<std::string, int> Answers;
 };
 
-std::string holderOfToken(Platform &World) {
-  Connection C;
-  if (!C.connectTo(World.address(), 1000) ||
-      !C.send("GET /api/objects/cicadawind-promotions/bodega HTTP/1.1\r\n"
-              "Host: x\r\n\r\n"))
-    return "";
-  std::string Line;
-  std::size_t Length = 0;
-  while (C.readLine(Line) && !Line.empty())
-    if (Line.rfind("Content-Length: ", 0) == 0)
-      Length = std::stoul(Line.substr(16));
-  std::string Body = C.readBytes(Length);
-  json Object = json::parse(Body, nullptr, false);
-  if (!Object.is_object() || !Object.contains("spec"))
-    return "";
-  return Object["spec"].value("holder", std::string());
+void sendWrites(Sender &Who, Record &Log, std::atomic<bool> &Stop) {
+  Session S;
+  int Number = 0;
+  while (!Stop) {
+    sleepMs(20);
+    if (!S.isOpen() && !S.open(Who.To->endpoint(0), "pedidos")) {
+      S.close();
+      continue;
+    }
+    std::string Id = Who.Prefix + std::to_string(++Number);
+    TimePoint SentAt = BootClock::now();
+    Session::Answer A = S.ask(Id, "WRITE lote" + std::to_string(Number) + " x");
+    std::string What = A.succeeded() ? "COMPLETE" : A.Error;
+    ++Who.Answers[What];
+    Log.lineAt(SentAt, "client: " + Id + " sent; answered " + What);
+  }
 }
 
 int run(const std::string &Folder, Record &Log) {
   Platform World(Log);
-  World.on([&] { World.PromoteTime = std::chrono::milliseconds(300); });
-  std::vector<std::string> Bound{"127.0.0.141", "127.0.0.142", "127.0.0.143"};
-  std::vector<std::string> Announced{"127.0.0.151", "127.0.0.152",
-                                     "127.0.0.153"};
-  std::vector<std::string> Every = Bound;
-  Every.insert(Every.end(), Announced.begin(), Announced.end());
-  int Base = freeBlock(Every);
+  std::vector<std::string> Ips{"127.0.0.61", "127.0.0.62", "127.0.0.63"};
+  int Base = freeBlock(Ips);
   if (!Base)
     return CouldNotRun;
-  const std::vector<std::string> Targets{"a", "b", "c"};
-  std::atomic<bool> IsCut = false;
-  std::atomic<std::size_t> Alone = 3;
-  Datagrams Between(Announced, Bound, Base + 4,
-                    [&](std::size_t From, std::size_t To) {
-                      return !IsCut || (From == Alone) == (To == Alone);
-                    });
-  if (!Between.isBound())
-    return CouldNotRun;
   const char *Domains[] = {"oaxaca", "puebla", "queretaro"};
   const char *Regions[] = {"centro-sur", "centro-sur", "bajio"};
-  std::vector<std::vector<std::unique_ptr<TargetPath>>> Paths(3);
-  std::vector<std::unique_ptr<Rewriter>> Stores;
   std::vector<std::unique_ptr<Proxy>> Vms;
-  for (std::size_t I = 0; I < 3; ++I) {
-    // The pages name no header for the age of the store's copy; the emulated
-    // store sends one.
-    Rewriter::Texts Texts{{"Store-Era", "X-Ignored"}};
-    for (const std::string &Id : Targets) {
-      std::string Address =
-          World.on([&] { return World.Instances.at(Id)->address(); });
-      std::string Port = Address.substr(Address.find(':') + 1);
-      Paths[I].push_back(std::make_unique<TargetPath>(std::stoi(Port)));
-      std::string Own = std::to_string(Paths[I].back()->port());
-      if (Own.size() != Port.size())
-        return CouldNotRun;
-      Texts.emplace_back("127.0.0.1:" + Port, "127.0.0.1:" + Own);
-    }
-    Stores.push_back(std::make_unique<Rewriter>(World.Store->port(), Texts));
+  for (int I = 0; I < 3; ++I) {
     Vms.push_back(std::make_unique<Proxy>(
         Proxy::Options{.Vm = "front-" + std::string(Domains[I]) + "-1",
                        .Domain = Domains[I],
                        .Region = Regions[I],
-                       .Ip = Bound[I],
-                       .StoreAddress = Stores.back()->address(),
-                       .OrdersAddress = "127.0.0.1:" +
-                                        std::to_string(World.Orders->port()),
+                       .Ip = Ips[I],
+                       .StoreAddress = World.address(),
+                       .OrdersAddress = World.address(),
                        .Folder = Folder,
                        .Port = Base,
-                       .Seeds = Announced,
-                       .Announced = Announced[I]}));
+                       .Seeds = Ips}));
     Vms.back()->start();
   }
   for (auto &Each : Vms)
     if (!Each->waitReady(20000))
       return CouldNotRun;
-  std::string Holder;
-  for (int Tries = 0; Tries < 100 && Holder.empty(); ++Tries) {
-    sleepMs(100);
-    Holder = holderOfToken(World);
-  }
-  sleepMs(2500);
-  Holder = holderOfToken(World);
-  Log.line("machine that holds the reserved token: " + Holder);
-  std::size_t Other = 3;
-  for (std::size_t I = 0; I < 3; ++I)
-    if (Vms[I]->options().Vm == Holder)
-      Other = I;
-    else
-      Alone = I;
-  if (Other == 3)
-    return CouldNotRun;
-  Log.line("machine that will be cut off with the primary: " +
-           Vms[Alone]->options().Vm);
+  sleepMs(4000);
+  // Time that a statement takes.
+  World.on([&] {
+    for (auto &[Id, Each] : World.Instances)
+      Each->Faults.Work = std::chrono::milliseconds(10);
+  });
   std::atomic<bool> Stop = false;
-  std::vector<Acked> Commits;
-  std::vector<ReadDone> Reads;
-  std::thread Writer([&] {
-    Session S;
-    for (long Value = 1; !Stop; ++Value) {
-      sleepMs(30);
-      if (!S.isOpen() && !S.open(Vms[Alone]->endpoint(0), "pedidos")) {
-        S.close();
-        continue;
+  std::vector<Sender> Senders;
+  for (int I = 0; I < 3; ++I)
+    Senders.push_back({Vms[I].get(), "w" + std::to_string(I + 1) + "-", {}});
+  std::vector<std::thread> Threads;
+  for (Sender &Each : Senders)
+    Threads.emplace_back([&] { sendWrites(Each, Log, Stop); });
+  auto Join = [&] {
+    Stop = true;
+    for (std::thread &Each : Threads)
+      Each.join();
+    Threads.clear();
+  };
+  sleepMs(5000);
+  std::string Leaving = World.primary();
+  if (trouble())
+    for (const char *Id : {"a", "b", "c"})
+      if (Id != Leaving) {
+        World.crash(Id);
+        Log.line(std::string("trouble: replica ") + Id + " crashes");
       }
-      Session::Answer A =
-          S.ask("w" + std::to_string(Value),
-                "WRITE saldo " + std::to_string(Value));
-      if (A.succeeded())
-        Commits.push_back({BootClock::now(), Value});
-      Log.line("write of " + std::to_string(Value) + " through " +
-               Vms[Alone]->options().Vm + ": " +
-               (A.succeeded() ? "acknowledged" : A.Error));
+  sleepMs(500);
+  TimePoint DrainAt = World.drain(Leaving);
+  Log.lineAt(DrainAt, "planned: the store has accepted that " + Leaving +
+                          " is draining");
+  sleepMs(100);
+  Proxy &Restarted = *Vms[1];
+  Restarted.signal(SIGTERM);
+  Log.line("planned: SIGTERM to " + Restarted.options().Vm);
+  if (!Restarted.waitForEnd(6000)) {
+    Join();
+    return CouldNotRun;
+  }
+  Restarted.start();
+  Log.lineAt(Restarted.startedAt(), Restarted.options().Vm + " starts again");
+  int Late = 0;
+  bool IsForgotten = false;
+  bool HasExited = false;
+  while (true) {
+    double Age =
+        std::chrono::duration<double>(BootClock::now() - DrainAt).count();
+    if (Age > 12)
+      break;
+    // Three heartbeats after the crash.
+    if (trouble() && !IsForgotten && Age > 3.2) {
+      IsForgotten = true;
+      for (const char *Id : {"a", "b", "c"})
+        if (Id != Leaving)
+          World.forget(Id);
+      Log.line("store: the entries of the crashed replicas are removed");
     }
-  });
-  std::thread Reader([&] {
-    Session S;
-    for (long Number = 1; !Stop; ++Number) {
-      sleepMs(30);
-      if (!S.isOpen() && !S.open(Vms[Other]->endpoint(0), "pedidos")) {
-        S.close();
+    // The target serves for drainMs and a little longer, and then exits.
+    if (!HasExited && Age > DrainS + LingerS) {
+      HasExited = true;
+      World.crash(Leaving);
+      World.forget(Leaving);
+      Log.line("planned: " + Leaving + " exits");
+    }
+    std::vector<Arrival> All = World.takeArrivals();
+    for (const Arrival &Each : All) {
+      bool IsStatement = !Each.Run.Id.empty() && Each.Run.Id[0] == 'w';
+      if (!IsStatement || Each.Run.Instance != Leaving)
         continue;
-      }
-      TimePoint SentAt = BootClock::now();
-      Session::Answer A = S.ask("r" + std::to_string(Number), "READ saldo");
-      bool HasRow = A.succeeded() && !A.Rows.empty() && !A.Rows[0].empty();
-      if (HasRow)
-        Reads.push_back({SentAt, std::stol(A.Rows[0])});
-      Log.lineAt(SentAt, "read through " + Vms[Other]->options().Vm + ": " +
-                             (HasRow ? A.Rows[0] : A.Error));
+      double Since =
+          std::chrono::duration<double>(Each.At - DrainAt).count();
+      if (Since <= DrainS)
+        continue;
+      Proxy &Via = *Vms[static_cast<std::size_t>(Each.Run.Id[1] - '1')];
+      double Runs =
+          std::chrono::duration<double>(Each.At - Via.startedAt()).count();
+      bool InTouch = Runs > StableWindowS;
+      Log.lineAt(Each.At,
+                 "target " + Leaving + ": " + Each.Run.Id + " " +
+                     Each.Run.Text + " arrives " + std::to_string(Since) +
+                     " s after draining was accepted, through a machine that "
+                     "has run for " +
+                     std::to_string(Runs) + " s" +
+                     (InTouch ? " (in touch): LATE" : " (not in touch)"));
+      Late += InTouch ? 1 : 0;
     }
-  });
-  auto End = [&] {
-    Stop = true;
-    Writer.join();
-    Reader.join();
-  };
-  sleepMs(3000);
-  std::string Old = World.primary();
-  std::size_t OldIndex = static_cast<std::size_t>(Old[0] - 'a');
-  TimePoint CutAt = BootClock::now();
-  auto Until = [&](double Seconds) {
-    std::this_thread::sleep_until(
-        std::chrono::steady_clock::now() +
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            CutAt + std::chrono::milliseconds(static_cast<int>(1000 * Seconds)) -
-            BootClock::now()));
-  };
-  if (trouble()) {
-    Log.lineAt(CutAt, "trouble: the zone of " + Vms[Alone]->options().Vm +
-                          " and primary " + Old +
-                          " is cut off from the other zones; the store is down");
-    World.on([&] {
-      World.HoldsEntries = true;
-      World.Store->Faults.Outage = true;
-      World.Group.at(Old).IsCut = true;
-    });
-    IsCut = true;
-    for (std::size_t I = 0; I < 3; ++I)
-      for (std::size_t T = 0; T < 3; ++T)
-        if ((I == Alone) != (T == OldIndex))
-          Paths[I][T]->cut();
-  }
-  Until(StoreAwayS);
-  if (trouble()) {
-    World.on([&] { World.Store->Faults.Outage = false; });
-    Log.line("the store is back");
-  }
-  Until(StoreAwayS + BeatS);
-  if (trouble())
-    World.on([&] {
-      World.HoldsEntries = false;
-      World.registerAll();
-    });
-  Until(CutS);
-  if (trouble()) {
-    World.on([&] { World.Group.at(Old).IsCut = false; });
-    for (auto &Each : Paths)
-      for (auto &Path : Each)
-        Path->heal();
-    IsCut = false;
-    Log.line("the partition has healed");
+    sleepMs(5);
   }
-  Until(CutS + 5);
-  End();
-  // The values in the log of the group at the end.
-  std::set<long> Kept;
-  std::string Leads = World.primary();
-  World.on([&] {
-    World.Group.advance(BootClock::now());
-    for (const emulator::LogEntry &Each : World.Group.at(Leads).Log)
-      Kept.insert(std::stol(Each.Data));
-  });
-  Log.line("primary at the end: " + Leads);
-  int Stale = 0;
-  for (const ReadDone &Each : Reads)
-    for (const Acked &Commit : Commits)
-      if (Commit.At < Each.SentAt && Commit.Value > Each.Value &&
-          Kept.count(Commit.Value)) {
-        if (Stale++ < 10)
-          Log.lineAt(Each.SentAt,
-                     "STALE: a read returns " + std::to_string(Each.Value) +
-                         " though " + std::to_string(Commit.Value) +
-                         " was acknowledged at " +
-                         std::to_string(Log.secondsAt(Commit.At)) +
-                         " and is in the log at the end");
-        break;
-      }
-  Log.line("stale reads: " + std::to_string(Stale) + " of " +
-           std::to_string(Reads.size()));
+  Join();
+  for (const Sender &Each : Senders)
+    for (const auto &[What, Count] : Each.Answers)
+      Log.line(Each.Prefix + " " + What + ": " + std::to_string(Count));
+  Log.line("primary at the end: " + World.primary());
+  Log.line("late statements through machines in touch: " +
+           std::to_string(Late));
   for (auto &Each : Vms)
     if (Each->hasEnded())
       return CouldNotRun;
-  return Stale > 0 ? Broken : Held;
+  return Late > 0 ? Broken : Held;
 }
 
 } // namespace
--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -1,101 +1,108 @@
-// Many machines have been replaced over time, then all processes are killed at
-// once. Checks RECOVER: of the requests sent later than recoveryS after the
-// machines are back, a quarter is served.
+// Each machine has been replaced once, as planned work, and then all processes
+// are killed at once. Checks RECOVER for callers of an account with a rate
+// limit.
 #include "Clients.h"
 
 using namespace review;
 
 namespace {
 
-/// Machines that were replaced, in all.
-constexpr int Replaced = 300;
-/// Machines that are there at the same time while that goes on.
-constexpr int Batch = 12;
-constexpr double RecoveryS = 12.0;
+constexpr double RecoveryS = 15.0;
 /// Time for which requests are counted after RecoveryS.
 constexpr double CountedS = 4.0;
 /// Time that the machines are down in the final fault.
 constexpr int DownMs = 800;
+/// Time between the replacements of the two machines of a zone; by then the
+/// others have forgotten the machine that was replaced first.
+constexpr int BetweenRoundsMs = 64000;
 
-const char *const Domains[] = {"oaxaca", "puebla", "queretaro"};
-const char *const Regions[] = {"centro-sur", "centro-sur", "bajio"};
+const char *const Zones[] = {"kigali-gasabo", "kigali-kicukiro", "huye-ngoma"};
+const char *const Regions[] = {"kigali", "kigali", "huye"};
+const char *const Key = "bkf83fgfwrz56aw63is4";
 
 int run(const std::string &Folder, Record &Log) {
-  Platform World(Log);
-  std::vector<std::string> Ips{"127.0.0.71", "127.0.0.72", "127.0.0.73"};
+  json Tenants = {{{"name", "miny420"},
+                   {"apiKeys", {Key}},
+                   {"priority", 1},
+                   {"ratePerS", 278},
+                   {"burst", 278}}};
+  Platform World(Log, Tenants, {Zones[0], Zones[1], Zones[2]});
+  // Addresses of the machines: those of the first ones, then those of the
+  // machines that take their places.
+  std::vector<std::string> Ips;
+  for (int I = 0; I < 12; ++I)
+    Ips.push_back("127.0.0." + std::to_string(91 + I));
   int Base = freeBlock(Ips);
   if (!Base)
     return CouldNotRun;
-  auto Make = [&](int Domain, int Number, const std::string &Ip) {
+  auto Make = [&](int Index) {
+    int Zone = Index % 3;
     return std::make_unique<Proxy>(Proxy::Options{
-        .Vm = "front-" + std::string(Domains[Domain]) + "-" +
-              std::to_string(Number),
-        .Domain = Domains[Domain],
-        .Region = Regions[Domain],
-        .Ip = Ip,
+        .Vm = "front-" + std::string(Zones[Zone]) + "-" +
+              std::to_string(1 + Index / 3),
+        .Domain = Zones[Zone],
+        .Region = Regions[Zone],
+        .Ip = Ips[static_cast<std::size_t>(Index)],
         .StoreAddress = World.address(),
         .OrdersAddress = World.address(),
         .Folder = Folder,
         .Port = Base,
-        .Seeds = Ips});
+        .Seeds = {Ips[0], Ips[1], Ips[2]},
+        .Regions = "\"kigali-gasabo=kigali\",\"kigali-kicukiro=kigali\","
+                   "\"huye-ngoma=huye\"",
+        .DrainMs = 10000,
+        .Limits = "quota_tolerance = 20\nquota_overage = 0.1\n"
+                  "quota_window_s = 5\n"});
   };
-  std::vector<std::unique_ptr<SilentAddress>> Removed;
-  // Earlier machines: each starts, registers and is removed for good.
-  int Earlier = trouble() ? Replaced : 0;
-  for (int First = 0; First < Earlier; First += Batch) {
-    std::vector<std::unique_ptr<Proxy>> Machines;
-    for (int I = First; I < std::min(First + Batch, Earlier); ++I) {
-      std::string Ip = "127.0." + std::to_string(2 + I / 200) + "." +
-                       std::to_string(1 + I % 200);
-      Machines.push_back(Make(I % 3, 1 + I / 3, Ip));
-      Machines.back()->start();
-    }
-    for (auto &Each : Machines) {
-      int Waited = 0;
-      while (!World.on([&] {
-        return World.Store->contains("cicadawind-vms", Each->options().Vm);
-      })) {
-        sleepMs(10);
-        if ((Waited += 10) > 15000)
-          return CouldNotRun;
-      }
-    }
-    for (auto &Each : Machines) {
-      Each->end();
-      // The ports of peers and relays.
-      for (int Offset : {4, 5}) {
-        Removed.push_back(std::make_unique<SilentAddress>(
-            Each->options().Ip, Base + Offset));
-        if (!Removed.back()->isSilent())
-          return CouldNotRun;
-      }
-    }
-  }
-  Log.line("machines that were there and were removed for good: " +
-           std::to_string(Earlier));
   std::vector<std::unique_ptr<Proxy>> Vms;
-  for (int I = 0; I < 3; ++I) {
-    Vms.push_back(Make(I, 1 + (Replaced + 2) / 3, Ips[I]));
+  for (int I = 0; I < 6; ++I) {
+    Vms.push_back(Make(I));
     Vms.back()->start();
   }
   for (auto &Each : Vms)
     if (!Each->waitReady(20000))
       return CouldNotRun;
-  Log.line("three machines are ready");
-  Clients All(Vms, Log);
-  // Until the system serves as usual.
-  Share Before;
-  for (int Round = 0; Round < 25 && Before.value() < 0.9; ++Round) {
-    Before = All.measure(2000);
-    Log.line("served in two seconds before the final fault: " + Before.text());
+  Log.line("six machines are ready, two in each zone");
+  sleepMs(2000);
+  for (int Round = 0; trouble() && Round < 2; ++Round) {
+    if (Round > 0)
+      sleepMs(BetweenRoundsMs);
+    // One machine of each zone: the new one comes first.
+    std::vector<std::unique_ptr<Proxy>> Older;
+    for (int I = 0; I < 3; ++I) {
+      std::unique_ptr<Proxy> &Place = Vms[static_cast<std::size_t>(3 * Round + I)];
+      Older.push_back(std::move(Place));
+      Place = Make(6 + 3 * Round + I);
+      Place->start();
+    }
+    for (int I = 0; I < 3; ++I)
+      if (!Vms[static_cast<std::size_t>(3 * Round + I)]->waitReady(20000))
+        return CouldNotRun;
+    sleepMs(1000);
+    for (auto &Each : Older) {
+      Log.line("planned: a new machine is ready, SIGTERM to " +
+               Each->options().Vm);
+      Each->signal(SIGTERM);
+    }
+    for (auto &Each : Older)
+      if (!Each->waitForEnd(7000))
+        return CouldNotRun;
+    Log.line("planned: the old machines have ended and are gone for good");
   }
+  Clients All(Vms, Log, Key);
+  All.measure(1000);
+  Share Before = All.measure(2000);
+  Log.line("served in two seconds before the final fault: " + Before.text());
   All.begin();
   sleepMs(1000);
   TimePoint Back = finalFault(Vms, DownMs, Log);
   ExitCode Code = checkRecovery(All, Before, Back, RecoveryS, CountedS, Log);
-  for (auto &Each : Vms)
+  for (auto &Each : Vms) {
+    Log.line(Each->options().Vm + " ready: " +
+             (Each->isReady() ? "yes" : "no"));
     if (Each->hasEnded())
       return CouldNotRun;
+  }
   return Code;
 }
 
