Let a VM that leaves be left out, and remove its entry from the store

Cause: entries of VMs outlive their VMs, also after a planned stop. VMs that start count them as voters and never reach a majority of four with two gone; in a running fleet a VM that had left counted for 60 s more. Excluded: an issuer lease that is held on (none is chosen at all). Change: a planned stop removes the VM's entry on condition of its revision. A VM that leaves votes for one more second; when its last vote has expired, the others leave it out without a majority. That is its own word; a VM that is silent is left out by a majority only, as before.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -255,6 +255,7 @@
   Service.beginDrain(Opts.Settings.TerminationGracePeriod);
   Peers.broadcastLeaving();
   RateLimits.leave();
+  spawn(Loop, Registration.withdraw());
 }
 
 HttpResponse
@@ -290,8 +291,8 @@
   RateLimits.sweep(Now);
   // Sessions that this VM relays for other VMs also finish their requests and
   // transactions before it stops, unless the time for the drain has passed.
-  bool RelaysNothing = Relay.busySessions() == 0;
-  if (Service.isDrained() && (RelaysNothing || Service.isDrainExpired(Now)))
+  bool IsUnused = Relay.busySessions() == 0 && Registration.isWithdrawn();
+  if (Service.isDrained() && (IsUnused || Service.isDrainExpired(Now)))
     Loop.stop();
 }
 
--- a/src/Daemons/RateLimitDriver.cpp
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -87,7 +87,8 @@
   if (!IsNew && Now < NextVoters)
     return;
   NextVoters = Now + internal::VotersInterval;
-  Quota.setVoters(ownVoters(Now));
+  Quota.setVoters(ownVoters(Now),
+                  Peers.departed(Now, QuotaTimes{}.leaverLifetime()));
 }
 
 void RateLimitDriver::sweep(TimePoint Now) {
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -194,7 +194,6 @@
                           {{"peer", From.Vm},
                            {"address", From.RouterPeer},
                            {"domain", From.FailureDomain}});
-  Voters.recordContact(From.Vm, From.Leaving, Now);
   for (const FleetMention &Other : Hello.Others)
     if (Other.Entry.Vm == Opts.Vm)
       adoptIncarnation(Other.Entry);
@@ -202,6 +201,11 @@
       Voters.recordNamed(Other.Entry.Vm, Now - Other.ContactAge, Now);
   if (Fleet.recordHello(From, Hello.Others, Hello.Ages, Now))
     sendHello(From, Now);
+  // A hello that arrives late does not tell yet that its sender leaves.
+  Voters.recordContact(From.Vm, Fleet.members().isLeaving(From.Vm), Now);
+  for (const FleetMention &Other : Hello.Others)
+    Voters.recordLeaving(Other.Entry.Vm,
+                         Fleet.members().isLeaving(Other.Entry.Vm), Now);
   for (const ContactAge &Each : Hello.Ages)
     if (const std::string *Vm = Fleet.findName(Each.VmHash))
       Voters.recordNamed(*Vm, Now - Each.Age, Now);
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -174,6 +174,15 @@
   std::set<std::string> voters(TimePoint Now) const {
     return Voters.voters(Now);
   }
+  /// Like voters(), with other times.
+  std::set<std::string> voters(TimePoint Now,
+                               const VoterList::Lifetimes &Times) const {
+    return Voters.voters(Now, Times);
+  }
+  /// Returns the VMs that announced at least \p Age ago that they leave.
+  std::set<std::string> departed(TimePoint Now, Duration Age) const {
+    return Voters.departed(Now, Age);
+  }
   /// Returns whether this VM and its live peers are more than half of voters().
   bool reachesMajority(TimePoint Now) const {
     return 2 * (livePeers(Now).size() + 1) > voters(Now).size();
--- a/src/Exchange/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -18,6 +18,8 @@
 static const Log Logger("registration");
 /// Kind of the objects in the store that hold the entries of VMs.
 static const char *const VmsKind = "cicadawind-vms";
+/// Interval at which a planned stop checks whether the registration has ended.
+constexpr Duration RunCheckInterval = std::chrono::milliseconds(20);
 
 } // namespace internal
 
@@ -27,7 +29,7 @@
 
 void VmRegistration::recordWrite(const WriteResult &Written) {
   if (Written.Outcome == WriteOutcome::Accepted)
-    EntryEra = StoreRevision::unpack(Written.Version).Era;
+    EntryVersion = Written.Version;
 }
 
 boost::asio::awaitable<void> VmRegistration::writeEntry() {
@@ -66,23 +68,56 @@
 
 boost::asio::awaitable<void> VmRegistration::run() {
   Running = true;
-  while (!EntryEra || !Contacted) {
-    if (!EntryEra)
+  while (!Leaving && (!EntryVersion || !Contacted)) {
+    if (!EntryVersion)
       co_await writeEntry();
     if (!Contacted)
       Contacted = co_await contactListed();
-    if (!EntryEra || !Contacted)
+    if (!EntryVersion || !Contacted)
       co_await sleepFor(Opts.RetryBackoff);
   }
   Running = false;
   internal::Logger.info("registered", {{"vm", Peers.self().Vm}});
 }
 
+boost::asio::awaitable<void> VmRegistration::withdraw() {
+  if (std::exchange(Leaving, true))
+    co_return;
+  // A write that is in progress would create the entry again.
+  while (Running)
+    co_await sleepFor(internal::RunCheckInterval);
+  if (EntryVersion)
+    co_await removeEntry();
+  Withdrawn = true;
+}
+
+boost::asio::awaitable<void> VmRegistration::removeEntry() {
+  std::string Vm = Peers.self().Vm;
+  for (unsigned Attempt = 1; Attempt <= Opts.RemovalAttempts; ++Attempt) {
+    WriteResult Removed = co_await Store.remove(
+        internal::VmsKind, Vm, *EntryVersion, Opts.RemovalTimeout);
+    if (Removed.Outcome == WriteOutcome::Accepted) {
+      internal::Logger.info("entry of this VM removed", {{"vm", Vm}});
+      co_return;
+    }
+    internal::Logger.warning("entry of this VM not removed from the store",
+                             {{"vm", Vm}, {"why", Removed.Message}});
+    // After a conflict the entry is of a later process. A call without a
+    // response may have taken effect.
+    if (Removed.Outcome != WriteOutcome::NotWritten)
+      co_return;
+    co_await sleepFor(Opts.RetryBackoff);
+  }
+}
+
 void VmRegistration::renewIfRestored(boost::asio::io_context &Loop,
                                      std::uint64_t Revision) {
-  if (Running || !EntryEra || StoreRevision::unpack(Revision).Era <= *EntryEra)
+  bool IsOfLaterEra =
+      EntryVersion && StoreRevision::unpack(Revision).Era >
+                          StoreRevision::unpack(*EntryVersion).Era;
+  if (Running || Leaving || !IsOfLaterEra)
     return;
-  EntryEra.reset();
+  EntryVersion.reset();
   spawn(Loop, run());
 }
 
--- a/src/Exchange/VmRegistration.h
+++ b/src/Exchange/VmRegistration.h
@@ -26,9 +26,10 @@
 /// The store's list lets VMs find each other if none of the seeds exists any
 /// more. Later on they learn of each other through hellos, so the list is read
 /// only once. The entry is written at the start, and again when the store has
-/// come back from an older copy, which may lack it. If no call fails, writing
-/// the entry costs one to three calls to the store, and listing costs one call
-/// for each page.
+/// come back from an older copy, which may lack it. A planned stop removes it,
+/// so that VMs that start later do not wait for this one. If no call fails,
+/// writing the entry costs one to three calls to the store, removing it one,
+/// and listing one for each page.
 class VmRegistration {
 public:
   struct Options {
@@ -37,24 +38,35 @@
     Duration CallTimeout = std::chrono::seconds(2);
     /// Wait before the calls that failed are repeated.
     Duration RetryBackoff = std::chrono::milliseconds(500);
+    /// Timeout of removing the entry, for which a planned stop waits.
+    Duration RemovalTimeout = std::chrono::seconds(1);
+    /// How often the removal is tried if the store refuses it.
+    unsigned RemovalAttempts = 3;
   };
 
   VmRegistration(Options Opts, ObjectStore &Store, ObjectWatcher &Watcher,
                  PeerExchange &Peers);
 
   /// Repeats its calls until the store has accepted the entry and returned the
-  /// list.
+  /// list, or until withdraw().
   boost::asio::awaitable<void> run();
+  /// Removes this VM's entry, because it stops, unless another process has
+  /// written it since. Ends after RemovalAttempts refusals or one call without
+  /// a response at the latest. Does nothing when called again.
+  boost::asio::awaitable<void> withdraw();
+  /// Returns whether withdraw() has ended.
+  bool isWithdrawn() const { return Withdrawn; }
   /// Writes the entry again if \p Revision, the latest revision of the store
   /// that this VM has heard of, is of a later era than the entry.
   void renewIfRestored(boost::asio::io_context &Loop, std::uint64_t Revision);
 
 private:
-  /// Writes this VM's entry, or replaces the one that exists, and sets EntryEra
-  /// if the store accepted it.
+  /// Writes this VM's entry, or replaces the one that exists, and sets
+  /// EntryVersion if the store accepted it.
   boost::asio::awaitable<void> writeEntry();
-  /// Sets EntryEra if the store accepted the write.
+  /// Sets EntryVersion if the store accepted the write.
   void recordWrite(const WriteResult &Written);
+  boost::asio::awaitable<void> removeEntry();
   /// Sends a hello to each listed VM; false if the list could not be read.
   boost::asio::awaitable<bool> contactListed();
 
@@ -64,8 +76,11 @@
   PeerExchange &Peers;
   bool Running = false;
   bool Contacted = false;
-  /// Era in which the store accepted the entry; empty before that.
-  std::optional<std::uint64_t> EntryEra;
+  bool Leaving = false;
+  bool Withdrawn = false;
+  /// Version of the entry that the store accepted, packed as in StoreRevision;
+  /// empty before that.
+  std::optional<std::uint64_t> EntryVersion;
 };
 
 } // namespace cicadawind
--- a/src/Leases/VoterList.cpp
+++ b/src/Leases/VoterList.cpp
@@ -10,12 +10,20 @@
     return;
   if (!FirstContactAt)
     FirstContactAt = Now;
-  Entry &Each = Entries[Vm];
-  Each.SeenAt = Now;
+  Entries[Vm].SeenAt = Now;
+  recordLeaving(Vm, IsLeaving, Now);
+}
+
+void VoterList::recordLeaving(const std::string &Vm, bool IsLeaving,
+                              TimePoint Now) {
+  auto Known = Entries.find(Vm);
+  if (Known == Entries.end())
+    return;
+  std::optional<TimePoint> &Since = Known->second.LeavingSince;
   if (!IsLeaving)
-    Each.LeavingSince.reset();
-  else if (!Each.LeavingSince)
-    Each.LeavingSince = Now;
+    Since.reset();
+  else if (!Since)
+    Since = Now;
 }
 
 void VoterList::recordNamed(const std::string &Vm, TimePoint ContactAt,
@@ -28,18 +36,28 @@
 
 void VoterList::recordListed(const std::string &Vm) { Entries.try_emplace(Vm); }
 
-bool VoterList::counts(const Entry &Each, TimePoint Now) const {
+bool VoterList::counts(const Entry &Each, TimePoint Now,
+                       const Lifetimes &Times) const {
   if (Each.LeavingSince)
-    return Now - *Each.LeavingSince < Opts.LeavingLifetime;
+    return Now - *Each.LeavingSince < Times.LeavingLifetime;
   if (Each.SeenAt)
-    return Now - *Each.SeenAt < Opts.ForgetAfter;
-  return !FirstContactAt || Now - *FirstContactAt < Opts.ListedLifetime;
+    return Now - *Each.SeenAt < Times.ForgetAfter;
+  return !FirstContactAt || Now - *FirstContactAt < Times.ListedLifetime;
 }
 
-std::set<std::string> VoterList::voters(TimePoint Now) const {
+std::set<std::string> VoterList::voters(TimePoint Now,
+                                        const Lifetimes &Times) const {
   std::set<std::string> Out{Opts.OwnVm};
   for (const auto &[Vm, Each] : Entries)
-    if (counts(Each, Now))
+    if (counts(Each, Now, Times))
+      Out.insert(Vm);
+  return Out;
+}
+
+std::set<std::string> VoterList::departed(TimePoint Now, Duration Age) const {
+  std::set<std::string> Out;
+  for (const auto &[Vm, Each] : Entries)
+    if (Each.LeavingSince && Now - *Each.LeavingSince >= Age)
       Out.insert(Vm);
   return Out;
 }
--- a/src/Leases/VoterList.h
+++ b/src/Leases/VoterList.h
@@ -20,8 +20,8 @@
 /// O(VMs). Not thread safe.
 class VoterList {
 public:
-  struct Options {
-    std::string OwnVm;
+  /// Times for which VMs are counted.
+  struct Lifetimes {
     /// Time for which a VM is counted after its last contact.
     Duration ForgetAfter = std::chrono::minutes(5);
     /// Time for which a VM is counted after it announced that it leaves. Covers
@@ -32,6 +32,10 @@
     /// meanwhile; the store also lists VMs that are gone for good.
     Duration ListedLifetime = std::chrono::seconds(10);
   };
+  struct Options {
+    std::string OwnVm;
+    Lifetimes Times;
+  };
 
   explicit VoterList(Options Opts) : Opts(std::move(Opts)) {}
 
@@ -41,11 +45,21 @@
   /// ContactAt. If this VM has not heard of it before, it counts as seen now,
   /// because it may be held up rather than gone.
   void recordNamed(const std::string &Vm, TimePoint ContactAt, TimePoint Now);
+  /// Records whether \p Vm, whose entry a peer sent, has announced that it
+  /// leaves.
+  void recordLeaving(const std::string &Vm, bool IsLeaving, TimePoint Now);
   /// Records that the store lists \p Vm.
   void recordListed(const std::string &Vm);
 
   /// Returns the names of the VMs that count, including this one.
-  std::set<std::string> voters(TimePoint Now) const;
+  std::set<std::string> voters(TimePoint Now) const {
+    return voters(Now, Opts.Times);
+  }
+  /// Like voters(), with other times.
+  std::set<std::string> voters(TimePoint Now, const Lifetimes &Times) const;
+  /// Returns the VMs that announced at least \p Age before \p Now that they
+  /// leave, and have not started again.
+  std::set<std::string> departed(TimePoint Now, Duration Age) const;
 
 private:
   struct Entry {
@@ -54,7 +68,7 @@
     std::optional<TimePoint> LeavingSince;
   };
 
-  bool counts(const Entry &Each, TimePoint Now) const;
+  bool counts(const Entry &Each, TimePoint Now, const Lifetimes &Times) const;
 
   Options Opts;
   std::map<std::string, Entry> Entries;
--- a/src/Platform/ObjectStore.h
+++ b/src/Platform/ObjectStore.h
@@ -59,6 +59,13 @@
   virtual boost::asio::awaitable<WriteResult>
   write(std::string Kind, std::string Name, std::string Value,
         std::uint64_t Expected, Duration Timeout) = 0;
+
+  /// Removes the object if the stored version is \p Expected. Conflict if it
+  /// has another version or does not exist. The version of the result is 0.
+  virtual boost::asio::awaitable<WriteResult> remove(std::string Kind,
+                                                     std::string Name,
+                                                     std::uint64_t Expected,
+                                                     Duration Timeout) = 0;
 };
 
 } // namespace cicadawind
--- a/src/Platform/PlatformClient.cpp
+++ b/src/Platform/PlatformClient.cpp
@@ -101,6 +101,17 @@
   co_return internal::decodeWriteResult(Answer);
 }
 
+boost::asio::awaitable<WriteResult>
+PlatformClient::remove(std::string Kind, std::string Name,
+                       std::uint64_t Expected, Duration Timeout) {
+  HttpRequest Request;
+  Request.Method = "DELETE";
+  Request.Path = "/v1/objects/" + Kind + "/" + Name;
+  Request.Query["version"] = std::to_string(Expected);
+  HttpResult Answer = co_await Http.call(Address, std::move(Request), Timeout);
+  co_return internal::decodeWriteResult(Answer);
+}
+
 boost::asio::awaitable<Result<std::vector<VmEntry>>>
 PlatformClient::list(Duration Timeout) {
   HttpRequest Request;
--- a/src/Platform/PlatformClient.h
+++ b/src/Platform/PlatformClient.h
@@ -13,8 +13,9 @@
 /// \class PlatformClient
 /// \brief Accesses the platform's object API and VM list over HTTP and JSON.
 ///
-/// Objects are read and written by GET and PUT /v1/objects/KIND/NAME. A PUT
-/// has the query parameter "version"; a watch is a GET with the parameters
+/// Objects are read, written and removed by GET, PUT and DELETE
+/// /v1/objects/KIND/NAME. PUT and DELETE have the query parameter "version"; a
+/// watch is a GET with the parameters
 /// "watch" and "wait_ms". The VM list is GET /v1/vms. A failed read returns
 /// StoreUnavailable; a failed write returns a WriteOutcome that says whether
 /// the update may have taken effect. Runs on the thread of the HttpClient's
@@ -33,6 +34,9 @@
                                             std::string Value,
                                             std::uint64_t Expected,
                                             Duration Timeout) override;
+  boost::asio::awaitable<WriteResult> remove(std::string Kind, std::string Name,
+                                             std::uint64_t Expected,
+                                             Duration Timeout) override;
   boost::asio::awaitable<Result<std::vector<VmEntry>>>
   list(Duration Timeout) override;
 
--- a/src/Quotas/Electorate.cpp
+++ b/src/Quotas/Electorate.cpp
@@ -14,17 +14,26 @@
 }
 
 void Electorate::update(std::set<std::string> Known,
-                        const std::set<std::string> &Live) {
+                        const std::set<std::string> &Live,
+                        const std::set<std::string> &Gone) {
+  auto IsGone = [&](const std::string &Vm) { return Gone.count(Vm) > 0; };
+  std::set<std::string> Before = Members;
+  std::erase_if(Before, IsGone);
+  std::erase_if(Known, IsGone);
   Known.insert(OwnVm);
   auto Reached = static_cast<std::size_t>(
-      std::count_if(Members.begin(), Members.end(), [&](const std::string &Vm) {
+      std::count_if(Before.begin(), Before.end(), [&](const std::string &Vm) {
         return Vm == OwnVm || Live.count(Vm) > 0;
       }));
-  if (!Members.empty() && Reached < majorityOf(Members.size()))
-    Known.insert(Members.begin(), Members.end());
-  if (Known == Members)
+  if (!Before.empty() && Reached < majorityOf(Before.size()))
+    Known.insert(Before.begin(), Before.end());
+  setMembers(std::move(Known));
+}
+
+void Electorate::setMembers(std::set<std::string> Next) {
+  if (Next == Members)
     return;
-  Members = std::move(Known);
+  Members = std::move(Next);
   for (unsigned Partition = 0; Partition < QuotaPartitions; ++Partition) {
     Voters[Partition] =
         inIssuerOrder({Members.begin(), Members.end()}, Partition);
--- a/src/Quotas/Electorate.h
+++ b/src/Quotas/Electorate.h
@@ -14,10 +14,12 @@
 /// \class Electorate
 /// \brief The VMs of a failure domain that vote on its issuers.
 ///
-/// VMs that are no longer known are left out only while this VM reaches a
-/// majority of those that it knew before, so that the smaller part of a failure
-/// domain never takes itself for the whole. update() costs
-/// O(VMs of the failure domain), votersOf() O(1). Not thread safe.
+/// VMs that are gone by their own word are left out at once. VMs that are
+/// merely silent may be cut off, and vote on an issuer of their own: they are
+/// left out only while this VM reaches a majority of those that it knew before,
+/// so that the smaller part of a failure domain never takes itself for the
+/// whole. update() costs O(VMs of the failure domain), votersOf() O(1). Not
+/// thread safe.
 class Electorate {
 public:
   /// Limits the messages of an issuer in large failure domains.
@@ -26,8 +28,10 @@
   explicit Electorate(std::string OwnVm) : OwnVm(std::move(OwnVm)) {}
 
   /// Sets the VMs of the own failure domain that count, and those of them that
-  /// are live; both with or without this VM.
-  void update(std::set<std::string> Known, const std::set<std::string> &Live);
+  /// are live; both with or without this VM. \p Gone are VMs that neither vote
+  /// nor claim any more.
+  void update(std::set<std::string> Known, const std::set<std::string> &Live,
+              const std::set<std::string> &Gone = {});
   /// Returns the number of VMs of the failure domain; 0 before update().
   std::size_t domainSize() const { return Members.size(); }
   /// Returns the VMs that vote on the issuer of \p Partition, by the order in
@@ -42,6 +46,8 @@
   static std::size_t majorityOf(std::size_t Voters);
 
 private:
+  void setMembers(std::set<std::string> Next);
+
   std::string OwnVm;
   std::set<std::string> Members;
   std::array<std::vector<std::string>, QuotaPartitions> Voters;
--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -76,8 +76,9 @@
   Client.setVms(std::move(ByDomain));
 }
 
-void QuotaService::setVoters(const std::set<std::string> &OwnDomain) {
-  Domain.update(OwnDomain, LiveVms);
+void QuotaService::setVoters(const std::set<std::string> &OwnDomain,
+                             const std::set<std::string> &Gone) {
+  Domain.update(OwnDomain, LiveVms, Gone);
 }
 
 std::uint64_t QuotaService::admit(const std::string &Account,
@@ -124,10 +125,11 @@
   std::size_t Known = Domain.domainSize() > 0
                           ? Domain.domainSize()
                           : std::numeric_limits<std::size_t>::max();
+  bool IsGranted = mayVote(Now) && Votes.vote(From, Claim, Known, Now);
   Opts.Send(From, IssuerVote{.Partition = Claim.Partition,
                              .Incarnation = Claim.Incarnation,
                              .Number = Claim.Number,
-                             .Granted = Votes.vote(From, Claim, Known, Now),
+                             .Granted = IsGranted,
                              .Idle = idleTime(Claim.Partition, Now)});
 }
 
@@ -263,7 +265,8 @@
 }
 
 void QuotaService::leave(TimePoint Now) {
-  IsLeaving = true;
+  if (!LeavingSince)
+    LeavingSince = Now;
   for (unsigned Partition = 0; Partition < QuotaPartitions; ++Partition)
     sweepSeat(Partition, Now);
 }
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -64,8 +64,11 @@
   /// Sets the other live VMs. Those that leave are asked for nothing.
   void setPeers(const std::vector<VmEntry> &LivePeers);
   /// Sets the VMs of the own failure domain that count for a majority, live or
-  /// not. Until then this VM neither claims a lease nor votes.
-  void setVoters(const std::set<std::string> &OwnDomain);
+  /// not. Until then this VM neither claims a lease nor votes. \p Gone are
+  /// those that leave, and announced it at least QuotaTimes::leaverLifetime()
+  /// ago.
+  void setVoters(const std::set<std::string> &OwnDomain,
+                 const std::set<std::string> &Gone = {});
   /// Returns whether an account has a limit.
   bool isActive() const { return IsActive; }
 
@@ -83,7 +86,8 @@
                TimePoint Now);
   /// Applies time limits; called every few milliseconds.
   void sweep(TimePoint Now);
-  /// Gives up the leases of this VM for good, because it stops.
+  /// Gives up the leases of this VM for good, because it stops. It goes on
+  /// voting for QuotaTimes::LeaverVotes.
   void leave(TimePoint Now);
 
   /// Returns whether this VM issues the permits of \p Partition.
@@ -107,7 +111,10 @@
   void handle(const std::string &From, const PermitReply &Reply, TimePoint Now);
   std::optional<PermitReply::Item>
   take(unsigned Partition, const PermitRequest::Item &Asked, TimePoint Now);
-  bool mayIssue() const { return IsActive && !IsLeaving; }
+  bool mayIssue() const { return IsActive && !LeavingSince; }
+  bool mayVote(TimePoint Now) const {
+    return !LeavingSince || Now - *LeavingSince < Opts.Times.LeaverVotes;
+  }
   void sweepSeat(unsigned Partition, TimePoint Now);
   void sendClaim(unsigned Partition, TimePoint Now);
   void sendRelease(unsigned Partition);
@@ -133,7 +140,8 @@
   /// VMs of the own failure domain that are live and do not leave.
   std::set<std::string> LiveVms;
   bool IsActive = false;
-  bool IsLeaving = false;
+  /// When this VM began to leave; empty if it does not.
+  std::optional<TimePoint> LeavingSince;
   /// Partitions whose lease has been reported as begun.
   std::set<unsigned> ReportedLeases;
   QuotaCounts Counts;
--- a/src/Quotas/QuotaTimes.h
+++ b/src/Quotas/QuotaTimes.h
@@ -14,6 +14,14 @@
   /// VMs' clocks differ.
   Duration ClockMargin = std::chrono::milliseconds(20);
   Duration RenewInterval = std::chrono::milliseconds(160);
+  /// Time for which a VM that leaves goes on voting, so that its leases pass to
+  /// others without a gap.
+  Duration LeaverVotes = std::chrono::seconds(1);
+  /// Time after the word of a VM that it leaves at which others leave it out:
+  /// when no vote of it is valid any more.
+  Duration leaverLifetime() const {
+    return LeaverVotes + LeaseLength + 5 * ClockMargin;
+  }
   /// Time after which a claim without a majority has failed.
   Duration ClaimTimeout = std::chrono::milliseconds(120);
   /// Additional wait of each next candidate before its claim.
--- a/test/Contract/ObjectStoreContractTest.cpp
+++ b/test/Contract/ObjectStoreContractTest.cpp
@@ -54,6 +54,25 @@
   BOOST_TEST(valueOf(read(Tested, "a")).Value == "two", Tested.Name);
 }
 
+static WriteResult remove(StoreUnderTest &Tested, const char *Name,
+                          std::uint64_t Expected) {
+  return runOn(Tested.Loop, Tested.Store.remove("kind", Name, Expected, 1s));
+}
+
+static void checkConditionalRemovals(StoreUnderTest &Tested) {
+  write(Tested, "gone", "one", 0);
+  std::uint64_t One = valueOf(read(Tested, "gone")).Version;
+  write(Tested, "gone", "two", One);
+  std::uint64_t Two = valueOf(read(Tested, "gone")).Version;
+  BOOST_TEST((remove(Tested, "gone", One).Outcome == WriteOutcome::Conflict),
+             Tested.Name);
+  BOOST_TEST((remove(Tested, "gone", Two).Outcome == WriteOutcome::Accepted),
+             Tested.Name);
+  BOOST_TEST(!valueOf(read(Tested, "gone")).exists(), Tested.Name);
+  BOOST_TEST((remove(Tested, "gone", Two).Outcome == WriteOutcome::Conflict),
+             Tested.Name);
+}
+
 static void checkLostResponses(StoreUnderTest &Tested) {
   Tested.LoseAnswers(1);
   BOOST_TEST((write(Tested, "lost", "v", 0).Outcome == WriteOutcome::Unknown),
@@ -97,6 +116,7 @@
 
 static void checkContract(StoreUnderTest Tested) {
   checkConditionalWrites(Tested);
+  checkConditionalRemovals(Tested);
   checkLostResponses(Tested);
   checkOutages(Tested);
   checkWatches(Tested);
--- a/test/Emulator/EmulatedStore.cpp
+++ b/test/Emulator/EmulatedStore.cpp
@@ -110,6 +110,8 @@
   }
   if (Request.Method == "GET")
     co_return co_await get(Request, Kind, Name);
+  if (Request.Method == "DELETE")
+    co_return erase(Request, Kind, Name, Action);
   co_return write(Request, Kind, Name, Action);
 }
 
@@ -192,6 +194,27 @@
   return answer(200, Objects[{Kind, Written}]);
 }
 
+HttpResponse EmulatedStore::erase(const HttpRequest &Request,
+                                  const std::string &Kind,
+                                  const std::string &Name,
+                                  fakes::ResponseAction &Action) {
+  ++Calls["remove"];
+  auto It = Objects.find({Kind, Name});
+  if (It == Objects.end())
+    return answer(404, json::object());
+  auto Expected = Request.Query.find("revision");
+  if (Expected != Request.Query.end() &&
+      Expected->second != It->second["meta"]["revision"].dump())
+    return answer(409, It->second);
+  json Removed = It->second;
+  remove(Kind, Name);
+  if (Faults.LoseAnswers > 0) {
+    --Faults.LoseAnswers;
+    Action = fakes::ResponseAction::Drop;
+  }
+  return answer(200, Removed);
+}
+
 HttpResponse EmulatedStore::promote(const HttpRequest &Request,
                                     fakes::ResponseAction &Action) {
   ++Calls["promote"];
--- a/test/Emulator/EmulatedStore.h
+++ b/test/Emulator/EmulatedStore.h
@@ -87,6 +87,8 @@
   HttpResponse list(const HttpRequest &Request, const std::string &Kind);
   HttpResponse write(const HttpRequest &Request, const std::string &Kind,
                      const std::string &Name, fakes::ResponseAction &Action);
+  HttpResponse erase(const HttpRequest &Request, const std::string &Kind,
+                     const std::string &Name, fakes::ResponseAction &Action);
   HttpResponse promote(const HttpRequest &Request,
                        fakes::ResponseAction &Action);
 
--- a/test/Exchange/VmRegistrationTest.cpp
+++ b/test/Exchange/VmRegistrationTest.cpp
@@ -70,3 +70,39 @@
   World.runFor(std::chrono::milliseconds(50));
   BOOST_TEST(World.Store.Calls["write"] == Writes);
 }
+
+// review/8: VMs that start later waited for one that had left.
+BOOST_AUTO_TEST_CASE(aPlannedStopRemovesTheEntry) {
+  RegistrationWorld World;
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  spawn(World.Loop, World.Registration.withdraw());
+  BOOST_TEST(World.runUntil([&] { return World.Registration.isWithdrawn(); }));
+  BOOST_TEST(!World.isRegistered());
+  World.Registration.renewIfRestored(
+      World.Loop, StoreRevision{.Era = 2, .Number = 90}.pack());
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(!World.isRegistered());
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedStopKeepsTheEntryOfALaterProcess) {
+  RegistrationWorld World;
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  World.runFor(std::chrono::milliseconds(50));
+  World.Store.put("cicadawind-vms", "vm-1", {{"incarnation", 9}});
+  spawn(World.Loop, World.Registration.withdraw());
+  BOOST_TEST(World.runUntil([&] { return World.Registration.isWithdrawn(); }));
+  BOOST_TEST(World.isRegistered());
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedStopDoesNotWaitForAStoreThatIsAway) {
+  RegistrationWorld World;
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  World.runFor(std::chrono::milliseconds(50));
+  World.Store.Faults.Refusal = 503;
+  spawn(World.Loop, World.Registration.withdraw());
+  BOOST_TEST(World.runUntil([&] { return World.Registration.isWithdrawn(); }));
+  BOOST_TEST(World.isRegistered());
+}
--- a/test/Fakes/FakePlatform.cpp
+++ b/test/Fakes/FakePlatform.cpp
@@ -48,7 +48,7 @@
     co_return vms(Request);
   if (!Request.Path.starts_with(ObjectPrefix))
     co_return jsonResponse(404, {{"error", "no such path"}});
-  if (Request.Method == "PUT")
+  if (Request.Method == "PUT" || Request.Method == "DELETE")
     co_return writeObject(Request, Action);
   HttpResponse Response = co_await readObject(Request);
   if (Faults.Outage)
@@ -87,8 +87,14 @@
   StoredObject &Object = Objects[Request.Path.substr(ObjectPrefix.size())];
   if (std::stoull(Version->second) != Object.Version)
     return jsonResponse(409, {{"version", Object.Version}});
-  Object.Value = Request.Body;
-  ++Object.Version;
+  if (Request.Method == "DELETE") {
+    if (!Object.exists())
+      return jsonResponse(409, {{"version", 0}});
+    Object = StoredObject();
+  } else {
+    Object.Value = Request.Body;
+    ++Object.Version;
+  }
   Changed.notifyAll();
   if (Faults.LoseAnswers > 0) {
     --Faults.LoseAnswers;
--- a/test/Fakes/MemoryStore.h
+++ b/test/Fakes/MemoryStore.h
@@ -78,6 +78,22 @@
                           .Version = Object.Version};
   }
 
+  boost::asio::awaitable<WriteResult> remove(std::string Kind, std::string Name,
+                                             std::uint64_t Expected,
+                                             Duration) override {
+    if (Outage)
+      co_return WriteResult{.Outcome = WriteOutcome::NotWritten,
+                            .Message = "the store is unavailable"};
+    auto It = Objects.find(Kind + "/" + Name);
+    if (It == Objects.end() || !It->second.exists() ||
+        StoreRevision::unpack(It->second.Version).Number !=
+            StoreRevision::unpack(Expected).Number)
+      co_return WriteResult{.Outcome = WriteOutcome::Conflict};
+    Objects.erase(It);
+    Changed.notifyAll();
+    co_return WriteResult{.Outcome = WriteOutcome::Accepted};
+  }
+
   /// Writes an object without a condition, as another VM may.
   void put(const std::string &Kind, const std::string &Name,
            std::string Value) {
--- a/test/Leases/VoterListTest.cpp
+++ b/test/Leases/VoterListTest.cpp
@@ -26,6 +26,19 @@
   BOOST_TEST(List.voters(at(81)).count("v2") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(departedVmsAnnouncedItLongAgoAndHaveNotStartedAgain) {
+  VoterList List({.OwnVm = "v1"});
+  List.recordNamed("v2", at(0), at(0));
+  List.recordLeaving("v2", true, at(10));
+  List.recordLeaving("v2", true, at(12));
+  List.recordLeaving("v9", true, at(10)); // Nobody has named it.
+  BOOST_TEST(List.departed(at(12), seconds(3)).empty());
+  BOOST_TEST(
+      (List.departed(at(13), seconds(3)) == std::set<std::string>{"v2"}));
+  List.recordLeaving("v2", false, at(14));
+  BOOST_TEST(List.departed(at(20), seconds(3)).empty());
+}
+
 // A VM that starts while it is cut off from most others must not take itself
 // and the few that it reaches for the whole fleet.
 BOOST_AUTO_TEST_CASE(listedAndNamedVmsCountWithoutContact) {
--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -30,6 +30,9 @@
   WriteResult write(const std::string &Value, std::uint64_t Expected) {
     return test::runOn(Loop, Client.write("k", "n", Value, Expected, 1s));
   }
+  WriteResult remove(std::uint64_t Expected) {
+    return test::runOn(Loop, Client.remove("k", "n", Expected, 1s));
+  }
   Result<StoredObject> read() {
     return test::runOn(Loop, Client.read("k", "n", 1s));
   }
@@ -102,6 +105,23 @@
   BOOST_TEST(valueOf(Lost.read()).exists());
 }
 
+BOOST_AUTO_TEST_CASE(objectsAreRemovedOnCondition) {
+  ClientAndStore T;
+  std::uint64_t Created = T.write("{}", 0).Version;
+  std::uint64_t Replaced = T.write(R"({"x":1})", Created).Version;
+  BOOST_TEST((T.remove(Created).Outcome == WriteOutcome::Conflict));
+  BOOST_TEST((T.remove(Replaced).Outcome == WriteOutcome::Accepted));
+  BOOST_TEST(!valueOf(T.read()).exists());
+  BOOST_TEST((T.remove(Replaced).Outcome == WriteOutcome::Conflict));
+  std::uint64_t Again = T.write("{}", 0).Version;
+  T.Store.Faults.Refusal = 503;
+  BOOST_TEST((T.remove(Again).Outcome == WriteOutcome::NotWritten));
+  T.Store.Faults.Refusal = 0;
+  T.Store.Faults.LoseAnswers = 1;
+  BOOST_TEST((T.remove(Again).Outcome == WriteOutcome::Unknown));
+  BOOST_TEST(!valueOf(T.read()).exists());
+}
+
 // Each call to the store is charged for, and the instances of a fleet register
 // within seconds of one another.
 BOOST_AUTO_TEST_CASE(changesInQuickSuccessionAreReportedTogether) {
--- a/test/Quotas/ElectorateTest.cpp
+++ b/test/Quotas/ElectorateTest.cpp
@@ -47,6 +47,18 @@
   BOOST_TEST(Domain.domainSize() == 9);
 }
 
+// review/8: two VMs whose two predecessors had left reached no majority of the
+// four.
+BOOST_AUTO_TEST_CASE(vmsThatAreGoneByTheirOwnWordNeedNoMajority) {
+  Electorate Domain("v3");
+  Domain.update(vms(1, 4), vms(1, 4));
+  Domain.update(vms(1, 4), vms(3, 4), vms(1, 2));
+  BOOST_TEST(Domain.domainSize() == 2);
+  // The others are left out by a majority of those that are left.
+  Domain.update(vms(3, 3), vms(3, 3), vms(1, 2));
+  BOOST_TEST(Domain.domainSize() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(votersAreTheSameForAllVms) {
   Electorate First("v1");
   Electorate Second("v2");
--- a/test/Quotas/QuotaServiceTest.cpp
+++ b/test/Quotas/QuotaServiceTest.cpp
@@ -179,6 +179,20 @@
     BOOST_TEST(Fleet.Vms.at(Vm)->counts().Leases == 0);
 }
 
+// Others leave it out then, and may reach a majority without it.
+BOOST_AUTO_TEST_CASE(aVmThatLeavesStopsVotingAfterAWhile) {
+  SmallFleet Fleet(2);
+  Fleet.runFor(3s);
+  Fleet.Vms.at("v1")->leave(Fleet.Now);
+  Fleet.runFor(900ms);
+  BOOST_TEST(Fleet.leases() == QuotaPartitions);
+  Fleet.runFor(QuotaTimes{}.leaverLifetime() - 900ms);
+  BOOST_TEST(Fleet.leases() == 0);
+  Fleet.Vms.at("v2")->setVoters(Fleet.Names, {"v1"});
+  Fleet.runFor(1s);
+  BOOST_TEST(Fleet.leases() == QuotaPartitions);
+}
+
 BOOST_AUTO_TEST_CASE(issuersStopWhenTheLastLimitIsLifted) {
   SmallFleet Fleet(3);
   Fleet.runFor(3s);
--- a/test/System/ProxyProcess.cpp
+++ b/test/System/ProxyProcess.cpp
@@ -120,6 +120,7 @@
       Program.data(), Opts.NamedByEnvironment ? nullptr : Flag.data(), nullptr};
   char *Environment[] = {Opts.NamedByEnvironment ? Variable.data() : nullptr,
                          nullptr};
+  Status.reset();
   Pid = fork();
   if (Pid < 0)
     throw std::runtime_error("cannot fork");
--- a/test/System/RateLimitTest.cpp
+++ b/test/System/RateLimitTest.cpp
@@ -22,8 +22,10 @@
 
 /// Processes whose configuration has an account with a limit.
 struct LimitedFleet : RelayedFleet {
-  LimitedFleet()
+  explicit LimitedFleet(std::size_t Vms = 6, std::size_t Started = 6)
       : RelayedFleet({.Programs = textFlag("programs", "build"),
+                      .Vms = Vms,
+                      .Started = Started,
                       .Accounts =
                           R"([{"name":"a","apiKeys":["k"],"ratePerS":50,)"
                           R"("burst":50}])"}) {}
@@ -78,3 +80,25 @@
   }));
   BOOST_TEST(Fleet.hasAllLeases(Issuer));
 }
+
+// review/8: the entries of VMs that had left stayed in the store, so that the
+// VMs that took their places reached no majority of them.
+BOOST_AUTO_TEST_CASE(aFleetWhoseVmsWereReplacedIssuesPermits) {
+  LimitedFleet Fleet(4, 2);
+  std::size_t Nobody = Fleet.vms();
+  auto HasAllLeases = [&] { return Fleet.hasAllLeases(Nobody); };
+  BOOST_REQUIRE(Fleet.runUntil(StartTimeout, HasAllLeases));
+  for (std::size_t Old : {0, 1}) {
+    Fleet.start(Old + 2);
+    BOOST_REQUIRE(Fleet.runUntil(StartTimeout, [&] {
+      return Fleet.metric(Old + 2, "permit_leases").has_value();
+    }));
+    BOOST_REQUIRE(Fleet.end(Old, SIGTERM));
+    BOOST_TEST(Fleet.runUntil(SuccessionTimeout, HasAllLeases));
+  }
+  for (std::size_t Vm : {2, 3})
+    BOOST_REQUIRE(Fleet.end(Vm, SIGKILL));
+  for (std::size_t Vm : {2, 3})
+    Fleet.start(Vm);
+  BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
+}
--- a/test/System/RelayedFleet.cpp
+++ b/test/System/RelayedFleet.cpp
@@ -14,6 +14,7 @@
 namespace cicadawind::test {
 
 constexpr Duration RunInterval = std::chrono::milliseconds(20);
+constexpr Duration EndTimeout = std::chrono::seconds(20);
 constexpr timeval CallTimeout{.tv_sec = 2, .tv_usec = 0};
 
 static boost::asio::ip::tcp::endpoint tcpEndpoint(const std::string &Address,
@@ -63,7 +64,8 @@
     Process.StoreAddress = "127.0.0.1:" + std::to_string(StorePort);
     Process.PeerPort = PeerPort;
     Processes.push_back(std::make_unique<ProxyProcess>(Process));
-    Processes.back()->start();
+    if (I < Opts.Started)
+      Processes.back()->start();
   }
 }
 
@@ -143,6 +145,14 @@
   Processes.at(Index)->signal(Number);
 }
 
+void RelayedFleet::start(std::size_t Index) { Processes.at(Index)->start(); }
+
+bool RelayedFleet::end(std::size_t Index, int Number) {
+  signal(Index, Number);
+  return runUntil(EndTimeout,
+                  [&] { return Processes.at(Index)->ended().has_value(); });
+}
+
 bool RelayedFleet::runUntil(Duration Timeout,
                             const std::function<bool()> &Condition) {
   TimePoint End = BootClock::now() + Timeout;
--- a/test/System/RelayedFleet.h
+++ b/test/System/RelayedFleet.h
@@ -32,6 +32,9 @@
     /// Folder that contains the programs.
     std::string Programs;
     std::size_t Vms = 6;
+    /// Number of VMs, the first ones, that start at once; the others wait for
+    /// start().
+    std::size_t Started = 6;
     /// JSON list of the client accounts of the configuration; empty if it does
     /// not tell accounts apart.
     std::string Accounts;
@@ -55,6 +58,11 @@
                                const std::string &Name) const;
   /// Sends the signal \p Number to the process of the VM \p Index.
   void signal(std::size_t Index, int Number);
+  /// Starts the process of the VM \p Index, which must not run.
+  void start(std::size_t Index);
+  /// Sends the signal \p Number to the process of the VM \p Index and runs
+  /// store and relays until it has ended; returns whether it has in time.
+  bool end(std::size_t Index, int Number);
   /// Runs store and relays until \p Condition holds; returns whether it does
   /// within \p Timeout.
   bool runUntil(Duration Timeout, const std::function<bool()> &Condition);
