Let a member name that cannot be read hide no other entry

Cause: parseTolerantly read null for a value that cannot be read, but gave up on the whole document at a name; the answer then counted as a failure of the store. Change: such a member has the name U+FFFD and the value null, at every level. An instance's entry with one names no instance to use.

--- a/src/Documents/TolerantJson.cpp
+++ b/src/Documents/TolerantJson.cpp
@@ -8,6 +8,9 @@
 #include <string>
 
 namespace cicadawind {
+
+const char *const UnreadableName = "\xEF\xBF\xBD";
+
 namespace internal {
 
 using Json = nlohmann::json;
@@ -76,6 +79,26 @@
   std::string_view Rest;
 };
 
+/// Returns \p Text without the white space at its end.
+static std::string_view withoutTrailingSpace(std::string_view Text) {
+  return Text.substr(0, Text.find_last_not_of(" \t\r\n") + 1);
+}
+
+/// Returns whether \p Text is one string, which may be unreadable.
+static bool isString(std::string_view Text) {
+  return Text.starts_with('"') && endOfString(Text, 0) == Text.size();
+}
+
+/// Returns the member name \p Text, or UnreadableName if it cannot be read;
+/// nothing if it is no string.
+static std::optional<std::string> parseName(std::string_view Text) {
+  Text = withoutTrailingSpace(Text);
+  if (!isString(Text))
+    return std::nullopt;
+  Json Name = tryParseJson(Text);
+  return Name.is_string() ? Name.get<std::string>() : UnreadableName;
+}
+
 static std::optional<Json> parseValue(std::string_view Text, std::size_t Depth);
 
 static std::optional<Json> parseMembers(JsonScanner Scanner,
@@ -84,13 +107,13 @@
   while (!Scanner.consume('}')) {
     if (!Out.empty() && !Scanner.consume(','))
       return std::nullopt;
-    Json Key = tryParseJson(Scanner.takeValue());
-    if (!Key.is_string() || !Scanner.consume(':'))
+    std::optional<std::string> Name = parseName(Scanner.takeValue());
+    if (!Name || !Scanner.consume(':'))
       return std::nullopt;
     std::optional<Json> Value = parseValue(Scanner.takeValue(), Depth + 1);
     if (!Value)
       return std::nullopt;
-    Out[Key.get<std::string>()] = std::move(*Value);
+    Out[*Name] = *Name == UnreadableName ? Json() : std::move(*Value);
   }
   if (!Scanner.isAtEnd())
     return std::nullopt;
@@ -115,9 +138,9 @@
 
 /// Returns whether \p Text is one string, or has the characters of a number.
 static bool isScalar(std::string_view Text) {
-  Text = Text.substr(0, Text.find_last_not_of(" \t\r\n") + 1);
+  Text = withoutTrailingSpace(Text);
   if (Text.starts_with('"'))
-    return endOfString(Text, 0) == Text.size();
+    return isString(Text);
   return !Text.empty() &&
          Text.find_first_not_of("+-.0123456789eE") == std::string_view::npos;
 }
--- a/test/Platform/EntryDecodersTest.cpp
+++ b/test/Platform/EntryDecodersTest.cpp
@@ -50,6 +50,12 @@
   BOOST_TEST(Entry.Incarnation == 1780575724000);
 }
 
+// The page says that such an entry names no instance to use.
+BOOST_AUTO_TEST_CASE(anEntryWithAMemberNameThatCannotBeReadIsRefused) {
+  std::string Text = with(Instance, "/\xEF\xBF\xBD", nullptr).dump();
+  BOOST_TEST(errorOf(platform::decodeInstance("i-1", Text)));
+}
+
 // The time counts down, so a change of it alone must not cause messages between
 // VMs.
 BOOST_AUTO_TEST_CASE(theHintOfAWarmUpIsReadAndNotCompared) {
--- a/test/Platform/HttpObjectStoreTest.cpp
+++ b/test/Platform/HttpObjectStoreTest.cpp
@@ -303,3 +303,64 @@
   BOOST_TEST(valueOf(Listed).at("good").Value == R"({"a":"b"})");
   BOOST_TEST(valueOf(Listed).at("bad").Value == R"({"a":null})");
 }
+
+// review/7: one such name hid all objects, in lists and in watches, so that no
+// VM became ready after a start.
+BOOST_AUTO_TEST_CASE(namesThatCannotBeReadHideNoOtherObject) {
+  const std::string Name = "\"\xff\xfe\"";
+  const std::string Objects[] = {
+      R"({"meta":{"name":"spec","revision":4},"spec":{"a":"b",)" + Name +
+          ":1}}",
+      R"({"meta":{"name":"meta","revision":5,)" + Name + R"(:1},"spec":{}})",
+      R"({"meta":{"name":)" + Name + R"(,"revision":6},"spec":{}})",
+      "{" + Name + ":{}}",
+      R"({"meta":{"name":"good","revision":7},"spec":{"a":"b"},"status":{)" +
+          Name + ":[]}}"};
+  std::string Items;
+  std::string Events;
+  for (const std::string &Each : Objects) {
+    Items += (Items.empty() ? "" : ",") + Each;
+    Events += (Events.empty() ? "" : ",") + std::string(R"({"object":)") +
+              Each + "," + Name + ":0}";
+  }
+  boost::asio::io_context Loop;
+  Metrics Meter;
+  int Lists = 0;
+  int Watches = 0;
+  fakes::FakeHttpServer Server(
+      Loop, "127.0.0.1", 0,
+      [&](HttpRequest Request, std::uint64_t,
+          fakes::ResponseAction &) -> boost::asio::awaitable<HttpResponse> {
+        bool IsWatch = Request.Query.count("watch") > 0;
+        ++(IsWatch ? Watches : Lists);
+        if (IsWatch && Watches > 1)
+          co_await sleepFor(10s);
+        HttpResponse Response;
+        Response.Body =
+            "{" + Name + R"(:2,"currentRev":)" +
+            std::to_string(6 + Lists + Watches) +
+            (IsWatch ? R"(,"events":[)" + Events : R"(,"items":[)" + Items) +
+            "]}";
+        co_return Response;
+      },
+      nullptr);
+  HttpClient Http(Loop, HttpClient::Options{});
+  platform::HttpObjectStore Client(
+      Loop, Http, {.Address = "127.0.0.1:" + std::to_string(Server.port())},
+      Meter);
+  std::vector<ObjectsByName> Seen;
+  Client.watchKind(
+      "servers", {.MinInterval = Duration::zero()},
+      [&](const ObjectsByName &Objects, std::uint64_t) {
+        Seen.push_back(Objects);
+      },
+      [](bool) {});
+  Loop.run_for(500ms);
+  BOOST_REQUIRE(Seen.size() == 2U);
+  BOOST_TEST(Lists == 1);
+  for (const ObjectsByName &Each : Seen) {
+    BOOST_TEST(Each.size() == 3U);
+    BOOST_TEST(Each.at("good").Value == R"({"a":"b"})");
+    BOOST_TEST(Each.at("spec").Value == "{\"a\":\"b\",\"\xEF\xBF\xBD\":null}");
+  }
+}
