Count a departure from the last reading before it, or ask a peer

Cause: the store does not say since when a target leaves. A VM took the time of its first reading, which after a start, or after a pause in reading, is later by up to that whole time. Peers that know better have the same list, so they were not asked. Excluded: the answer that is encoded once for many peers (also wrong, but the restarted proxy fetched none). Change: the time is that of the last reading in which the target stayed, plus the usual time between two; a VM without such a reading sends the target no new request, and asks live peers. Ages are counted back from the sending of the question; an answer that was encoded earlier says how long ago. theTimeOfADepartureDoesNotRestartWithLaterLists now begins with a list in which the target stays: that the first list gives the time was the fault. Its checks are the same.

--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -372,6 +372,7 @@
   Shared.dropExpired(Now);
   sendDueLists(Now);
   fetchIfDue(Now);
+  fetchDeparturesIfDue(Now);
   if (Now < NextHello)
     return;
   NextHello = Now + Opts.HelloInterval;
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -308,6 +308,10 @@
   /// Responds to an HTTP request of a peer or an operator.
   HttpResponse respond(const HttpRequest &Request);
   HttpResponse stateResponse(const HttpRequest &Request);
+  HttpResponse departuresResponse() const;
+  /// Asks a live peer since when targets leave, if this VM does not know it.
+  void fetchDeparturesIfDue(TimePoint Now);
+  boost::asio::awaitable<void> fetchDepartures(VmEntry From);
   /// Starts to fetch the entries of all VMs that \p From knows, unless a fetch
   /// is in progress.
   void fetchMembers(const VmEntry &From);
@@ -353,6 +357,11 @@
   std::string EncodedState;
   StateVersion EncodedFrom;
   StateVersion EncodedTo;
+  TimePoint EncodedAt;
+  /// When a peer may be asked again since when targets leave, and the time
+  /// between the next two such calls.
+  TimePoint NextDepartures;
+  Duration DeparturesInterval = Duration::zero();
   /// Whether the next fetch asks for all targets, because the changes that a
   /// peer sent did not lead to its list.
   bool NeedsWholeState = false;
--- a/src/Exchange/PeerFetches.cpp
+++ b/src/Exchange/PeerFetches.cpp
@@ -9,6 +9,7 @@
 #include "Observability/Log.h"
 #include "Proxy/ProxyService.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 // What VMs fetch from each other over HTTP, part of PeerExchange.
@@ -22,6 +23,16 @@
 /// Paths under which a VM serves its state and the entries of all VMs.
 static const char *const StatePath = "/state";
 static const char *const MembersPath = "/members";
+/// Path under which a VM tells since when targets leave.
+static const char *const DeparturesPath = "/departures";
+/// Field of a response with the state: milliseconds since it was encoded. The
+/// ages in it are as of then.
+static const char *const EncodedAgeField = "encoded-age-ms";
+/// Timeout of asking a peer since when targets leave, and the time between two
+/// such calls at first and at most.
+constexpr Duration DeparturesTimeout = std::chrono::seconds(1);
+constexpr Duration MinDeparturesInterval = std::chrono::milliseconds(250);
+constexpr Duration MaxDeparturesInterval = std::chrono::seconds(4);
 /// Parameters of a request for the state: the version of the configuration and
 /// the revision of the targets that the requesting VM has.
 static const char *const ConfigParameter = "config";
@@ -51,6 +62,8 @@
 HttpResponse PeerExchange::respond(const HttpRequest &Request) {
   if (Request.Path == internal::MembersPath)
     return membersResponse();
+  if (Request.Path == internal::DeparturesPath)
+    return departuresResponse();
   if (Request.Path == internal::StatePath || !RequestHook)
     return stateResponse(Request);
   return RequestHook(Request);
@@ -63,6 +76,57 @@
   return Response;
 }
 
+HttpResponse PeerExchange::departuresResponse() const {
+  HttpResponse Response;
+  Response.ContentType = "application/cbor";
+  Response.Body = encodeDepartures(Service.departures(), BootClock::now());
+  return Response;
+}
+
+void PeerExchange::fetchDeparturesIfDue(TimePoint Now) {
+  if (!Service.lacksDeparture()) {
+    DeparturesInterval = internal::MinDeparturesInterval;
+    return;
+  }
+  const std::vector<VmEntry> &Live = livePeers(Now);
+  if (Live.empty() || Now < NextDepartures)
+    return;
+  NextDepartures = Now + DeparturesInterval;
+  DeparturesInterval =
+      std::clamp(2 * DeparturesInterval, internal::MinDeparturesInterval,
+                 internal::MaxDeparturesInterval);
+  spawn(Loop, fetchDepartures(Live[Opts.Random() % Live.size()]));
+}
+
+boost::asio::awaitable<void> PeerExchange::fetchDepartures(VmEntry From) {
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Path = internal::DeparturesPath;
+  TimePoint Start = BootClock::now();
+  HttpResult CallResult =
+      co_await Http.call(From.RouterPeer, std::move(Request),
+                         internal::DeparturesTimeout, ConnectionUse::New);
+  const HttpResponse *Response = std::get_if<HttpResponse>(&CallResult);
+  if (!Response || Response->Status != 200) {
+    internal::Logger.info("a peer did not tell since when targets leave",
+                          describeFailure(From.Vm, Start, CallResult));
+    co_return;
+  }
+  Result<std::vector<TargetDeparture>> Known =
+      decodeDepartures(Response->Body, Start);
+  if (const Error *E = errorOf(Known)) {
+    internal::Logger.warning("malformed departures from a peer ignored",
+                             {{"peer", From.Vm}, {"why", E->Message}});
+    co_return;
+  }
+  Service.recordDepartures(valueOf(Known));
+  internal::Logger.info(
+      "a peer told since when targets leave",
+      {{"peer", From.Vm},
+       {"count", std::to_string(valueOf(Known).size())},
+       {"complete", Service.lacksDeparture() ? "false" : "true"}});
+}
+
 void PeerExchange::fetchMembers(const VmEntry &From) {
   if (std::exchange(FetchingMembers, true))
     return;
@@ -105,6 +169,15 @@
              : std::strtoull(It->second.c_str(), nullptr, 10);
 }
 
+/// Returns the time before \p Response at which its state was encoded. One of
+/// an earlier release does not tell.
+static Duration encodedAgeOf(const HttpResponse &Response) {
+  std::string Age = Response.header(internal::EncodedAgeField);
+  constexpr std::uint64_t MaxAgeMs = 86'400'000;
+  std::uint64_t AgeMs = std::strtoull(Age.c_str(), nullptr, 10);
+  return Millis(std::min(AgeMs, MaxAgeMs));
+}
+
 HttpResponse PeerExchange::stateResponse(const HttpRequest &Request) {
   StateVersion From{.Config = numberOf(Request, internal::ConfigParameter),
                     .TargetsRevision =
@@ -116,9 +189,11 @@
         encodeState(Service.stateSince(From.Config, From.TargetsRevision));
     EncodedFrom = From;
     EncodedTo = To;
+    EncodedAt = BootClock::now();
   }
   HttpResponse Response;
   Response.ContentType = "application/cbor";
+  Response.Headers[internal::EncodedAgeField] = millisSince(EncodedAt);
   Response.Body = EncodedState;
   return Response;
 }
@@ -151,7 +226,8 @@
     fetchIfDue(BootClock::now());
     co_return;
   }
-  Result<ProxyState> State = decodeState(Response->Body);
+  Result<ProxyState> State =
+      decodeState(Response->Body, Start - encodedAgeOf(*Response));
   if (const Error *E = errorOf(State)) {
     internal::Logger.warning(
         "malformed state from a peer ignored; retrying after its next "
--- a/src/Links/LeavingBound.cpp
+++ b/src/Links/LeavingBound.cpp
@@ -3,9 +3,10 @@
 namespace cicadawind {
 
 bool LeavingBound::mayServe(const TargetEntry &Entry, TimePoint Now) const {
-  if (!Entry.Leaving || !Entry.LeavingSince)
+  if (!Entry.Leaving)
     return true;
-  return Now - *Entry.LeavingSince < Opts.ServiceTime - Opts.SendMargin;
+  return Entry.LeavingSince &&
+         Now - *Entry.LeavingSince < Opts.ServiceTime - Opts.SendMargin;
 }
 
 bool LeavingBound::mayLead(const TargetEntry &Entry, TimePoint Now) const {
--- a/src/Links/LeavingBound.h
+++ b/src/Links/LeavingBound.h
@@ -10,16 +10,16 @@
 /// \brief Decides what may still be asked of a target that leaves.
 ///
 /// Invariant: no new request reaches a target later than ServiceTime after it
-/// said that it leaves. A target whose entry does not say since when it leaves
-/// counts as having just said so. All functions take O(1).
+/// said that it leaves. A target that leaves since an unknown time gets none:
+/// it may have said so ServiceTime ago. All functions take O(1).
 class LeavingBound {
 public:
   struct Options {
     /// Time for which a leaving target still receives new requests.
     Duration ServiceTime = std::chrono::seconds(7);
-    /// Part of ServiceTime in which nothing more is sent: this VM reads the
-    /// targets' entries at most once a second (TargetsWatchTimes), and a
-    /// request needs time to arrive.
+    /// Part of ServiceTime in which nothing more is sent: the target may leave
+    /// for TargetDirectory::Options::ReportDelay longer than its entry says,
+    /// and a request needs time to arrive.
     Duration SendMargin = std::chrono::milliseconds(1500);
     /// Time that an order takes until the target serves, and then the next
     /// hand-over from its survey to its order.
--- a/src/Links/Links.h
+++ b/src/Links/Links.h
@@ -13,6 +13,7 @@
 #include "Links/RelayPlan.h"
 #include "Links/TargetChanges.h"
 #include "Links/TargetConnections.h"
+#include "Links/TargetDeparture.h"
 #include "Links/TargetDirectory.h"
 #include "Links/TargetEntry.h"
 #include "Links/TargetHistory.h"
--- a/src/Links/TargetDirectory.cpp
+++ b/src/Links/TargetDirectory.cpp
@@ -5,7 +5,7 @@
 namespace cicadawind {
 
 void TargetDirectory::applyList(const std::vector<TargetEntry> &Listed,
-                                TimePoint Now) {
+                                TimePoint Now, Source From) {
   std::map<std::string, const TargetEntry *> ByName;
   for (const TargetEntry &Entry : Listed)
     ByName[Entry.Instance] = &Entry;
@@ -20,35 +20,85 @@
     ++It;
   }
   for (const auto &[Name, Entry] : ByName) {
-    TargetEntry &Known = Entries[Name].Entry;
-    Known = *Entry;
-    Known.LeavingSince = recordLeaving(Known, Now);
-    Known.Leaving = Known.LeavingSince.has_value();
-    Entries[Name].MissingSince.reset();
+    TrackedEntry &Tracked = Entries[Name];
+    Tracked.Entry = *Entry;
+    recordLeaving(Tracked, Now);
+    if (From == Source::Registry && !Tracked.Entry.Leaving)
+      Tracked.StayedAt = Now;
+    Tracked.MissingSince.reset();
   }
   expire(Now);
 }
 
-std::optional<TimePoint>
-TargetDirectory::recordLeaving(const TargetEntry &Entry, TimePoint Now) {
+void TargetDirectory::confirmList(TimePoint Now) {
+  for (auto &[Name, Each] : Entries)
+    if (Each.StayedAt && !Each.MissingSince && !Each.Entry.Leaving)
+      Each.StayedAt = Now;
+}
+
+/// Returns the earlier of two times of which each may be unknown.
+static std::optional<TimePoint> earlier(std::optional<TimePoint> A,
+                                        std::optional<TimePoint> B) {
+  if (!A || !B)
+    return A ? A : B;
+  return std::min(*A, *B);
+}
+
+void TargetDirectory::recordLeaving(TrackedEntry &Tracked, TimePoint Now) {
+  TargetEntry &Entry = Tracked.Entry;
   auto Found = Departures.find(Entry.Instance);
   bool IsKnown = Found != Departures.end() &&
                  Found->second.Incarnation == Entry.Incarnation;
   if (!Entry.Leaving) {
-    if (!IsKnown)
-      return std::nullopt;
-    if (Entry.Incarnation != 0)
-      return Found->second.Since;
-    // Without an incarnation a target that has started again looks the same.
-    Departures.erase(Found);
-    return std::nullopt;
+    Entry.LeavingSince.reset();
+    if (IsKnown && Entry.Incarnation != 0) {
+      Entry.Leaving = true;
+      Entry.LeavingSince = Found->second.Since;
+    } else if (IsKnown) {
+      // Without an incarnation a target that has started again looks the same.
+      Departures.erase(Found);
+    }
+    return;
   }
-  TimePoint Since = Entry.LeavingSince.value_or(Now);
+  if (!Entry.LeavingSince && Tracked.StayedAt)
+    Entry.LeavingSince = std::min(Now, *Tracked.StayedAt + Opts.ReportDelay);
   if (IsKnown)
-    Since = std::min(Since, Found->second.Since);
+    Entry.LeavingSince = earlier(Entry.LeavingSince, Found->second.Since);
   Departures[Entry.Instance] = {.Incarnation = Entry.Incarnation,
+                                .Since = Entry.LeavingSince};
+}
+
+bool TargetDirectory::recordDeparture(const TargetDeparture &Known) {
+  auto Found = Entries.find(Known.Instance);
+  if (Found == Entries.end())
+    return false;
+  TargetEntry &Entry = Found->second.Entry;
+  if (!Entry.Leaving || Entry.Incarnation != Known.Incarnation)
+    return false;
+  std::optional<TimePoint> Since = earlier(Entry.LeavingSince, Known.Since);
+  if (Since == Entry.LeavingSince)
+    return false;
+  Entry.LeavingSince = Since;
+  Departures[Known.Instance] = {.Incarnation = Known.Incarnation,
                                 .Since = Since};
-  return Since;
+  return true;
+}
+
+std::vector<TargetDeparture> TargetDirectory::departures() const {
+  std::vector<TargetDeparture> Out;
+  for (const auto &[Name, Each] : Entries)
+    if (Each.Entry.Leaving && Each.Entry.LeavingSince && !Each.MissingSince)
+      Out.push_back({.Instance = Name,
+                     .Incarnation = Each.Entry.Incarnation,
+                     .Since = *Each.Entry.LeavingSince});
+  return Out;
+}
+
+bool TargetDirectory::lacksDeparture() const {
+  return std::any_of(Entries.begin(), Entries.end(), [](const auto &Item) {
+    const TrackedEntry &Each = Item.second;
+    return Each.Entry.Leaving && !Each.Entry.LeavingSince && !Each.MissingSince;
+  });
 }
 
 bool TargetDirectory::expire(TimePoint Now) {
--- a/src/Links/TargetEntry.h
+++ b/src/Links/TargetEntry.h
@@ -22,9 +22,10 @@
   unsigned Slots = 1;
   /// Whether the target is leaving, so that it receives no new work.
   bool Leaving = false;
-  /// When the target said that it leaves, as far as this VM knows: on this VM's
-  /// clock, and not earlier than it did. Empty if it does not leave or no VM
-  /// has said since when. Not part of the registry's entry.
+  /// Since when the target leaves: on this VM's clock, and at most
+  /// TargetDirectory::Options::ReportDelay later than it said so. Empty if it
+  /// stays or if that is not known, as after a start of this VM. Not part of
+  /// the registry's entry.
   std::optional<TimePoint> LeavingSince = std::nullopt;
   /// Whether the target reports that it is the primary.
   bool ClaimsPrimary = false;
--- a/src/Platform/ObjectWatcher.h
+++ b/src/Platform/ObjectWatcher.h
@@ -26,6 +26,9 @@
   /// packed as in StoreRevision.
   using ChangeHook =
       std::function<void(const ObjectsByName &, std::uint64_t Revision)>;
+  /// Called when the store has answered that the objects that were reported
+  /// last are still current; may be empty.
+  using CurrentHook = std::function<void()>;
   /// Called whenever the store becomes reachable or unreachable.
   using ReachabilityHook = std::function<void(bool Reachable)>;
 
@@ -38,7 +41,8 @@
   /// Starts to watch \p Kind.
   virtual void watchKind(std::string Kind, WatchTimes Times,
                          ChangeHook OnChange,
-                         ReachabilityHook OnReachabilityChange) = 0;
+                         ReachabilityHook OnReachabilityChange,
+                         CurrentHook OnCurrent = nullptr) = 0;
 
   /// Suspends or resumes all watches. They run unless they are suspended. A
   /// call in progress completes and is still reported. A watch that resumes
--- a/src/Platform/WatchedKind.h
+++ b/src/Platform/WatchedKind.h
@@ -75,6 +75,9 @@
 
   const ObjectsByName &objects() const { return Objects; }
   std::uint64_t revision() const { return Revision; }
+  /// Returns whether the copy is one to watch from: it was listed and has no
+  /// gap since.
+  bool isListed() const { return IsListed; }
 
 private:
   Options Opts;
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -141,9 +141,10 @@
 }
 
 void ProxyService::applyTargets(const std::vector<TargetEntry> &Listed,
-                                std::uint64_t Revision) {
+                                std::uint64_t Revision,
+                                TargetDirectory::Source From) {
   TargetsRevision = Revision;
-  Directory.applyList(Listed, BootClock::now());
+  Directory.applyList(Listed, BootClock::now(), From);
   History.record(Directory.listed(), Revision);
   updateGroups();
   std::uint64_t Previous =
@@ -152,6 +153,14 @@
     TargetsHook();
 }
 
+void ProxyService::recordDepartures(const std::vector<TargetDeparture> &Known) {
+  bool HasChanged = false;
+  for (const TargetDeparture &Each : Known)
+    HasChanged |= Directory.recordDeparture(Each);
+  if (HasChanged)
+    updateGroups();
+}
+
 void ProxyService::setPeers(const std::vector<VmEntry> &LivePeers) {
   std::size_t PreviousCount = Plan.vms();
   bool HasChanged = Plan.setPeers(LivePeers);
@@ -409,7 +418,8 @@
 
 bool ProxyService::applyTargetsOf(const ProxyState &State) {
   if (!State.Base) {
-    applyTargets(State.Targets, State.TargetsRevision);
+    applyTargets(State.Targets, State.TargetsRevision,
+                 TargetDirectory::Source::Peer);
     return true;
   }
   if (*State.Base != TargetsRevision)
@@ -420,7 +430,7 @@
   // its changes, although this VM may have the state in between.
   if (hashOf(Listed) != State.TargetsHash)
     return false;
-  applyTargets(Listed, State.TargetsRevision);
+  applyTargets(Listed, State.TargetsRevision, TargetDirectory::Source::Peer);
   return true;
 }
 
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -73,7 +73,21 @@
   const NewerConfigs &newerConfigs() const { return Newer; }
   /// Applies the registry's list of targets at \p Revision of the store.
   void applyTargets(const std::vector<TargetEntry> &Listed,
-                    std::uint64_t Revision);
+                    std::uint64_t Revision) {
+    applyTargets(Listed, Revision, TargetDirectory::Source::Registry);
+  }
+  /// Records that the registry was read and still holds the list that was
+  /// applied last.
+  void confirmTargetsRead(TimePoint Now) { Directory.confirmList(Now); }
+  /// Records since when targets leave, as a peer knows it.
+  void recordDepartures(const std::vector<TargetDeparture> &Known);
+  /// Returns since when listed targets leave, as far as known.
+  std::vector<TargetDeparture> departures() const {
+    return Directory.departures();
+  }
+  /// Returns whether a listed target leaves since an unknown time. It gets no
+  /// new requests until a peer tells since when.
+  bool lacksDeparture() const { return Directory.lacksDeparture(); }
   /// Sets the other live VMs, with which this one shares the connections of the
   /// targets.
   void setPeers(const std::vector<VmEntry> &LivePeers);
@@ -177,6 +191,8 @@
   void publishConnections() const;
 
 private:
+  void applyTargets(const std::vector<TargetEntry> &Listed,
+                    std::uint64_t Revision, TargetDirectory::Source From);
   /// Counts and logs a finished request.
   void recordRequest(const RequestReport &Report);
   /// Logs how many lines about requests were suppressed.
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -70,7 +70,18 @@
                       ageOf(Entry.LeavingSince)});
 }
 
-static TargetEntry targetFrom(const Json &In) {
+/// Returns the time at which something began that had the age \p In at
+/// \p EncodedAt; empty if it has none.
+static std::optional<TimePoint> beginOf(const Json &In, TimePoint EncodedAt) {
+  std::int64_t Age = In.get<std::int64_t>();
+  if (Age < NoAge || Age > MaxAge.count())
+    throw std::invalid_argument("age of a departure out of range");
+  if (Age == NoAge)
+    return std::nullopt;
+  return EncodedAt - Millis(Age);
+}
+
+static TargetEntry targetFrom(const Json &In, TimePoint EncodedAt) {
   TargetEntry Out;
   Out.Instance = In.at(0).get<std::string>();
   Out.Group = In.at(1).get<std::string>();
@@ -80,11 +91,7 @@
   Out.Leaving = In.at(5).get<bool>();
   Out.ClaimsPrimary = In.at(6).get<bool>();
   Out.Incarnation = In.at(7).get<std::int64_t>();
-  std::int64_t LeavingFor = In.at(8).get<std::int64_t>();
-  if (LeavingFor < NoAge || LeavingFor > MaxAge.count())
-    throw std::invalid_argument("age of a departure out of range");
-  if (LeavingFor != NoAge)
-    Out.LeavingSince = BootClock::now() - Millis(LeavingFor);
+  Out.LeavingSince = beginOf(In.at(8), EncodedAt);
   return Out;
 }
 
@@ -138,11 +145,11 @@
   return Out;
 }
 
-static ProxyState stateFrom(const Json &In) {
+static ProxyState stateFrom(const Json &In, TimePoint EncodedAt) {
   ProxyState Out;
   Out.Config = configFrom(In);
   for (const Json &Each : In.at("targets"))
-    Out.Targets.push_back(targetFrom(Each));
+    Out.Targets.push_back(targetFrom(Each, EncodedAt));
   Out.TargetsRevision = In.at("targets_revision").get<std::uint64_t>();
   Out.TargetsHash = In.value("targets_hash", std::uint64_t{0});
   if (In.contains("base")) {
@@ -173,9 +180,36 @@
   return Bytes;
 }
 
-Result<ProxyState> decodeState(const std::string &Bytes) {
+std::string encodeDepartures(const std::vector<TargetDeparture> &Departures,
+                             TimePoint Now) {
+  internal::Json Out = internal::Json::array();
+  for (const TargetDeparture &Each : Departures)
+    Out.push_back(
+        {Each.Instance, Each.Incarnation, toMillis(Now - Each.Since).count()});
+  std::string Bytes;
+  internal::Json::to_cbor(Out, Bytes);
+  return Bytes;
+}
+
+Result<std::vector<TargetDeparture>> decodeDepartures(const std::string &Bytes,
+                                                      TimePoint EncodedAt) {
+  try {
+    std::vector<TargetDeparture> Out;
+    for (const internal::Json &Each : parseCbor(Bytes))
+      if (auto Since = internal::beginOf(Each.at(2), EncodedAt))
+        Out.push_back({.Instance = Each.at(0).get<std::string>(),
+                       .Incarnation = Each.at(1).get<std::int64_t>(),
+                       .Since = *Since});
+    return Out;
+  } catch (const std::exception &E) {
+    return Error{.Code = ErrorCode::BadRequest,
+                 .Message = std::string("malformed departures: ") + E.what()};
+  }
+}
+
+Result<ProxyState> decodeState(const std::string &Bytes, TimePoint EncodedAt) {
   try {
-    return internal::stateFrom(parseCbor(Bytes));
+    return internal::stateFrom(parseCbor(Bytes), EncodedAt);
   } catch (const std::exception &E) {
     return Error{.Code = ErrorCode::BadRequest,
                  .Message = std::string("malformed state: ") + E.what()};
--- a/src/Proxy/ProxyState.h
+++ b/src/Proxy/ProxyState.h
@@ -2,8 +2,10 @@
 #define CICADAWIND_PROXY_PROXYSTATE_H
 
 #include "Config/ProxyConfig.h"
+#include "Core/Clock.h"
 #include "Core/Result.h"
 #include "Links/TargetChanges.h"
+#include "Links/TargetDeparture.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,7 +37,18 @@
 std::string encodeState(const ProxyState &State);
 
 /// Inverse of encodeState; fails with BadRequest if \p Bytes are malformed.
-Result<ProxyState> decodeState(const std::string &Bytes);
+/// Ages are counted back from \p EncodedAt, at or before which the peer encoded
+/// the state.
+Result<ProxyState> decodeState(const std::string &Bytes,
+                               TimePoint EncodedAt = BootClock::now());
+
+/// Encodes since when targets leave, as ages at \p Now, in CBOR.
+std::string encodeDepartures(const std::vector<TargetDeparture> &Departures,
+                             TimePoint Now);
+
+/// Inverse of encodeDepartures; see decodeState.
+Result<std::vector<TargetDeparture>> decodeDepartures(const std::string &Bytes,
+                                                      TimePoint EncodedAt);
 
 } // namespace cicadawind
 
--- a/test/Exchange/PeerExchangeTest.cpp
+++ b/test/Exchange/PeerExchangeTest.cpp
@@ -6,6 +6,7 @@
 
 #include "Daemons/ProxyStatus.h"
 #include "Exchange/PeerExchangeWorld.h"
+#include "LoopRunner.h"
 #include "Observability/LoggedLines.h"
 #include "System/TcpRelay.h"
 
@@ -207,3 +208,46 @@
   BOOST_TEST(World.runUntil([&] { return World.Peer.Fetches == 2; }));
   BOOST_TEST(toMillis(BootClock::now() - Start).count() < 500);
 }
+
+// review/10: a VM that has just started does not know since when a target
+// leaves, and the list that it has read is the same as its peers'.
+BOOST_AUTO_TEST_CASE(aPeerTellsSinceWhenATargetLeaves) {
+  PeerExchangeWorld World;
+  TimePoint Since = BootClock::now() - std::chrono::seconds(3);
+  World.Peer.Departures = {{.Instance = "z", .Incarnation = 6, .Since = Since}};
+  std::vector<TargetEntry> Listed = World.listedTargets();
+  Listed.push_back({.Instance = "z",
+                    .Group = "g",
+                    .Address = "127.0.0.1:1",
+                    .FailureDomain = "d1",
+                    .Leaving = true,
+                    .Incarnation = 6});
+  World.Service->applyTargets(Listed, World.Service->targetsRevision() + 1);
+  BOOST_TEST(World.Service->lacksDeparture());
+  BOOST_TEST(World.makePeerLive());
+  BOOST_TEST(World.runUntil([&] { return !World.Service->lacksDeparture(); }));
+  std::vector<TargetDeparture> Known = World.Service->departures();
+  BOOST_REQUIRE(Known.size() == 1U);
+  BOOST_TEST((Known[0].Since <= Since + std::chrono::milliseconds(1)));
+  BOOST_TEST((Known[0].Since > Since - std::chrono::milliseconds(500)));
+}
+
+// review/10: the state is encoded once for many peers, with the ages of then.
+BOOST_AUTO_TEST_CASE(aStateThatIsServedAgainTellsHowOldItIs) {
+  PeerExchangeWorld World;
+  auto FetchAge = [&] {
+    HttpRequest Request;
+    Request.Method = "GET";
+    Request.Path = "/state";
+    HttpResult Fetched =
+        runOn(World.Loop,
+              World.Http.call("127.0.0.1:" + std::to_string(World.OwnPort),
+                              Request, std::chrono::seconds(2)));
+    const HttpResponse *Response = std::get_if<HttpResponse>(&Fetched);
+    BOOST_REQUIRE(Response);
+    return std::stoi(Response->header("encoded-age-ms"));
+  };
+  BOOST_TEST(FetchAge() < 100);
+  World.runFor(std::chrono::milliseconds(200));
+  BOOST_TEST(FetchAge() >= 200);
+}
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -165,10 +165,41 @@
   BOOST_TEST(!Read.at(1).LeavingSince.has_value());
 }
 
+// review/10: ages of an answer that was encoded for an earlier request.
+BOOST_AUTO_TEST_CASE(agesAreCountedBackFromTheEncoding) {
+  TimePoint Now = BootClock::now();
+  ProxyState State;
+  State.Targets = {{.Instance = "a",
+                    .Group = "g",
+                    .Leaving = true,
+                    .LeavingSince = Now - std::chrono::seconds(4)}};
+  Result<ProxyState> Decoded =
+      decodeState(encodeState(State), Now - std::chrono::seconds(2));
+  BOOST_REQUIRE(!errorOf(Decoded));
+  BOOST_TEST((*valueOf(Decoded).Targets.at(0).LeavingSince <=
+              Now - std::chrono::seconds(6)));
+}
+
+BOOST_AUTO_TEST_CASE(departuresSurviveEncodingAndDecoding) {
+  TimePoint Now = BootClock::now();
+  std::vector<TargetDeparture> Sent = {
+      {.Instance = "a", .Incarnation = 7, .Since = Now - Millis(2500)},
+      {.Instance = "b", .Since = Now}};
+  TimePoint Later = Now + std::chrono::hours(9);
+  auto Read = decodeDepartures(encodeDepartures(Sent, Now), Later);
+  BOOST_REQUIRE(!errorOf(Read));
+  for (TargetDeparture &Each : Sent)
+    Each.Since += std::chrono::hours(9);
+  BOOST_TEST((valueOf(Read) == Sent));
+  Sent[0].Since = Now + Millis(10);
+  BOOST_TEST(errorOf(decodeDepartures(encodeDepartures(Sent, Now), Now)));
+}
+
 BOOST_AUTO_TEST_CASE(arbitraryBytesDoNotCrashTheDecoders) {
   BOOST_TEST(rc::check([](const std::string &Bytes) {
     decodePeerMessage(Bytes);
     decodeState(Bytes);
+    decodeDepartures(Bytes, BootClock::now());
   }));
 }
 
--- a/test/Exchange/PeerVm.h
+++ b/test/Exchange/PeerVm.h
@@ -28,12 +28,17 @@
       : Port(Port), To(boost::asio::ip::address_v4::loopback(), ToPort),
         Socket(World.Loop,
                Udp::endpoint(boost::asio::ip::address_v4::loopback(), Port)),
-        Server(World.Loop, {.Address = "127.0.0.1", .Port = Port},
-               [this](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
-                 ++Fetches;
-                 co_return HttpResponse{.Status = 200,
-                                        .Body = encodeState(State)};
-               }) {
+        Server(
+            World.Loop, {.Address = "127.0.0.1", .Port = Port},
+            [this](
+                HttpRequest Request) -> boost::asio::awaitable<HttpResponse> {
+              if (Request.Path == "/departures")
+                co_return HttpResponse{
+                    .Status = 200,
+                    .Body = encodeDepartures(Departures, BootClock::now())};
+              ++Fetches;
+              co_return HttpResponse{.Status = 200, .Body = encodeState(State)};
+            }) {
     Socket.non_blocking(true);
   }
 
@@ -95,6 +100,8 @@
 
   /// The state that "vm-2" serves over HTTP.
   ProxyState State;
+  /// What "vm-2" knows of departures.
+  std::vector<TargetDeparture> Departures;
   /// How often the state was fetched.
   int Fetches = 0;
 
--- a/test/Links/TargetDirectoryTest.cpp
+++ b/test/Links/TargetDirectoryTest.cpp
@@ -75,9 +75,11 @@
 BOOST_AUTO_TEST_CASE(theTimeOfADepartureDoesNotRestartWithLaterLists) {
   for (std::int64_t Incarnation : {std::int64_t{5}, std::int64_t{0}}) {
     TargetDirectory Directory{TargetDirectory::Options{}};
-    TargetEntry Entry = entry("b", true);
+    TargetEntry Entry = entry("b");
     Entry.Incarnation = Incarnation;
     Directory.applyList({Entry}, Start);
+    Entry.Leaving = true;
+    Directory.applyList({Entry}, Start);
     Directory.applyList({}, Start + 1s);
     Directory.applyList({Entry}, Start + 2s);
     BOOST_TEST((Directory.ofGroup("g").at(0).LeavingSince == Start));
@@ -89,6 +91,59 @@
   }
 }
 
+// review/10: a VM that started took the time of its first list for that of the
+// departure, and sent requests after its bound.
+BOOST_AUTO_TEST_CASE(aDepartureBeforeTheFirstListIsOfAnUnknownTime) {
+  TargetDirectory Directory{TargetDirectory::Options{}};
+  TargetEntry Entry = entry("b", true);
+  Entry.Incarnation = 5;
+  Directory.applyList({Entry}, Start);
+  TargetEntry Known = Directory.ofGroup("g").at(0);
+  BOOST_TEST(Known.Leaving);
+  BOOST_TEST(!Known.LeavingSince.has_value());
+  BOOST_TEST(Directory.lacksDeparture());
+  BOOST_TEST(Directory.departures().empty());
+  BOOST_TEST(!Directory.recordDeparture(
+      {.Instance = "b", .Incarnation = 4, .Since = Start - 9s}));
+  BOOST_TEST(Directory.recordDeparture(
+      {.Instance = "b", .Incarnation = 5, .Since = Start - 2s}));
+  BOOST_TEST(!Directory.lacksDeparture());
+  Directory.applyList({Entry}, Start + 1s);
+  BOOST_TEST((Directory.ofGroup("g").at(0).LeavingSince == Start - 2s));
+  std::vector<TargetDeparture> Departures = Directory.departures();
+  BOOST_REQUIRE(Departures.size() == 1U);
+  BOOST_TEST((Departures[0].Since == Start - 2s));
+}
+
+// The target may have said that it leaves at any time after the reading before.
+BOOST_AUTO_TEST_CASE(aDepartureCountsFromTheLastReadingBeforeIt) {
+  struct Case {
+    Duration ConfirmedAt;
+    Duration LeavesAt;
+    Duration Since;
+  };
+  for (const Case &Each : {Case{0s, 1s, 1s}, Case{0s, 6s, 1200ms},
+                           Case{5s, 6s, 6s}, Case{5s, 20s, 6200ms}}) {
+    TargetDirectory Directory{TargetDirectory::Options{}};
+    Directory.applyList({entry("b")}, Start);
+    Directory.confirmList(Start + Each.ConfirmedAt);
+    Directory.applyList({entry("b", true)}, Start + Each.LeavesAt);
+    Directory.confirmList(Start + Each.LeavesAt + 1s);
+    Directory.applyList({entry("b", true)}, Start + Each.LeavesAt + 2s);
+    BOOST_TEST(
+        (Directory.ofGroup("g").at(0).LeavingSince == Start + Each.Since));
+  }
+}
+
+// A peer may have read its list long ago.
+BOOST_AUTO_TEST_CASE(aListOfAPeerDoesNotTellThatATargetStays) {
+  TargetDirectory Directory{TargetDirectory::Options{}};
+  Directory.applyList({entry("b")}, Start, TargetDirectory::Source::Peer);
+  Directory.confirmList(Start);
+  Directory.applyList({entry("b", true)}, Start + 1s);
+  BOOST_TEST(Directory.lacksDeparture());
+}
+
 BOOST_AUTO_TEST_CASE(aTargetThatStaysHasNoTimeOfDeparture) {
   TargetDirectory Directory{TargetDirectory::Options{}};
   Directory.applyList({entry("b")}, Start);
--- a/test/Promotion/LeavingTargetTest.cpp
+++ b/test/Promotion/LeavingTargetTest.cpp
@@ -24,6 +24,21 @@
   World.Service->applyTargets(Entries, World.Service->targetsRevision() + 1);
 }
 
+/// Returns the proxy of another VM, which knows all VMs and no targets yet.
+std::unique_ptr<ProxyService> startProxy(ProxyWorld &World) {
+  ProxyService::Options Opts;
+  Opts.Codec = &World.Codec;
+  Opts.Vm = "vm-9";
+  Opts.FailureDomain = "d1";
+  Opts.Region = "r1";
+  Opts.Regions = {{"d1", "r1"}};
+  Opts.Random = [] { return 4; };
+  auto Out = std::make_unique<ProxyService>(World.Loop, Opts, World.Meter);
+  Out->applyConfig(World.Config);
+  Out->setPeers({});
+  return Out;
+}
+
 /// A PromotionWorld whose primary "a" crashes while "c" does not reply and "b"
 /// leaves.
 struct LastReplicaWorld : PromotionWorld {
@@ -79,6 +94,28 @@
   BOOST_TEST(World.recordsOf(Caller.lastId()).empty());
 }
 
+// review/10: a VM that had just started sent requests to it for another bound.
+BOOST_AUTO_TEST_CASE(leavingTargetOfUnknownAgeReceivesNoRequestUntilItIsKnown) {
+  ProxyWorld World;
+  std::unique_ptr<ProxyService> Started = startProxy(World);
+  std::vector<TargetEntry> Entries = World.listedTargets();
+  for (TargetEntry &Entry : Entries)
+    Entry.Leaving = Entry.Instance == "a";
+  Started->applyTargets(Entries, 1);
+  World.onSweep([&](TimePoint Now) { Started->sweep(Now); });
+  BOOST_TEST(Started->lacksDeparture());
+  ProxyCaller Caller(World, *Started, "latest");
+  BOOST_TEST(Caller.ask("WRITE i1 y").starts_with("ERROR"));
+  BOOST_TEST(World.recordsOf(Caller.lastId()).empty());
+  Started->recordDepartures(
+      {{.Instance = "a", .Since = BootClock::now() - 2s}});
+  BOOST_TEST(Caller.ask("WRITE i1 z").starts_with("COMPLETE"));
+  Started->recordDepartures(
+      {{.Instance = "a", .Since = BootClock::now() - 6s}});
+  BOOST_TEST(Caller.ask("WRITE i1 z").starts_with("ERROR"));
+  World.onSweep(nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(openTransactionGoesOnAfterTheBoundOfItsTarget) {
   ProxyWorld World;
   ProxyCaller Caller(World, "latest");
