Take listed VMs for live only while they may reply

Cause: a VM that starts took all VMs that the store lists for live, tried 16 of them and dropped the others after 8 s for each 128 listed. Meanwhile it divided the targets' connections by their number and chose relays that are gone. Excluded: reading of the list (0.1 s), StoreReaders alone (its longest wait is 5.5 s). Change: all listed VMs of which nothing was heard get hellos that ask for a reply (a new field), those that started last first; who does not reply in 1.2 s, and if most of those tried do not, who has not been tried yet, does not count as live. Timeouts grow with the VMs that are heard of. Of two entries with one address the earlier VM does not count. An entry of a later incarnation is looked up directly when a hello arrives, not by a copy of the table.

--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -199,7 +199,7 @@
       adoptIncarnation(Other.Entry);
     else
       Voters.recordNamed(Other.Entry.Vm, Now - Other.ContactAge, Now);
-  if (Fleet.recordHello(From, Hello.Others, Hello.Ages, Now))
+  if (Fleet.recordHello(From, Hello.Others, Hello.Ages, Now, Hello.WantsReply))
     sendHello(From, Now);
   // A hello that arrives late does not tell yet that its sender leaves.
   Voters.recordContact(From.Vm, Fleet.members().isLeaving(From.Vm), Now);
@@ -283,13 +283,12 @@
 }
 
 void PeerExchange::reportLaterIncarnation(const VmEntry &From) {
-  for (const VmEntry &Entry : Fleet.members().all()) {
-    if (Entry.Vm != From.Vm || Entry.Incarnation <= From.Incarnation)
-      continue;
-    PeerHello Hello = ownHello();
-    Hello.Others.push_back({.Entry = Entry});
-    sendTo(From.RouterPeer, Hello);
-  }
+  const VmEntry *Known = Fleet.members().find(From.Vm);
+  if (!Known || Known->Incarnation <= From.Incarnation)
+    return;
+  PeerHello Hello = ownHello();
+  Hello.Others.push_back({.Entry = *Known});
+  sendTo(From.RouterPeer, Hello);
 }
 
 void PeerExchange::sendTo(const std::string &Address,
@@ -326,8 +325,10 @@
 }
 
 void PeerExchange::sendHello(const VmEntry &To, TimePoint Now) {
-  Fleet.recordSent(To.Vm);
-  sendTo(To.RouterPeer, makeHello(Now));
+  Fleet.recordSent(To.Vm, Now);
+  PeerHello Hello = makeHello(Now);
+  Hello.WantsReply = !Fleet.hasContact(To.Vm);
+  sendTo(To.RouterPeer, Hello);
 }
 
 void PeerExchange::contactListed(const std::vector<VmEntry> &Entries) {
@@ -373,6 +374,7 @@
   sendDueLists(Now);
   fetchIfDue(Now);
   fetchDeparturesIfDue(Now);
+  sendProbes(Now);
   if (Now < NextHello)
     return;
   NextHello = Now + Opts.HelloInterval;
@@ -384,6 +386,15 @@
   updateServicePeers(Now);
 }
 
+void PeerExchange::sendProbes(TimePoint Now) {
+  if (Now < NextProbes)
+    return;
+  NextProbes = Now + Opts.ProbesInterval;
+  for (const VmEntry &To : Fleet.chooseProbes(Now))
+    sendHello(To, Now);
+  updateServicePeers(Now);
+}
+
 void PeerExchange::announce() {
   TimePoint Now = BootClock::now();
   for (const VmEntry &To : Fleet.chooseRecipients(Now))
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -62,6 +62,8 @@
     /// IP addresses of the VMs that get a hello while no peer is known.
     std::vector<std::string> SeedAddresses;
     Duration HelloInterval = std::chrono::milliseconds(1000);
+    /// Time between the hellos to listed VMs of which nothing was heard yet.
+    Duration ProbesInterval = std::chrono::milliseconds(100);
     /// See FleetGossip::Options.
     Duration PeerTimeout = std::chrono::seconds(8);
     /// Time after the start at which the live peers count as the whole fleet,
@@ -317,6 +319,8 @@
   void fetchMembers(const VmEntry &From);
   boost::asio::awaitable<void> fetchAndRecordMembers(VmEntry From);
   HttpResponse membersResponse() const;
+  /// Sends hellos to listed VMs of which nothing was heard yet, if due.
+  void sendProbes(TimePoint Now);
   /// Passes the live peers on to the service if they have changed, once they
   /// are the whole fleet.
   void updateServicePeers(TimePoint Now);
@@ -389,6 +393,7 @@
   std::map<std::string, std::string> ListedAddresses;
   std::function<HttpResponse(const HttpRequest &)> RequestHook;
   TimePoint NextHello;
+  TimePoint NextProbes;
 };
 
 } // namespace cicadawind
--- a/src/Exchange/PeerFetches.cpp
+++ b/src/Exchange/PeerFetches.cpp
@@ -72,7 +72,7 @@
 HttpResponse PeerExchange::membersResponse() const {
   HttpResponse Response;
   Response.ContentType = "application/cbor";
-  Response.Body = encodeEntries(Fleet.members().usable());
+  Response.Body = encodeEntries(Fleet.recentlyHeardOf(BootClock::now()));
   return Response;
 }
 
--- a/src/Exchange/PeerMessage.cpp
+++ b/src/Exchange/PeerMessage.cpp
@@ -64,6 +64,8 @@
     Entry["contact_age"] = Each.ContactAge.count();
     Out["others"].push_back(std::move(Entry));
   }
+  if (Message.WantsReply)
+    Out["reply"] = true;
   return Out;
 }
 
@@ -281,6 +283,7 @@
     Out.StoreReads = contactAgesFrom(In["reads"]);
   if (In.contains("ages"))
     Out.Ages = contactAgesFrom(In["ages"]);
+  Out.WantsReply = In.value("reply", false);
   return Out;
 }
 
--- a/src/Exchange/PeerMessage.h
+++ b/src/Exchange/PeerMessage.h
@@ -35,6 +35,9 @@
   std::vector<FleetMention> Others;
   /// Contact ages of some of the other VMs that the sender knows.
   std::vector<ContactAge> Ages;
+  /// Whether the sender asks for a hello in return, because it has not heard of
+  /// the receiver yet.
+  bool WantsReply = false;
 };
 
 /// Whose evidence a PrimaryQuery asks for besides the receiver's own. Releases
--- a/src/Membership/FleetGossip.cpp
+++ b/src/Membership/FleetGossip.cpp
@@ -14,6 +14,24 @@
   return Out;
 }
 
+/// Returns the VMs of \p Entries whose address another VM has that started
+/// later.
+static std::set<std::string> findReplaced(const std::vector<VmEntry> &Entries) {
+  std::unordered_map<std::string, const VmEntry *> LastAt;
+  std::set<std::string> Out;
+  for (const VmEntry &Each : Entries) {
+    const VmEntry *&Last =
+        LastAt.try_emplace(Each.RouterPeer, &Each).first->second;
+    if (Last == &Each || Each.RouterPeer.empty())
+      continue;
+    bool IsLater = Each.Incarnation > Last->Incarnation;
+    Out.insert(IsLater ? Last->Vm : Each.Vm);
+    if (IsLater)
+      Last = &Each;
+  }
+  return Out;
+}
+
 } // namespace internal
 
 std::uint32_t FleetGossip::hashOf(const std::string &Vm) {
@@ -53,8 +71,9 @@
 bool FleetGossip::recordHello(const VmEntry &From,
                               const std::vector<FleetMention> &Mentions,
                               const std::vector<ContactAge> &Ages,
-                              TimePoint Now) {
-  bool NeedsReply = !hasContact(From.Vm) && !Greeted.count(From.Vm);
+                              TimePoint Now, bool WantsReply) {
+  bool NeedsReply =
+      WantsReply || (!hasContact(From.Vm) && !Greeted.count(From.Vm));
   if (merge(From))
     News[From.Vm] = Now;
   recordContactAt(From.Vm, Now);
@@ -80,21 +99,67 @@
   });
 }
 
+void FleetGossip::recordSent(const std::string &Vm, TimePoint Now) {
+  Greeted.insert(Vm);
+  auto It = Listed.find(Vm);
+  if (It == Listed.end() || hasContact(Vm))
+    return;
+  Listing &Each = It->second;
+  if (Each.Sent++ == 0)
+    Each.FirstSentAt = Now;
+  Each.LastSentAt = Now;
+}
+
+void FleetGossip::sortByStart(std::vector<VmEntry> &Entries) const {
+  std::stable_sort(Entries.begin(), Entries.end(),
+                   [](const VmEntry &A, const VmEntry &B) {
+                     return A.Incarnation > B.Incarnation;
+                   });
+  for (std::size_t From = 0; From < Entries.size();
+       From += Opts.ShuffledListed) {
+    std::size_t Size = std::min(Opts.ShuffledListed, Entries.size() - From);
+    for (std::size_t I = 0; I < Size; ++I)
+      std::swap(Entries[From + I],
+                Entries[From + I + Opts.Random() % (Size - I)]);
+  }
+}
+
 std::vector<VmEntry>
-FleetGossip::recordListed(const std::vector<VmEntry> &Listed, TimePoint Now) {
+FleetGossip::recordListed(const std::vector<VmEntry> &Entries, TimePoint Now) {
   std::vector<VmEntry> Out;
   Unknown.clear();
-  for (const VmEntry &Entry : Listed) {
+  std::set<std::string> Gone = internal::findReplaced(Entries);
+  for (const VmEntry &Entry : Entries) {
     if (Entry.Vm == Opts.OwnVm)
       continue;
-    ListedAt[Entry.Vm] = Now;
     merge(Entry);
-    if (!hasContact(Entry.Vm) && !Greeted.count(Entry.Vm))
+    if (!hasContact(Entry.Vm) && Gone.count(Entry.Vm))
+      continue;
+    bool IsNew = Listed.try_emplace(Entry.Vm, Listing{.At = Now}).second;
+    if (IsNew && !hasContact(Entry.Vm) && !Greeted.count(Entry.Vm))
       Out.push_back(Entry);
   }
-  std::size_t Count = std::min(Out.size(), Opts.FirstHellos);
-  shuffleFront(Out, Count);
-  Out.resize(Count);
+  sortByStart(Out);
+  for (const VmEntry &Each : Out)
+    Probing.push_back(Each.Vm);
+  Out.resize(std::min(Out.size(), Opts.FirstHellos));
+  return Out;
+}
+
+std::vector<VmEntry> FleetGossip::chooseProbes(TimePoint Now) {
+  std::erase_if(Probing, [&](const std::string &Vm) {
+    return hasContact(Vm) || Listed[Vm].Sent >= Opts.Probes;
+  });
+  std::vector<VmEntry> Out;
+  for (const std::string &Vm : Probing) {
+    if (Out.size() >= Opts.ProbesAtOnce)
+      break;
+    const Listing &Each = Listed[Vm];
+    const VmEntry *Entry = Members.find(Vm);
+    if (Entry &&
+        (Each.Sent == 0 || Now - Each.LastSentAt >= Opts.ProbeInterval))
+      Out.push_back(*Entry);
+  }
   return Out;
 }
 
@@ -107,7 +172,7 @@
 
 std::vector<const VmEntry *> FleetGossip::findSilent(TimePoint Now) const {
   std::vector<const VmEntry *> Out = Members.usableEntries();
-  Duration Timeout = timeoutFor(Out.size());
+  Duration Timeout = currentTimeout(Now);
   std::erase_if(Out, [&](const VmEntry *Entry) {
     return Entry->Vm == Opts.OwnVm || isLive(*Entry, Timeout, Now);
   });
@@ -195,8 +260,58 @@
   auto Contact = ContactAt.find(Entry.Vm);
   if (Contact != ContactAt.end())
     return Now - Contact->second < Timeout;
-  auto Listed = ListedAt.find(Entry.Vm);
-  return Listed != ListedAt.end() && Now - Listed->second < Timeout;
+  return isListedLive(Entry.Vm, Timeout, Now);
+}
+
+bool FleetGossip::isListedLive(const std::string &Vm, Duration Timeout,
+                               TimePoint Now) const {
+  auto It = Listed.find(Vm);
+  if (It == Listed.end() || Now - It->second.At >= Timeout)
+    return false;
+  const Listing &Each = It->second;
+  if (Each.Sent >= Opts.Probes && isTried(Each, Now))
+    return false;
+  return !isListDoubtful(Now);
+}
+
+bool FleetGossip::isListDoubtful(TimePoint Now) const {
+  if (DoubtfulAt == Now)
+    return IsDoubtful;
+  std::size_t Tried = 0;
+  std::size_t Silent = 0;
+  for (const auto &[Vm, Each] : Listed) {
+    if (!isTried(Each, Now))
+      continue;
+    ++Tried;
+    Silent += hasContact(Vm) ? 0 : 1;
+  }
+  DoubtfulAt = Now;
+  IsDoubtful = Tried >= Opts.MinTried && 2 * Silent > Tried;
+  return IsDoubtful;
+}
+
+bool FleetGossip::hasRecentContact(const std::string &Vm, TimePoint Now) const {
+  auto Contact = ContactAt.find(Vm);
+  return Contact != ContactAt.end() &&
+         Now - Contact->second < Opts.ContactMemory;
+}
+
+std::vector<VmEntry> FleetGossip::recentlyHeardOf(TimePoint Now) const {
+  std::vector<VmEntry> Out;
+  for (const VmEntry *Entry : Members.usableEntries())
+    if (Entry->Vm == Opts.OwnVm || hasRecentContact(Entry->Vm, Now))
+      Out.push_back(*Entry);
+  return Out;
+}
+
+Duration FleetGossip::currentTimeout(TimePoint Now) const {
+  std::size_t Count = 0;
+  for (const VmEntry *Entry : Members.usableEntries())
+    Count += hasRecentContact(Entry->Vm, Now) ||
+                     isListedLive(Entry->Vm, Opts.ContactMemory, Now)
+                 ? 1
+                 : 0;
+  return timeoutFor(Count);
 }
 
 bool FleetGossip::isLivePeersOutdated(TimePoint Now) const {
@@ -226,7 +341,7 @@
 
 std::vector<const VmEntry *> FleetGossip::findLivePeers(TimePoint Now) const {
   std::vector<const VmEntry *> Out = Members.usableEntries();
-  Duration Timeout = timeoutFor(Out.size());
+  Duration Timeout = currentTimeout(Now);
   std::erase_if(Out, [&](const VmEntry *Entry) {
     return Entry->Vm == Opts.OwnVm || !isLive(*Entry, Timeout, Now);
   });
--- a/src/Membership/FleetGossip.h
+++ b/src/Membership/FleetGossip.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -23,10 +24,13 @@
 /// A VM sends at most HelloFanout hellos in a HelloInterval, whatever the size
 /// of the fleet. Each contains the contact ages of some VMs and the entries
 /// that have changed, so that both spread in a number of intervals that grows
-/// with the logarithm of the fleet. A VM that starts contacts a bounded number
-/// of the VMs that the store lists, and takes all of them for live at first, so
-/// that all VMs that start together agree on the fleet. A VM of which only the
-/// hash is known is learned from a peer's whole list, see isIncomplete().
+/// with the logarithm of the fleet. A VM that starts takes all VMs that the
+/// store lists for live at first, so that all VMs that start together agree on
+/// the fleet. The list may also have many VMs that are gone for good: the VM
+/// sends hellos to all that it has not heard of otherwise, those that started
+/// last first, and no longer takes for live which of them do not reply, and
+/// those that it has not come to yet once most do not reply. A VM of which only
+/// the hash is known is learned from a peer's whole list, see isIncomplete().
 /// Performs no input or output and reads no clock. All functions cost
 /// O(VMs), livePeers() only when the list is made again. Not thread safe.
 class FleetGossip {
@@ -52,6 +56,21 @@
     Duration NewsPeriod = std::chrono::seconds(3);
     /// Maximum number of listed VMs that get a hello at the start.
     std::size_t FirstHellos = 16;
+    /// Maximum number of listed VMs in each call of chooseProbes(), how often
+    /// each gets a hello before it counts as silent, and the time between these
+    /// hellos.
+    std::size_t ProbesAtOnce = 16;
+    unsigned Probes = 2;
+    Duration ProbeInterval = std::chrono::milliseconds(400);
+    /// Time after the first hello to a listed VM at which it counts as silent
+    /// if nothing was heard of it.
+    Duration ReplyTimeout = std::chrono::milliseconds(1200);
+    /// Number of listed VMs that must have been tried before their replies tell
+    /// whether the others are live.
+    std::size_t MinTried = 4;
+    /// Number of listed VMs among which the order of hellos is random, so that
+    /// VMs which start together do not all begin with the same ones.
+    std::size_t ShuffledListed = 64;
     /// Time since the last contact of any VM after which a VM no longer counts
     /// as live, if a VM hears of all others in a HelloInterval. In a larger
     /// fleet the timeout grows in proportion.
@@ -61,6 +80,8 @@
     Duration UnknownTimeout = std::chrono::seconds(2);
     /// Interval at which the list of live peers is renewed.
     Duration LivePeersInterval = std::chrono::milliseconds(250);
+    /// Time for which VMs are remembered for the length of timeouts.
+    Duration ContactMemory = std::chrono::minutes(5);
     RandomSource Random;
   };
 
@@ -70,22 +91,28 @@
   static std::uint32_t hashOf(const std::string &Vm);
 
   /// Records a hello of \p From. Returns whether it should get one in reply:
-  /// if this is the first contact and no hello was sent to it before.
+  /// if it asks for one (\p WantsReply), or if this is the first contact and no
+  /// hello was sent to it before.
   bool recordHello(const VmEntry &From,
                    const std::vector<FleetMention> &Mentions,
-                   const std::vector<ContactAge> &Ages, TimePoint Now);
+                   const std::vector<ContactAge> &Ages, TimePoint Now,
+                   bool WantsReply = false);
   /// Records another message of \p Vm.
   void recordContact(const std::string &Vm, TimePoint Now);
   /// Records the VMs that the store or a peer lists, and returns those to send
   /// a hello to.
   std::vector<VmEntry> recordListed(const std::vector<VmEntry> &Listed,
                                     TimePoint Now);
-  /// Records that a hello was sent to \p Vm.
-  void recordSent(const std::string &Vm) { Greeted.insert(Vm); }
+  /// Records that a hello was sent to \p Vm, which asks for a reply unless
+  /// hasContact().
+  void recordSent(const std::string &Vm, TimePoint Now);
 
   /// Returns the VMs that get the hellos of one HelloInterval, or the news that
   /// this VM has: a random choice, mostly of this failure domain.
   std::vector<VmEntry> chooseRecipients(TimePoint Now) const;
+  /// Returns the listed VMs that get a hello now because nothing was heard of
+  /// them yet.
+  std::vector<VmEntry> chooseProbes(TimePoint Now);
   /// Returns the changed entries that the next hello contains.
   std::vector<FleetMention> chooseMentions(TimePoint Now);
   /// Returns the contact ages that the next hello contains: a random choice of
@@ -108,14 +135,39 @@
   /// missing.
   const std::string *findName(std::uint32_t VmHash) const;
   const MemberTable &members() const { return Members; }
+  /// Returns the usable VMs that any VM had contact with in ContactMemory.
+  std::vector<VmEntry> recentlyHeardOf(TimePoint Now) const;
 
 private:
+  /// A VM that the store or a peer has listed.
+  struct Listing {
+    TimePoint At;
+    /// Hellos sent to it, and when the first and the last one were.
+    unsigned Sent = 0;
+    TimePoint FirstSentAt;
+    TimePoint LastSentAt;
+  };
+
+  bool hasRecentContact(const std::string &Vm, TimePoint Now) const;
+  /// Returns whether a listed VM of which nothing was heard counts as live.
+  bool isListedLive(const std::string &Vm, Duration Timeout,
+                    TimePoint Now) const;
+  /// Returns whether most of the listed VMs that were tried are silent.
+  bool isListDoubtful(TimePoint Now) const;
+  bool isTried(const Listing &Each, TimePoint Now) const {
+    return Each.Sent > 0 && Now - Each.FirstSentAt >= Opts.ReplyTimeout;
+  }
+  /// Sorts VMs by their start, the last one first, in a random order within
+  /// each ShuffledListed.
+  void sortByStart(std::vector<VmEntry> &Entries) const;
   /// Adds \p Entry to the table. Returns whether that changed it.
   bool merge(const VmEntry &Entry);
   bool isLive(const VmEntry &Entry, Duration Timeout, TimePoint Now) const;
   /// Returns the time since the last contact after which one of \p Count VMs no
   /// longer counts as live.
   Duration timeoutFor(std::size_t Count) const;
+  /// Likewise, for the VMs that are heard of or may be.
+  Duration currentTimeout(TimePoint Now) const;
   bool isLivePeersOutdated(TimePoint Now) const;
   std::vector<const VmEntry *> findLivePeers(TimePoint Now) const;
   /// Returns the usable VMs that do not count as live.
@@ -134,8 +186,10 @@
   std::unordered_map<std::uint32_t, std::string> NamesByHash;
   /// Last contact of any VM with each VM.
   std::unordered_map<std::string, TimePoint> ContactAt;
-  /// When the VMs that are only listed were listed.
-  std::unordered_map<std::string, TimePoint> ListedAt;
+  /// The VMs that were listed, and what was done to hear of them.
+  std::unordered_map<std::string, Listing> Listed;
+  /// Listed VMs that may still need a hello, in the order in which they get it.
+  std::vector<std::string> Probing;
   /// VMs that a hello was sent to.
   std::set<std::string> Greeted;
   /// Changed entries: when this VM learned of the change, by VM.
@@ -147,6 +201,9 @@
   mutable TimePoint LivePeersAt;
   mutable std::uint64_t LiveMembersVersion = 0;
   mutable std::uint64_t LiveVersion = 0;
+  /// The last result of isListDoubtful(), and of when it is.
+  mutable bool IsDoubtful = false;
+  mutable std::optional<TimePoint> DoubtfulAt;
 };
 
 } // namespace cicadawind
--- a/test/Exchange/ConfigFleet.cpp
+++ b/test/Exchange/ConfigFleet.cpp
@@ -195,9 +195,12 @@
 }
 
 void ConfigFleet::sendHello(std::size_t From, std::size_t To) {
-  Vms[From].Gossip->recordSent(Vms[To].Entry.Vm);
+  FleetGossip &Gossip = *Vms[From].Gossip;
+  Gossip.recordSent(Vms[To].Entry.Vm, Now);
+  Hello Sent = helloOf(From);
+  Sent.WantsReply = !Gossip.hasContact(Vms[To].Entry.Vm);
   atVm(To, Now + latency(From, To),
-       [this, To, Sent = helloOf(From)] { receive(To, Sent); });
+       [this, To, Sent = std::move(Sent)] { receive(To, Sent); });
 }
 
 void ConfigFleet::announce(std::size_t Index) {
@@ -208,7 +211,8 @@
 void ConfigFleet::receive(std::size_t Index, const Hello &Received) {
   Vm &Self = Vms[Index];
   const VmEntry &From = Vms[Received.From].Entry;
-  if (Self.Gossip->recordHello(From, Received.Mentions, Received.Ages, Now))
+  if (Self.Gossip->recordHello(From, Received.Mentions, Received.Ages, Now,
+                               Received.WantsReply))
     sendHello(Index, Received.From);
   for (const ContactAge &Each : Received.StoreReads)
     Self.Readers->recordRead(Each.VmHash, Now - Each.Age);
--- a/test/Exchange/ConfigFleet.h
+++ b/test/Exchange/ConfigFleet.h
@@ -71,6 +71,7 @@
     std::vector<FleetMention> Mentions;
     std::vector<ContactAge> Ages;
     std::vector<ContactAge> StoreReads;
+    bool WantsReply = false;
   };
   struct Use {
     std::uint64_t Version = 0;
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -40,6 +40,16 @@
 
 // An age must not become smaller, or VMs would keep each other's belief in a VM
 // that is gone.
+BOOST_AUTO_TEST_CASE(aHelloMayAskForAReply) {
+  for (bool Wanted : {true, false}) {
+    PeerHello Hello;
+    Hello.WantsReply = Wanted;
+    Result<PeerMessage> Read = decodePeerMessage(encodePeerMessage(Hello));
+    BOOST_REQUIRE(!errorOf(Read));
+    BOOST_TEST(std::get<PeerHello>(valueOf(Read)).WantsReply == Wanted);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(contactAgesAreRoundedUpAndTheLargestAreLeftOut) {
   PeerHello Hello;
   Hello.Ages = {{.VmHash = 1, .Age = Millis(0)},
--- a/test/Membership/FleetGossipTest.cpp
+++ b/test/Membership/FleetGossipTest.cpp
@@ -51,12 +51,13 @@
   void send(std::size_t From, const VmEntry &To) {
     std::size_t I = std::stoul(To.Vm.substr(3));
     ++Hellos;
-    Vms[From]->recordSent(To.Vm);
+    Vms[From]->recordSent(To.Vm, Now);
     if (IsDown[I])
       return;
     FleetGossip &Sender = *Vms[From];
+    bool WantsReply = !Sender.hasContact(To.Vm);
     if (Vms[I]->recordHello(Entries[From], Sender.chooseMentions(Now),
-                            Sender.chooseAges(Now), Now))
+                            Sender.chooseAges(Now), Now, WantsReply))
       send(I, Entries[From]);
     if (Vms[I]->isIncomplete(Now)) {
       ++Fetches;
@@ -73,6 +74,27 @@
           send(I, To);
     return Hellos;
   }
+  /// Runs for \p Time, which ends each HelloInterval with a round, and returns
+  /// the number of hellos to listed VMs that were not heard of.
+  std::size_t runProbes(Duration Time) {
+    std::size_t Probes = 0;
+    TimePoint NextRound = Now + HelloInterval;
+    for (TimePoint End = Now + Time; Now < End;) {
+      Now += milliseconds(100);
+      for (std::size_t I = 0; I < Vms.size(); ++I)
+        if (!IsDown[I])
+          for (const VmEntry &To : Vms[I]->chooseProbes(Now)) {
+            send(I, To);
+            ++Probes;
+          }
+      if (Now < NextRound)
+        continue;
+      NextRound = Now + HelloInterval;
+      Now -= HelloInterval;
+      runRound();
+    }
+    return Probes;
+  }
   /// Returns the smallest number of live peers that a running VM knows.
   std::size_t fewestLive() const {
     std::size_t Fewest = Vms.size();
@@ -215,6 +237,58 @@
   BOOST_TEST(Fleet.mostLive() == 10);
 }
 
+// review/9: entries outlive their VMs, and all counted as live for a minute.
+BOOST_AUTO_TEST_CASE(manyListedVmsThatAreGoneDoNotCountAsLive) {
+  for (std::size_t Gone : {12, 300, 1000})
+    for (bool IsLast : {true, false}) {
+      constexpr std::size_t Running = 3;
+      GossipFleet Fleet(Gone + Running);
+      for (std::size_t I = 0; I < Gone + Running; ++I) {
+        // The VMs that run have started after the others, or before them.
+        bool Runs = I < Running;
+        Fleet.IsDown[I] = !Runs;
+        Fleet.Entries[I].Incarnation = Runs == IsLast ? 2 : 1;
+        Fleet.Entries[I].RouterPeer = "10.0.0.1:" + std::to_string(I);
+      }
+      for (std::size_t I = 0; I < Running; ++I)
+        Fleet.readList(I);
+      std::size_t Sent = Fleet.runProbes(milliseconds(1300));
+      BOOST_TEST_CONTEXT(Gone << " gone, " << IsLast) {
+        BOOST_TEST(Fleet.mostLive() <= Running - 1);
+        Sent += Fleet.runProbes(seconds(15));
+        BOOST_TEST(Fleet.fewestLive() == Running - 1);
+        BOOST_TEST(Fleet.mostLive() == Running - 1);
+        BOOST_TEST(Sent <= Running * 2 * (Gone + Running));
+        BOOST_TEST(Fleet.runProbes(seconds(5)) == 0);
+      }
+    }
+}
+
+// The address of a VM that is gone belongs to another one now.
+BOOST_AUTO_TEST_CASE(aListedVmWhoseAddressAnotherHasIsNotLive) {
+  GossipFleet Fleet(3);
+  Fleet.Entries[1].RouterPeer = Fleet.Entries[2].RouterPeer = "10.0.0.1:1";
+  Fleet.Entries[2].Incarnation = 2;
+  Fleet.IsDown[1] = true;
+  std::vector<VmEntry> First =
+      Fleet.Vms[0]->recordListed(Fleet.Entries, Fleet.Now);
+  BOOST_REQUIRE(First.size() == 1U);
+  BOOST_TEST(First[0].Vm == "vm-2");
+  BOOST_TEST(Fleet.Vms[0]->livePeers(Fleet.Now).size() == 1U);
+}
+
+// VMs that a few listed ones are missing of are still the whole fleet.
+BOOST_AUTO_TEST_CASE(theOthersOfAListCountAsLiveIfFewAreGone) {
+  GossipFleet Fleet(40);
+  for (std::size_t I = 30; I < 40; ++I)
+    Fleet.IsDown[I] = true;
+  Fleet.readList(0);
+  Fleet.runProbes(milliseconds(1300));
+  BOOST_TEST(Fleet.Vms[0]->livePeers(Fleet.Now).size() >= 29U);
+  Fleet.runProbes(seconds(3));
+  BOOST_TEST(Fleet.Vms[0]->livePeers(Fleet.Now).size() == 29U);
+}
+
 BOOST_AUTO_TEST_CASE(aVmThatWasCutOffIsFoundAgain) {
   GossipFleet Fleet(7);
   for (std::size_t I = 0; I < 7; ++I)
