Leave silent VMs out sooner, and remove their entries from the store

VMs that are lost without a word stayed voters for 5 minutes and their entries stayed in the store for good: two VMs of a domain lost one after the other, and a restart of the two that took their places, left no majority. Change: a VM that is silent for 12 s (PeerTimeout and a half) is left out, still only if a majority is reached, and the first live VM of the domain removes its entry. New bound: all VMs but a majority of the rest never are a majority of those known in the last 5 minutes. A VM checks its own entry after a suspension, once it reaches most VMs again, and each 5 minutes, and writes it again if it is missing; these checks are spread.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -39,6 +39,9 @@
 constexpr Duration LeasedLostAfter = std::chrono::milliseconds(450);
 constexpr Duration LeasedVetoWindow = std::chrono::milliseconds(350);
 
+/// Interval at which the entries of VMs in the store are looked after.
+constexpr Duration RegistrationSweepInterval = std::chrono::milliseconds(250);
+
 static RandomSource seededRandom() {
   std::random_device Device;
   std::uint64_t Seed = (static_cast<std::uint64_t>(Device()) << 32) ^ Device();
@@ -155,8 +158,8 @@
       Promotions(Loop, internal::promotionOptions(Opts.Settings), Service,
                  Peers, *Opts.Store, *Opts.Promotions, Meter),
       RateLimits(internal::rateLimitOptions(Opts.Settings), Peers, Meter),
-      Registration(VmRegistration::Options{}, *Opts.Store, *Opts.Listings,
-                   Peers),
+      Registration({.Random = internal::seededRandom()}, *Opts.Store,
+                   *Opts.Listings, Peers),
       Relay(Loop, {.Address = Opts.Settings.BindAddress,
                    .Port = Opts.Settings.RelayPort,
                    .Host = {.Codec = Opts.Codec,
@@ -286,9 +289,9 @@
   Service.sweep(Now);
   Peers.sweep(Now);
   Opts.Listings->setWatching(Peers.mayReadStore(Now));
-  Registration.renewIfRestored(Loop, Service.targetsRevision());
   Promotions.sweep(Now);
   RateLimits.sweep(Now);
+  sweepRegistration(Now);
   // Sessions that this VM relays for other VMs also finish their requests and
   // transactions before it stops, unless the time for the drain has passed.
   bool IsUnused = Relay.busySessions() == 0 && Registration.isWithdrawn();
@@ -296,6 +299,17 @@
     Loop.stop();
 }
 
+void ProxyDaemon::sweepRegistration(TimePoint Now) {
+  Registration.renewIfRestored(Loop, Service.targetsRevision());
+  if (Now < NextRegistrationSweep)
+    return;
+  NextRegistrationSweep = Now + internal::RegistrationSweepInterval;
+  Registration.checkIfDue(Loop, Peers.reachesMajority(Now), Now);
+  bool Removes = Peers.knowsFleet(Now) && Peers.isFirstOfDomain(Now);
+  Registration.removeGone(
+      Loop, Removes ? RateLimits.goneVms(Now) : std::set<std::string>(), Now);
+}
+
 std::unique_ptr<HttpServer> ProxyDaemon::serveHttp(const std::string &Address,
                                                    HttpHandler Handler) {
   return std::make_unique<HttpServer>(Loop, internal::serverOptions(Address),
--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -74,6 +74,8 @@
   /// Serves the active configuration without keys, to operators only.
   HttpResponse showConfig() const;
   void sweep(TimePoint Now);
+  /// Keeps this VM's entry in the store, and removes those of VMs that are gone.
+  void sweepRegistration(TimePoint Now);
 
   boost::asio::io_context &Loop;
   Options Opts;
@@ -93,6 +95,7 @@
   std::filesystem::file_time_type SettingsModifiedAt;
   TimerSubscription SettingsCheckTimer;
   TimerSubscription SweepTimer;
+  TimePoint NextRegistrationSweep;
 };
 
 } // namespace cicadawind
--- a/src/Daemons/RateLimitDriver.cpp
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -16,6 +16,9 @@
 
 static const Log Logger("quota");
 constexpr Duration VotersInterval = std::chrono::milliseconds(500);
+/// Time after the word of a VM that it leaves at which others remove its entry
+/// if it has not done so itself. Longer than a planned stop takes.
+constexpr Duration LeaverRemovalDelay = std::chrono::seconds(20);
 constexpr Duration ReportInterval = std::chrono::seconds(1);
 constexpr Duration OverLimitLogInterval = std::chrono::seconds(10);
 /// Maximum number of accounts that are logged in each interval.
@@ -65,10 +68,11 @@
   Quota.setAccounts(Accounts, BootClock::now());
 }
 
-std::set<std::string> RateLimitDriver::ownVoters(TimePoint Now) const {
+std::set<std::string>
+RateLimitDriver::ofOwnDomain(const std::set<std::string> &Vms) const {
   std::string Domain = Peers.self().FailureDomain;
   std::set<std::string> Out;
-  for (const std::string &Vm : Peers.voters(Now)) {
+  for (const std::string &Vm : Vms) {
     const VmEntry *Entry = Peers.members().find(Vm);
     if (Entry && Entry->FailureDomain == Domain)
       Out.insert(Vm);
@@ -76,6 +80,31 @@
   return Out;
 }
 
+std::set<std::string>
+RateLimitDriver::ownVoters(TimePoint Now,
+                           const VoterList::Lifetimes &Times) const {
+  return ofOwnDomain(Peers.voters(Now, Times));
+}
+
+void RateLimitDriver::updateVoters(TimePoint Now) {
+  // A VM that does not count as live any more, and then some time more.
+  VoterList::Lifetimes Recent{.ForgetAfter = 3 * Peers.peerTimeout(Now) / 2};
+  std::set<std::string> Gone =
+      Peers.departed(Now, QuotaTimes{}.leaverLifetime());
+  std::set<std::string> Remembered = Peers.voters(Now);
+  for (const std::string &Vm : Quota.leftOut())
+    if (Remembered.count(Vm) == 0)
+      Gone.insert(Vm);
+  Quota.setVoters(ownVoters(Now, Recent), Gone);
+}
+
+std::set<std::string> RateLimitDriver::goneVms(TimePoint Now) const {
+  std::set<std::string> Out =
+      ofOwnDomain(Peers.departed(Now, internal::LeaverRemovalDelay));
+  Out.insert(Quota.leftOut().begin(), Quota.leftOut().end());
+  return Out;
+}
+
 void RateLimitDriver::updateFleet(TimePoint Now) {
   if (!Peers.knowsFleet(Now))
     return;
@@ -87,8 +116,7 @@
   if (!IsNew && Now < NextVoters)
     return;
   NextVoters = Now + internal::VotersInterval;
-  Quota.setVoters(ownVoters(Now),
-                  Peers.departed(Now, QuotaTimes{}.leaverLifetime()));
+  updateVoters(Now);
 }
 
 void RateLimitDriver::sweep(TimePoint Now) {
--- a/src/Daemons/RateLimitDriver.h
+++ b/src/Daemons/RateLimitDriver.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 #include "Core/Random.h"
+#include "Leases/VoterList.h"
 #include "Quotas/QuotaService.h"
 
 #include <cstdint>
@@ -41,13 +42,22 @@
   void sweep(TimePoint Now);
   /// Gives up the leases of this VM, because it stops.
   void leave();
+  /// Returns the VMs of the own failure domain whose entries in the store are
+  /// of no use any more: those that have left, and those that a majority of the
+  /// domain has left out because they are silent.
+  std::set<std::string> goneVms(TimePoint Now) const;
 
 private:
   QuotaService::Options quotaOptions(Options Opts);
   /// Passes the fleet on, once it is known.
   void updateFleet(TimePoint Now);
   /// Returns the VMs of the own failure domain that count for a majority.
-  std::set<std::string> ownVoters(TimePoint Now) const;
+  std::set<std::string> ownVoters(TimePoint Now,
+                                  const VoterList::Lifetimes &Times) const;
+  /// Returns those of \p Vms that are of the own failure domain.
+  std::set<std::string> ofOwnDomain(const std::set<std::string> &Vms) const;
+  /// Sets the voters of the own failure domain.
+  void updateVoters(TimePoint Now);
   void reportCounts();
   void logOverLimit(TimePoint Now);
 
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -386,6 +386,15 @@
   updateServicePeers(Now);
 }
 
+bool PeerExchange::isFirstOfDomain(TimePoint Now) const {
+  const std::vector<VmEntry> &Live = livePeers(Now);
+  return !Leaving &&
+         std::none_of(Live.begin(), Live.end(), [this](const VmEntry &Each) {
+           return Each.FailureDomain == Opts.FailureDomain &&
+                  hashText(Each.Vm) < hashText(Opts.Vm);
+         });
+}
+
 void PeerExchange::sendProbes(TimePoint Now) {
   if (Now < NextProbes)
     return;
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -165,6 +165,14 @@
   const std::vector<VmEntry> &livePeers(TimePoint Now) const {
     return Fleet.livePeers(Now);
   }
+  /// Returns the time since the last contact after which a VM no longer counts
+  /// as live.
+  Duration peerTimeout(TimePoint Now) const {
+    return Fleet.currentTimeout(Now);
+  }
+  /// Returns whether this VM comes first among the live VMs of its failure
+  /// domain, so that it does what one of them is enough for.
+  bool isFirstOfDomain(TimePoint Now) const;
   /// Returns a number that increases whenever livePeers() has changed.
   std::uint64_t livePeersVersion() const { return Fleet.liveVersion(); }
   const MemberTable &members() const { return Fleet.members(); }
--- a/src/Exchange/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -21,11 +21,20 @@
 /// Interval at which a planned stop checks whether the registration has ended.
 constexpr Duration RunCheckInterval = std::chrono::milliseconds(20);
 
+/// Returns the incarnation in the entry \p Value of a VM, or 0.
+static std::uint64_t incarnationIn(const std::string &Value) {
+  nlohmann::json Entry = tryParseJson(Value);
+  bool HasIncarnation = Entry.is_object() && Entry.contains("incarnation") &&
+                        Entry["incarnation"].is_number_unsigned();
+  return HasIncarnation ? Entry["incarnation"].get<std::uint64_t>() : 0;
+}
+
 } // namespace internal
 
 VmRegistration::VmRegistration(Options Opts, ObjectStore &Store,
                                ObjectWatcher &Watcher, PeerExchange &Peers)
-    : Opts(Opts), Store(Store), Watcher(Watcher), Peers(Peers) {}
+    : Opts(Opts), Store(Store), Watcher(Watcher), Peers(Peers),
+      Checks({.Random = Opts.Random}) {}
 
 void VmRegistration::recordWrite(const WriteResult &Written) {
   if (Written.Outcome == WriteOutcome::Accepted)
@@ -121,4 +130,78 @@
   spawn(Loop, run());
 }
 
+void VmRegistration::checkIfDue(boost::asio::io_context &Loop,
+                                bool ReachesMajority, TimePoint Now) {
+  if (!Checks.isDue(ReachesMajority, Now) || Running || Leaving)
+    return;
+  Running = true;
+  spawn(Loop, checkEntry());
+}
+
+boost::asio::awaitable<void> VmRegistration::checkEntry() {
+  VmEntry Self = Peers.self();
+  Result<StoredObject> Stored =
+      co_await Store.read(internal::VmsKind, Self.Vm, Opts.CallTimeout);
+  Running = false;
+  if (errorOf(Stored) || valueOf(Stored).Version == EntryVersion)
+    co_return;
+  internal::Logger.warning(
+      "entry of this VM is missing or changed in the store; writing it again",
+      {{"vm", Self.Vm}});
+  EntryVersion.reset();
+  co_await run();
+}
+
+void VmRegistration::removeGone(boost::asio::io_context &Loop,
+                                const std::set<std::string> &Gone,
+                                TimePoint Now) {
+  std::erase_if(GoneVms, [&](const auto &Item) {
+    return Gone.count(Item.first) == 0;
+  });
+  for (const std::string &Vm : Gone)
+    GoneVms.try_emplace(Vm, GoneVm{.Since = Now});
+  if (IsRemovingGone || Leaving || Now < NextRemoval)
+    return;
+  for (const auto &[Vm, Each] : GoneVms) {
+    bool IsDue = Now - Each.Since >= Opts.GoneDelay && Now >= Each.NotBefore;
+    if (!IsDue || Each.IsRemoved)
+      continue;
+    IsRemovingGone = true;
+    NextRemoval = Now + Opts.GoneInterval;
+    return spawn(Loop, removeEntryOf(Vm));
+  }
+}
+
+boost::asio::awaitable<void> VmRegistration::removeEntryOf(std::string Vm) {
+  bool IsRemoved = co_await tryRemoveEntryOf(Vm);
+  IsRemovingGone = false;
+  auto It = GoneVms.find(Vm);
+  if (It == GoneVms.end())
+    co_return;
+  It->second.IsRemoved = IsRemoved;
+  It->second.NotBefore = BootClock::now() + Opts.GoneBackoff;
+}
+
+boost::asio::awaitable<bool> VmRegistration::tryRemoveEntryOf(std::string Vm) {
+  const VmEntry *Known = Peers.members().find(Vm);
+  std::uint64_t Incarnation = Known ? Known->Incarnation : 0;
+  Result<StoredObject> Stored =
+      co_await Store.read(internal::VmsKind, Vm, Opts.CallTimeout);
+  if (errorOf(Stored))
+    co_return false;
+  const StoredObject &Object = valueOf(Stored);
+  if (!Object.exists() || internal::incarnationIn(Object.Value) > Incarnation)
+    co_return true;
+  // The VM may have written its entry since; it holds then.
+  WriteResult Removed = co_await Store.remove(
+      internal::VmsKind, Vm, Object.Version, Opts.CallTimeout);
+  bool IsRemoved = Removed.Outcome == WriteOutcome::Accepted;
+  if (IsRemoved)
+    internal::Logger.info("entry of a VM that is gone removed", {{"gone", Vm}});
+  else
+    internal::Logger.warning("entry of a VM that is gone not removed",
+                             {{"gone", Vm}, {"why", Removed.Message}});
+  co_return IsRemoved || Removed.Outcome == WriteOutcome::Conflict;
+}
+
 } // namespace cicadawind
--- a/src/Exchange/VmRegistration.h
+++ b/src/Exchange/VmRegistration.h
@@ -2,11 +2,16 @@
 #define CICADAWIND_EXCHANGE_VMREGISTRATION_H
 
 #include "Core/Clock.h"
+#include "Core/Random.h"
+#include "Membership/EntryChecks.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -27,9 +32,12 @@
 /// more. Later on they learn of each other through hellos, so the list is read
 /// only once. The entry is written at the start, and again when the store has
 /// come back from an older copy, which may lack it. A planned stop removes it,
-/// so that VMs that start later do not wait for this one. If no call fails,
-/// writing the entry costs one to three calls to the store, removing it one,
-/// and listing one for each page.
+/// so that VMs that start later do not wait for this one. The entries of VMs
+/// that are gone are removed by another VM of their failure domain; since such a
+/// VM may only have been silent, each VM checks its own entry, see EntryChecks.
+/// If no call fails, writing the entry costs one to three calls to the store,
+/// checking or removing it one, removing another VM's two, and listing one for
+/// each page.
 class VmRegistration {
 public:
   struct Options {
@@ -42,6 +50,13 @@
     Duration RemovalTimeout = std::chrono::seconds(1);
     /// How often the removal is tried if the store refuses it.
     unsigned RemovalAttempts = 3;
+    /// Time for which another VM must have been gone before its entry is
+    /// removed, and the minimum time between two removals.
+    Duration GoneDelay = std::chrono::seconds(3);
+    Duration GoneInterval = std::chrono::milliseconds(500);
+    /// Wait after a removal that failed.
+    Duration GoneBackoff = std::chrono::seconds(10);
+    RandomSource Random;
   };
 
   VmRegistration(Options Opts, ObjectStore &Store, ObjectWatcher &Watcher,
@@ -59,8 +74,28 @@
   /// Writes the entry again if \p Revision, the latest revision of the store
   /// that this VM has heard of, is of a later era than the entry.
   void renewIfRestored(boost::asio::io_context &Loop, std::uint64_t Revision);
+  /// Checks whether the entry is still in the store, if due, and writes it again
+  /// if it is not; see EntryChecks. Called often.
+  void checkIfDue(boost::asio::io_context &Loop, bool ReachesMajority,
+                  TimePoint Now);
+  /// Removes the entries of \p Gone, other VMs, one at a time. Called often,
+  /// with all that are gone at that time.
+  void removeGone(boost::asio::io_context &Loop,
+                  const std::set<std::string> &Gone, TimePoint Now);
 
 private:
+  /// Another VM whose entry is to be removed.
+  struct GoneVm {
+    TimePoint Since;
+    TimePoint NotBefore;
+    bool IsRemoved = false;
+  };
+
+  boost::asio::awaitable<void> checkEntry();
+  boost::asio::awaitable<void> removeEntryOf(std::string Vm);
+  /// Returns whether the entry of \p Vm in the store, if there was one, is
+  /// removed or of a later process.
+  boost::asio::awaitable<bool> tryRemoveEntryOf(std::string Vm);
   /// Writes this VM's entry, or replaces the one that exists, and sets
   /// EntryVersion if the store accepted it.
   boost::asio::awaitable<void> writeEntry();
@@ -81,6 +116,11 @@
   /// Version of the entry that the store accepted, packed as in StoreRevision;
   /// empty before that.
   std::optional<std::uint64_t> EntryVersion;
+  EntryChecks Checks;
+  /// VMs that were gone at the last removeGone(), by name.
+  std::map<std::string, GoneVm> GoneVms;
+  bool IsRemovingGone = false;
+  TimePoint NextRemoval;
 };
 
 } // namespace cicadawind
--- a/src/Membership/FleetGossip.h
+++ b/src/Membership/FleetGossip.h
@@ -122,6 +122,9 @@
   /// Returns the VMs with a recent contact, except this one and those that are
   /// leaving.
   const std::vector<VmEntry> &livePeers(TimePoint Now) const;
+  /// Returns the time since the last contact after which a VM no longer counts
+  /// as live.
+  Duration currentTimeout(TimePoint Now) const;
   /// Returns a number that increases whenever livePeers() has changed.
   std::uint64_t liveVersion() const { return LiveVersion; }
   /// Returns whether peers have contact with a VM whose entry is missing here,
@@ -166,8 +169,6 @@
   /// Returns the time since the last contact after which one of \p Count VMs no
   /// longer counts as live.
   Duration timeoutFor(std::size_t Count) const;
-  /// Likewise, for the VMs that are heard of or may be.
-  Duration currentTimeout(TimePoint Now) const;
   bool isLivePeersOutdated(TimePoint Now) const;
   std::vector<const VmEntry *> findLivePeers(TimePoint Now) const;
   /// Returns the usable VMs that do not count as live.
--- a/src/Membership/Membership.h
+++ b/src/Membership/Membership.h
@@ -5,6 +5,7 @@
 #define CICADAWIND_MEMBERSHIP_MEMBERSHIP_H
 
 #include "Membership/ContactAge.h"
+#include "Membership/EntryChecks.h"
 #include "Membership/EvidenceReporters.h"
 #include "Membership/FleetGossip.h"
 #include "Membership/FleetMention.h"
--- a/src/Quotas/Electorate.cpp
+++ b/src/Quotas/Electorate.cpp
@@ -3,6 +3,7 @@
 #include "Quotas/IssuerOrder.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cicadawind {
 
@@ -17,19 +18,40 @@
                         const std::set<std::string> &Live,
                         const std::set<std::string> &Gone) {
   auto IsGone = [&](const std::string &Vm) { return Gone.count(Vm) > 0; };
-  std::set<std::string> Before = Members;
-  std::erase_if(Before, IsGone);
   std::erase_if(Known, IsGone);
   Known.insert(OwnVm);
-  auto Reached = static_cast<std::size_t>(
-      std::count_if(Before.begin(), Before.end(), [&](const std::string &Vm) {
-        return Vm == OwnVm || Live.count(Vm) > 0;
-      }));
-  if (!Before.empty() && Reached < majorityOf(Before.size()))
-    Known.insert(Before.begin(), Before.end());
+  std::erase_if(Absent, [&](const std::string &Vm) {
+    return IsGone(Vm) || Known.count(Vm) > 0;
+  });
+  std::set<std::string> Silent = Members;
+  std::erase_if(Silent, [&](const std::string &Vm) {
+    return IsGone(Vm) || Known.count(Vm) > 0;
+  });
+  if (mayLeaveOut(Silent, Known, Live, Gone))
+    Absent.merge(Silent);
+  else
+    Known.merge(Silent);
   setMembers(std::move(Known));
 }
 
+bool Electorate::mayLeaveOut(const std::set<std::string> &Silent,
+                             const std::set<std::string> &Known,
+                             const std::set<std::string> &Live,
+                             const std::set<std::string> &Gone) const {
+  std::size_t Before = 0;
+  std::size_t Reached = 0;
+  for (const std::string &Vm : Members) {
+    if (Gone.count(Vm) > 0)
+      continue;
+    ++Before;
+    Reached += Vm == OwnVm || Live.count(Vm) > 0 ? 1 : 0;
+  }
+  // All that may be elsewhere while a majority of Known chooses an issuer.
+  std::size_t All = Known.size() + Absent.size() + Silent.size();
+  std::size_t Elsewhere = All - majorityOf(Known.size());
+  return Reached >= majorityOf(Before) && Elsewhere < majorityOf(All);
+}
+
 void Electorate::setMembers(std::set<std::string> Next) {
   if (Next == Members)
     return;
--- a/src/Quotas/Electorate.h
+++ b/src/Quotas/Electorate.h
@@ -18,8 +18,10 @@
 /// merely silent may be cut off, and vote on an issuer of their own: they are
 /// left out only while this VM reaches a majority of those that it knew before,
 /// so that the smaller part of a failure domain never takes itself for the
-/// whole. update() costs O(VMs of the failure domain), votersOf() O(1). Not
-/// thread safe.
+/// whole. VMs that were left out one after the other may meet later, with some
+/// that were not, so all but a majority of the rest never are a majority of
+/// those that this VM has known. update() costs O(VMs of the failure domain),
+/// votersOf() O(1). Not thread safe.
 class Electorate {
 public:
   /// Limits the messages of an issuer in large failure domains.
@@ -32,6 +34,9 @@
   /// nor claim any more.
   void update(std::set<std::string> Known, const std::set<std::string> &Live,
               const std::set<std::string> &Gone = {});
+  /// Returns the VMs that were left out because they are silent, and have
+  /// neither been heard of nor gone since.
+  const std::set<std::string> &absent() const { return Absent; }
   /// Returns the number of VMs of the failure domain; 0 before update().
   std::size_t domainSize() const { return Members.size(); }
   /// Returns the VMs that vote on the issuer of \p Partition, by the order in
@@ -46,10 +51,16 @@
   static std::size_t majorityOf(std::size_t Voters);
 
 private:
+  /// Returns whether \p Silent may be left out, so that \p Known remain.
+  bool mayLeaveOut(const std::set<std::string> &Silent,
+                   const std::set<std::string> &Known,
+                   const std::set<std::string> &Live,
+                   const std::set<std::string> &Gone) const;
   void setMembers(std::set<std::string> Next);
 
   std::string OwnVm;
   std::set<std::string> Members;
+  std::set<std::string> Absent;
   std::array<std::vector<std::string>, QuotaPartitions> Voters;
 };
 
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -69,6 +69,9 @@
   /// ago.
   void setVoters(const std::set<std::string> &OwnDomain,
                  const std::set<std::string> &Gone = {});
+  /// Returns the VMs of the own failure domain that a majority has left out
+  /// because they are silent.
+  const std::set<std::string> &leftOut() const { return Domain.absent(); }
   /// Returns whether an account has a limit.
   bool isActive() const { return IsActive; }
 
--- a/test/Exchange/VmRegistrationTest.cpp
+++ b/test/Exchange/VmRegistrationTest.cpp
@@ -10,6 +10,7 @@
 #include "Exchange/VmRegistration.h"
 #include "Http/HttpClient.h"
 #include "HttpObjectStore.h"
+#include "Membership/VmEntryCodec.h"
 #include "Platform/StoreRevision.h"
 #include "Proxy/ProxyWorld.h"
 
@@ -25,7 +26,9 @@
         Client(Loop, Http,
                {.Address = "127.0.0.1:" + std::to_string(Store.port())}, Meter),
         Peers(Loop, peerOptions(), Http, *Service),
-        Registration({}, Client, Client, Peers) {}
+        Registration({.GoneDelay = std::chrono::milliseconds(50),
+                      .Random = [] { return 4; }},
+                     Client, Client, Peers) {}
 
   static PeerExchange::Options peerOptions() {
     PeerExchange::Options Out;
@@ -106,3 +109,53 @@
   BOOST_TEST(World.runUntil([&] { return World.Registration.isWithdrawn(); }));
   BOOST_TEST(World.isRegistered());
 }
+
+// Otherwise VMs that start later would count it as a voter.
+BOOST_AUTO_TEST_CASE(theEntryOfAVmThatIsGoneIsRemoved) {
+  RegistrationWorld World;
+  VmEntry Gone{.Vm = "vm-7", .FailureDomain = "d1", .Incarnation = 5};
+  World.Peers.contactListed({Gone});
+  World.Store.put("cicadawind-vms", "vm-7", toJson(Gone));
+  TimePoint End = BootClock::now() + std::chrono::milliseconds(40);
+  while (BootClock::now() < End) {
+    World.Registration.removeGone(World.Loop, {"vm-7"}, BootClock::now());
+    World.runFor(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(World.Store.contains("cicadawind-vms", "vm-7"));
+  BOOST_TEST(World.runUntil([&] {
+    World.Registration.removeGone(World.Loop, {"vm-7"}, BootClock::now());
+    return !World.Store.contains("cicadawind-vms", "vm-7");
+  }));
+  World.runFor(std::chrono::milliseconds(600));
+  std::uint64_t Reads = World.Store.Calls["read"];
+  World.Registration.removeGone(World.Loop, {"vm-7"}, BootClock::now());
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(World.Store.Calls["read"] == Reads);
+}
+
+BOOST_AUTO_TEST_CASE(theEntryOfAVmThatHasStartedAgainIsNotRemoved) {
+  RegistrationWorld World;
+  VmEntry Gone{.Vm = "vm-7", .FailureDomain = "d1", .Incarnation = 5};
+  World.Peers.contactListed({Gone});
+  Gone.Incarnation = 6;
+  World.Store.put("cicadawind-vms", "vm-7", toJson(Gone));
+  BOOST_TEST(World.runUntil([&] {
+    World.Registration.removeGone(World.Loop, {"vm-7"}, BootClock::now());
+    return World.Store.Calls["read"] == 1;
+  }));
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(World.Store.contains("cicadawind-vms", "vm-7"));
+}
+
+BOOST_AUTO_TEST_CASE(aVmWhoseEntryWasRemovedWritesItAgain) {
+  RegistrationWorld World;
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  World.runFor(std::chrono::milliseconds(50));
+  World.Store.remove("cicadawind-vms", "vm-1");
+  TimePoint Now = BootClock::now();
+  World.Registration.checkIfDue(World.Loop, true, Now);
+  World.Registration.checkIfDue(World.Loop, true,
+                                Now + std::chrono::minutes(10));
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+}
--- a/test/Quotas/ElectorateTest.cpp
+++ b/test/Quotas/ElectorateTest.cpp
@@ -59,6 +59,37 @@
   BOOST_TEST(Domain.domainSize() == 2);
 }
 
+// VMs that are cut off one after the other may meet later, and would choose an
+// issuer beside that of the rest.
+BOOST_AUTO_TEST_CASE(vmsThatAreLeftOutAreNoMajorityTogether) {
+  for (int Count = 2; Count <= 30; ++Count) {
+    Electorate Domain("v1");
+    Domain.update(vms(1, Count), vms(1, Count));
+    for (int Last = Count - 1; Last >= 1; --Last)
+      Domain.update(vms(1, Last), vms(1, Last));
+    std::size_t Needed = Electorate::majorityOf(Domain.domainSize());
+    std::size_t Others = static_cast<std::size_t>(Count) - Needed;
+    BOOST_TEST(Others < Electorate::majorityOf(static_cast<std::size_t>(Count)),
+               Count << " VMs");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(vmsThatAreLeftOutMayComeBackOrBeGone) {
+  Electorate Domain("v1");
+  Domain.update(vms(1, 6), vms(1, 6));
+  Domain.update(vms(1, 5), vms(1, 5));
+  Domain.update(vms(1, 4), vms(1, 4));
+  BOOST_TEST(Domain.domainSize() == 4);
+  BOOST_TEST(Domain.absent() == vms(5, 6));
+  Domain.update(vms(1, 3), vms(1, 3));
+  BOOST_TEST(Domain.domainSize() == 4);
+  Domain.update(vms(1, 5), vms(1, 5));
+  BOOST_TEST(Domain.domainSize() == 5);
+  BOOST_TEST(Domain.absent() == vms(6, 6));
+  Domain.update(vms(1, 5), vms(1, 5), {"v6"});
+  BOOST_TEST(Domain.absent().empty());
+}
+
 BOOST_AUTO_TEST_CASE(votersAreTheSameForAllVms) {
   Electorate First("v1");
   Electorate Second("v2");
--- a/test/Quotas/QuotaFleet.cpp
+++ b/test/Quotas/QuotaFleet.cpp
@@ -9,9 +9,10 @@
 
 static constexpr Duration SweepInterval = 25ms;
 static constexpr Duration IssuerCheckInterval = 10ms;
-/// Times of the membership, as in FleetGossip and VoterList.
+/// Times of the membership, as in FleetGossip, RateLimitDriver and VoterList.
 static constexpr Duration HelloInterval = 1s;
 static constexpr Duration PeerTimeout = 8s;
+static constexpr Duration LeaveOutAfter = 12s;
 static constexpr Duration ForgetAfter = 5min;
 
 static std::string nameOf(std::size_t Vm) { return "vm" + std::to_string(Vm); }
@@ -121,6 +122,7 @@
 void QuotaFleet::updateFleet(Process &Each) {
   std::vector<VmEntry> Live;
   std::set<std::string> Voters;
+  std::set<std::string> Gone;
   for (std::size_t Vm = 0; Vm < Opts.Vms; ++Vm) {
     bool IsHeard = !Vms[Vm].empty() && Now >= Vms[Vm][0]->SuspendedUntil &&
                    !isCut(Vm, Each.Vm);
@@ -131,11 +133,13 @@
       Live.push_back({.Vm = nameOf(Vm),
                       .FailureDomain = domainName(domainOf(Vm)),
                       .Region = regionName(domainOf(Vm), Opts.Domains)});
-    if (Age < ForgetAfter && domainOf(Vm) == domainOf(Each.Vm))
+    if (Age < LeaveOutAfter && domainOf(Vm) == domainOf(Each.Vm))
       Voters.insert(nameOf(Vm));
+    if (Age >= ForgetAfter && Each.Service->leftOut().count(nameOf(Vm)) > 0)
+      Gone.insert(nameOf(Vm));
   }
   Each.Service->setPeers(Live);
-  Each.Service->setVoters(Voters);
+  Each.Service->setVoters(Voters, Gone);
 }
 
 Duration QuotaFleet::latency(std::size_t From, std::size_t To) {
--- a/test/Quotas/QuotaSchedulesTest.cpp
+++ b/test/Quotas/QuotaSchedulesTest.cpp
@@ -270,6 +270,29 @@
   });
 }
 
+// Each is left out by the rest, which becomes smaller; then they meet.
+BOOST_AUTO_TEST_CASE(vmsThatAreCutOffOneAfterAnotherChooseNoSecondIssuer) {
+  forSeeds(2, [](std::uint64_t Seed) {
+    QuotaFleet Fleet({.Vms = 6,
+                      .Domains = 1,
+                      .Seed = Seed,
+                      .Accounts = {account("a", 5, 0.2)}});
+    Fleet.runFor(3s);
+    for (std::size_t Cut = 6; Cut-- > 2;) {
+      Fleet.cut([Cut](std::size_t Vm) { return Vm == Cut; });
+      Fleet.runFor(15s);
+    }
+    Fleet.healCuts();
+    Fleet.cut([](std::size_t Vm) { return Vm < 2; });
+    Fleet.runFor(30s);
+    BOOST_TEST(Fleet.doubleIssuers() == 0);
+    BOOST_TEST(Fleet.worstExcess(0, Window) <= ClockTolerance);
+    Fleet.healCuts();
+    Fleet.runFor(5s);
+    BOOST_TEST(Fleet.leases() == QuotaPartitions);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(almostNothingBelowTheLimitIsRefusedWithoutAFault) {
   for (unsigned Tolerated : {0U, 20U})
     forSeeds(1, [Tolerated](std::uint64_t Seed) {
--- a/test/System/RateLimitTest.cpp
+++ b/test/System/RateLimitTest.cpp
@@ -102,3 +102,25 @@
     Fleet.start(Vm);
   BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
 }
+
+// Like the one before, but the VMs are killed for good.
+BOOST_AUTO_TEST_CASE(aFleetWhoseVmsWereLostOneByOneIssuesPermits) {
+  LimitedFleet Fleet(4, 2);
+  std::size_t Nobody = Fleet.vms();
+  auto HasAllLeases = [&] { return Fleet.hasAllLeases(Nobody); };
+  BOOST_REQUIRE(Fleet.runUntil(StartTimeout, HasAllLeases));
+  for (std::size_t Old : {0, 1}) {
+    Fleet.start(Old + 2);
+    BOOST_REQUIRE(Fleet.runUntil(StartTimeout, [&] {
+      return Fleet.metric(Old + 2, "permit_leases").has_value();
+    }));
+    BOOST_REQUIRE(Fleet.end(Old, SIGKILL));
+    BOOST_TEST(Fleet.runUntil(SuccessionTimeout, HasAllLeases));
+    BOOST_TEST(Fleet.runUntil(25s, [&] { return !Fleet.isListed(Old); }));
+  }
+  for (std::size_t Vm : {2, 3})
+    BOOST_REQUIRE(Fleet.end(Vm, SIGKILL));
+  for (std::size_t Vm : {2, 3})
+    Fleet.start(Vm);
+  BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
+}
--- a/test/System/RelayedFleet.cpp
+++ b/test/System/RelayedFleet.cpp
@@ -145,6 +145,10 @@
   Processes.at(Index)->signal(Number);
 }
 
+bool RelayedFleet::isListed(std::size_t Index) const {
+  return Store.contains("cicadawind-vms", "vm-" + std::to_string(Index));
+}
+
 void RelayedFleet::start(std::size_t Index) { Processes.at(Index)->start(); }
 
 bool RelayedFleet::end(std::size_t Index, int Number) {
--- a/test/System/RelayedFleet.h
+++ b/test/System/RelayedFleet.h
@@ -58,6 +58,8 @@
                                const std::string &Name) const;
   /// Sends the signal \p Number to the process of the VM \p Index.
   void signal(std::size_t Index, int Number);
+  /// Returns whether the store lists the VM \p Index.
+  bool isListed(std::size_t Index) const;
   /// Starts the process of the VM \p Index, which must not run.
   void start(std::size_t Index);
   /// Sends the signal \p Number to the process of the VM \p Index and runs
