--- a/src/Membership/FleetGossip.cpp
+++ b/src/Membership/FleetGossip.cpp
@@ -24,10 +24,12 @@
         LastAt.try_emplace(Each.RouterPeer, &Each).first->second;
     if (Last == &Each || Each.RouterPeer.empty())
       continue;
-    bool IsLater = Each.Incarnation > Last->Incarnation;
-    Out.insert(IsLater ? Last->Vm : Each.Vm);
-    if (IsLater)
-      Last = &Each;
+    if (Each.Incarnation < Last->Incarnation)
+      Out.insert(Each.Vm);
+    if (Each.Incarnation <= Last->Incarnation)
+      continue;
+    Out.insert(Last->Vm);
+    Last = &Each;
   }
   return Out;
 }
