Count no VM as a voter that was lost right after its start

Change: the entry of a VM that the store did not list before is provisional until the VM has run for 1.5 to 2 s. Provisional VMs of which nothing was heard are no voters of the rate limit, and do not hold back the replacement of a lost primary. A VM that found such entries lists once more after 5 s. VMs that were heard of count as before, provisional or not, and an entry without the field does. Writes are spread over 0.5 s and 5 ms for each VM.

--- a/src/Daemons/ProxyDaemon.cpp
+++ b/src/Daemons/ProxyDaemon.cpp
@@ -304,6 +304,7 @@
   if (Now < NextRegistrationSweep)
     return;
   NextRegistrationSweep = Now + internal::RegistrationSweepInterval;
+  Registration.confirmIfDue(Loop, Now);
   Registration.checkIfDue(Loop, Peers.reachesMajority(Now), Now);
   bool Removes = Peers.knowsFleet(Now) && Peers.isFirstOfDomain(Now);
   Registration.removeGone(
--- a/src/Daemons/RateLimitDriver.cpp
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -88,7 +88,8 @@
 
 void RateLimitDriver::updateVoters(TimePoint Now) {
   // A VM that does not count as live any more, and then some time more.
-  VoterList::Lifetimes Recent{.ForgetAfter = 3 * Peers.peerTimeout(Now) / 2};
+  VoterList::Lifetimes Recent{.ForgetAfter = 3 * Peers.peerTimeout(Now) / 2,
+                              .CountsProvisional = false};
   std::set<std::string> Gone =
       Peers.departed(Now, QuotaTimes{}.leaverLifetime());
   std::set<std::string> Remembered = Peers.voters(Now);
--- a/src/Exchange/PeerExchange.cpp
+++ b/src/Exchange/PeerExchange.cpp
@@ -337,10 +337,13 @@
   for (const VmEntry &Entry : Entries) {
     if (Entry.Vm == Opts.Vm || Fleet.hasContact(Entry.Vm))
       continue;
-    Voters.recordListed(Entry.Vm);
+    Voters.recordListed(Entry.Vm, Entry.Provisional);
     ListedAddresses[Entry.Vm] = Entry.RouterPeer;
   }
-  for (const VmEntry &To : Fleet.recordListed(Entries, Now))
+  std::vector<VmEntry> Known = Entries;
+  for (VmEntry &Each : Known)
+    Each.Provisional = false;
+  for (const VmEntry &To : Fleet.recordListed(Known, Now))
     sendHello(To, Now);
   updateServicePeers(Now);
 }
--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -193,10 +193,15 @@
   std::set<std::string> departed(TimePoint Now, Duration Age) const {
     return Voters.departed(Now, Age);
   }
-  /// Returns whether this VM and its live peers are more than half of voters().
+  /// Returns whether this VM and its live peers are more than half of voters(),
+  /// of which those that had only just started when they were listed count only
+  /// if they were heard of.
   bool reachesMajority(TimePoint Now) const {
-    return 2 * (livePeers(Now).size() + 1) > voters(Now).size();
+    VoterList::Lifetimes Times{.CountsProvisional = false};
+    return 2 * (livePeers(Now).size() + 1) > voters(Now, Times).size();
   }
+  /// Returns whether any VM has reported contact with \p Vm.
+  bool hasHeardOf(const std::string &Vm) const { return Fleet.hasContact(Vm); }
 
 private:
   struct PendingQuery {
--- a/src/Exchange/VmRegistration.cpp
+++ b/src/Exchange/VmRegistration.cpp
@@ -12,6 +12,8 @@
 #include "Platform/ObjectWatcher.h"
 #include "Platform/StoreRevision.h"
 
+#include <algorithm>
+
 namespace cicadawind {
 namespace internal {
 
@@ -29,6 +31,13 @@
   return HasIncarnation ? Entry["incarnation"].get<std::uint64_t>() : 0;
 }
 
+/// Returns whether the entry \p Value of a VM is provisional.
+static bool isProvisional(const std::string &Value) {
+  nlohmann::json Entry = tryParseJson(Value);
+  auto Found = Entry.is_object() ? Entry.find("provisional") : Entry.end();
+  return Found != Entry.end() && Found->is_boolean() && Found->get<bool>();
+}
+
 } // namespace internal
 
 VmRegistration::VmRegistration(Options Opts, ObjectStore &Store,
@@ -41,19 +50,27 @@
     EntryVersion = Written.Version;
 }
 
-boost::asio::awaitable<void> VmRegistration::writeEntry() {
+std::string VmRegistration::entryValue() const {
   VmEntry Self = Peers.self();
-  std::string Value = toJson(Self).dump();
-  WriteResult Created = co_await Store.write(internal::VmsKind, Self.Vm, Value,
-                                             0, Opts.CallTimeout);
+  Self.Provisional = IsProvisional;
+  return toJson(Self).dump();
+}
+
+boost::asio::awaitable<void> VmRegistration::writeEntry() {
+  std::string Vm = Peers.self().Vm;
+  WriteResult Created = co_await Store.write(internal::VmsKind, Vm,
+                                             entryValue(), 0, Opts.CallTimeout);
   recordWrite(Created);
   if (Created.Outcome != WriteOutcome::Conflict)
     co_return;
   Result<StoredObject> Existing =
-      co_await Store.read(internal::VmsKind, Self.Vm, Opts.CallTimeout);
+      co_await Store.read(internal::VmsKind, Vm, Opts.CallTimeout);
   if (errorOf(Existing))
     co_return;
-  recordWrite(co_await Store.write(internal::VmsKind, Self.Vm, Value,
+  // An earlier process of this VM has stayed.
+  if (!internal::isProvisional(valueOf(Existing).Value))
+    IsProvisional = false;
+  recordWrite(co_await Store.write(internal::VmsKind, Vm, entryValue(),
                                    valueOf(Existing).Version,
                                    Opts.CallTimeout));
 }
@@ -63,9 +80,13 @@
   if (errorOf(Listed))
     co_return false;
   std::vector<VmEntry> Entries;
+  Provisional.clear();
+  ListedCount = valueOf(Listed).size();
   for (const auto &[Name, Object] : valueOf(Listed)) {
     try {
       Entries.push_back(vmEntryFrom(parseJson(Object.Value)));
+      if (Entries.back().Provisional)
+        Provisional.insert(Name);
     } catch (const nlohmann::json::exception &E) {
       internal::Logger.warning("malformed entry of a VM in the store ignored",
                                {{"entry", Name}, {"why", E.what()}});
@@ -86,9 +107,65 @@
       co_await sleepFor(Opts.RetryBackoff);
   }
   Running = false;
+  scheduleConfirmation();
   internal::Logger.info("registered", {{"vm", Peers.self().Vm}});
 }
 
+void VmRegistration::scheduleConfirmation() {
+  TimePoint Now = BootClock::now();
+  auto Spread = std::chrono::duration_cast<Duration>(
+      toUnit(Opts.Random()) *
+      (Opts.MinSpread + Opts.SpreadPerVm * ListedCount));
+  if (IsProvisional)
+    ConfirmAt = Now + Opts.ProvisionalTime + Spread;
+  if (!Provisional.empty())
+    RelistAt = Now + Opts.RelistTime + Spread;
+}
+
+void VmRegistration::confirmIfDue(boost::asio::io_context &Loop,
+                                  TimePoint Now) {
+  if (Running || Leaving)
+    return;
+  if (ConfirmAt && Now >= *ConfirmAt) {
+    ConfirmAt.reset();
+    Running = true;
+    spawn(Loop, confirmEntry());
+  } else if (RelistAt && Now >= *RelistAt) {
+    RelistAt.reset();
+    bool HeardOfAll = std::all_of(
+        Provisional.begin(), Provisional.end(), [this](const std::string &Vm) {
+          return Vm == Peers.self().Vm || Peers.hasHeardOf(Vm);
+        });
+    if (HeardOfAll)
+      return;
+    Running = true;
+    spawn(Loop, listAgain());
+  }
+}
+
+boost::asio::awaitable<void> VmRegistration::confirmEntry() {
+  IsProvisional = false;
+  WriteResult Written =
+      co_await Store.write(internal::VmsKind, Peers.self().Vm, entryValue(),
+                           *EntryVersion, Opts.CallTimeout);
+  recordWrite(Written);
+  Running = false;
+  if (Written.Outcome == WriteOutcome::Conflict) {
+    EntryVersion.reset();
+    co_await run();
+  } else if (Written.Outcome != WriteOutcome::Accepted) {
+    internal::Logger.warning("entry of this VM not confirmed in the store; "
+                             "retrying",
+                             {{"why", Written.Message}});
+    ConfirmAt = BootClock::now() + Opts.ProvisionalTime;
+  }
+}
+
+boost::asio::awaitable<void> VmRegistration::listAgain() {
+  co_await contactListed();
+  Running = false;
+}
+
 boost::asio::awaitable<void> VmRegistration::withdraw() {
   if (std::exchange(Leaving, true))
     co_return;
@@ -155,9 +232,8 @@
 void VmRegistration::removeGone(boost::asio::io_context &Loop,
                                 const std::set<std::string> &Gone,
                                 TimePoint Now) {
-  std::erase_if(GoneVms, [&](const auto &Item) {
-    return Gone.count(Item.first) == 0;
-  });
+  std::erase_if(GoneVms,
+                [&](const auto &Item) { return Gone.count(Item.first) == 0; });
   for (const std::string &Vm : Gone)
     GoneVms.try_emplace(Vm, GoneVm{.Since = Now});
   if (IsRemovingGone || Leaving || Now < NextRemoval)
@@ -193,8 +269,8 @@
   if (!Object.exists() || internal::incarnationIn(Object.Value) > Incarnation)
     co_return true;
   // The VM may have written its entry since; it holds then.
-  WriteResult Removed = co_await Store.remove(
-      internal::VmsKind, Vm, Object.Version, Opts.CallTimeout);
+  WriteResult Removed = co_await Store.remove(internal::VmsKind, Vm,
+                                              Object.Version, Opts.CallTimeout);
   bool IsRemoved = Removed.Outcome == WriteOutcome::Accepted;
   if (IsRemoved)
     internal::Logger.info("entry of a VM that is gone removed", {{"gone", Vm}});
--- a/src/Exchange/VmRegistration.h
+++ b/src/Exchange/VmRegistration.h
@@ -33,8 +33,15 @@
 /// only once. The entry is written at the start, and again when the store has
 /// come back from an older copy, which may lack it. A planned stop removes it,
 /// so that VMs that start later do not wait for this one. The entries of VMs
-/// that are gone are removed by another VM of their failure domain; since such a
-/// VM may only have been silent, each VM checks its own entry, see EntryChecks.
+/// that are gone are removed by another VM of their failure domain; since such
+/// a VM may only have been silent, each VM checks its own entry, see
+/// EntryChecks.
+///
+/// A VM that the store did not list before is provisional there at first, and
+/// writes its entry again once it has run for ProvisionalTime: VMs that were
+/// started and soon lost are no voters for those that start later. A VM that
+/// was listed with provisional VMs of which nothing was heard lists once more.
+///
 /// If no call fails, writing the entry costs one to three calls to the store,
 /// checking or removing it one, removing another VM's two, and listing one for
 /// each page.
@@ -56,6 +63,13 @@
     Duration GoneInterval = std::chrono::milliseconds(500);
     /// Wait after a removal that failed.
     Duration GoneBackoff = std::chrono::seconds(10);
+    /// Time after its registration at which a provisional entry is confirmed,
+    /// and after which the VMs are listed once more. Both are spread over
+    /// MinSpread, and over SpreadPerVm for each VM that the store lists.
+    Duration ProvisionalTime = std::chrono::milliseconds(1500);
+    Duration RelistTime = std::chrono::seconds(5);
+    Duration MinSpread = std::chrono::milliseconds(500);
+    Duration SpreadPerVm = std::chrono::milliseconds(5);
     RandomSource Random;
   };
 
@@ -74,10 +88,13 @@
   /// Writes the entry again if \p Revision, the latest revision of the store
   /// that this VM has heard of, is of a later era than the entry.
   void renewIfRestored(boost::asio::io_context &Loop, std::uint64_t Revision);
-  /// Checks whether the entry is still in the store, if due, and writes it again
-  /// if it is not; see EntryChecks. Called often.
+  /// Checks whether the entry is still in the store, if due, and writes it
+  /// again if it is not; see EntryChecks. Called often.
   void checkIfDue(boost::asio::io_context &Loop, bool ReachesMajority,
                   TimePoint Now);
+  /// Confirms a provisional entry, and lists the VMs once more, if due. Called
+  /// often.
+  void confirmIfDue(boost::asio::io_context &Loop, TimePoint Now);
   /// Removes the entries of \p Gone, other VMs, one at a time. Called often,
   /// with all that are gone at that time.
   void removeGone(boost::asio::io_context &Loop,
@@ -91,6 +108,12 @@
     bool IsRemoved = false;
   };
 
+  /// Returns this VM's entry as it is to be in the store.
+  std::string entryValue() const;
+  /// Sets when to confirm the entry and when to list again.
+  void scheduleConfirmation();
+  boost::asio::awaitable<void> confirmEntry();
+  boost::asio::awaitable<void> listAgain();
   boost::asio::awaitable<void> checkEntry();
   boost::asio::awaitable<void> removeEntryOf(std::string Vm);
   /// Returns whether the entry of \p Vm in the store, if there was one, is
@@ -117,6 +140,12 @@
   /// empty before that.
   std::optional<std::uint64_t> EntryVersion;
   EntryChecks Checks;
+  bool IsProvisional = true;
+  std::size_t ListedCount = 0;
+  /// Listed VMs that were provisional.
+  std::set<std::string> Provisional;
+  std::optional<TimePoint> ConfirmAt;
+  std::optional<TimePoint> RelistAt;
   /// VMs that were gone at the last removeGone(), by name.
   std::map<std::string, GoneVm> GoneVms;
   bool IsRemovingGone = false;
--- a/src/Leases/VoterList.cpp
+++ b/src/Leases/VoterList.cpp
@@ -34,7 +34,9 @@
   Each.SeenAt = std::max(Each.SeenAt.value_or(Now), ContactAt);
 }
 
-void VoterList::recordListed(const std::string &Vm) { Entries.try_emplace(Vm); }
+void VoterList::recordListed(const std::string &Vm, bool IsProvisional) {
+  Entries[Vm].IsProvisional = IsProvisional;
+}
 
 bool VoterList::counts(const Entry &Each, TimePoint Now,
                        const Lifetimes &Times) const {
@@ -42,6 +44,8 @@
     return Now - *Each.LeavingSince < Times.LeavingLifetime;
   if (Each.SeenAt)
     return Now - *Each.SeenAt < Times.ForgetAfter;
+  if (Each.IsProvisional && !Times.CountsProvisional)
+    return false;
   return !FirstContactAt || Now - *FirstContactAt < Times.ListedLifetime;
 }
 
--- a/src/Leases/VoterList.h
+++ b/src/Leases/VoterList.h
@@ -31,6 +31,9 @@
     /// the first contact with any peer. Peers name the VMs that they know
     /// meanwhile; the store also lists VMs that are gone for good.
     Duration ListedLifetime = std::chrono::seconds(10);
+    /// Whether a VM counts that is only listed, and had only just started when
+    /// it wrote its entry.
+    bool CountsProvisional = true;
   };
   struct Options {
     std::string OwnVm;
@@ -48,8 +51,8 @@
   /// Records whether \p Vm, whose entry a peer sent, has announced that it
   /// leaves.
   void recordLeaving(const std::string &Vm, bool IsLeaving, TimePoint Now);
-  /// Records that the store lists \p Vm.
-  void recordListed(const std::string &Vm);
+  /// Records that the store lists \p Vm; see VmEntry::Provisional.
+  void recordListed(const std::string &Vm, bool IsProvisional = false);
 
   /// Returns the names of the VMs that count, including this one.
   std::set<std::string> voters(TimePoint Now) const {
@@ -66,6 +69,7 @@
     /// Last contact of any VM, or when a peer first named the VM.
     std::optional<TimePoint> SeenAt;
     std::optional<TimePoint> LeavingSince;
+    bool IsProvisional = false;
   };
 
   bool counts(const Entry &Each, TimePoint Now, const Lifetimes &Times) const;
--- a/src/Membership/VmEntry.h
+++ b/src/Membership/VmEntry.h
@@ -22,6 +22,9 @@
   /// increased while they run if a peer holds an entry that supersedes the
   /// VM's own.
   std::uint64_t Incarnation = 0;
+  /// Whether the VM had only just started when it wrote its entry into the
+  /// store, and may not have stayed. Not part of what VMs tell each other.
+  bool Provisional = false;
 
   bool operator==(const VmEntry &) const = default;
 };
--- a/src/Membership/VmEntryCodec.cpp
+++ b/src/Membership/VmEntryCodec.cpp
@@ -5,13 +5,16 @@
 namespace cicadawind {
 
 nlohmann::json toJson(const VmEntry &Entry) {
-  return {{"vm", Entry.Vm},
-          {"failure_domain", Entry.FailureDomain},
-          {"region", Entry.Region},
-          {"router", Entry.RouterPeer},
-          {"pooler", Entry.PoolerPeer},
-          {"state", Entry.Leaving ? "leaving" : "live"},
-          {"incarnation", Entry.Incarnation}};
+  nlohmann::json Out{{"vm", Entry.Vm},
+                     {"failure_domain", Entry.FailureDomain},
+                     {"region", Entry.Region},
+                     {"router", Entry.RouterPeer},
+                     {"pooler", Entry.PoolerPeer},
+                     {"state", Entry.Leaving ? "leaving" : "live"},
+                     {"incarnation", Entry.Incarnation}};
+  if (Entry.Provisional)
+    Out["provisional"] = true;
+  return Out;
 }
 
 VmEntry vmEntryFrom(const nlohmann::json &Json) {
@@ -23,6 +26,7 @@
   Json.at("pooler").get_to(Entry.PoolerPeer);
   Entry.Leaving = Json.at("state") == "leaving";
   Entry.Incarnation = Json.value("incarnation", std::uint64_t{0});
+  Entry.Provisional = Json.value("provisional", false);
   return Entry;
 }
 
--- a/test/Exchange/VmRegistrationTest.cpp
+++ b/test/Exchange/VmRegistrationTest.cpp
@@ -10,6 +10,7 @@
 #include "Exchange/VmRegistration.h"
 #include "Http/HttpClient.h"
 #include "HttpObjectStore.h"
+#include "LoopRunner.h"
 #include "Membership/VmEntryCodec.h"
 #include "Platform/StoreRevision.h"
 #include "Proxy/ProxyWorld.h"
@@ -27,6 +28,9 @@
                {.Address = "127.0.0.1:" + std::to_string(Store.port())}, Meter),
         Peers(Loop, peerOptions(), Http, *Service),
         Registration({.GoneDelay = std::chrono::milliseconds(50),
+                      .ProvisionalTime = std::chrono::milliseconds(100),
+                      .RelistTime = std::chrono::milliseconds(200),
+                      .MinSpread = std::chrono::milliseconds(10),
                       .Random = [] { return 4; }},
                      Client, Client, Peers) {}
 
@@ -37,6 +41,19 @@
     Out.Random = [] { return 4; };
     return Out;
   }
+  /// Runs the registration until \p Condition holds.
+  bool registerUntil(const std::function<bool()> &Condition) {
+    return runUntil([&] {
+      Registration.confirmIfDue(Loop, BootClock::now());
+      return Condition();
+    });
+  }
+  /// Returns whether the entry of \p Vm in the store is provisional.
+  bool isProvisional(const char *Vm = "vm-1") {
+    Result<StoredObject> Stored =
+        runOn(Loop, Client.read("cicadawind-vms", Vm, std::chrono::seconds(1)));
+    return valueOf(Stored).Value.find("provisional") != std::string::npos;
+  }
   bool isRegistered() const { return Store.contains("cicadawind-vms", "vm-1"); }
 
   emulator::EmulatedStore Store;
@@ -159,3 +176,52 @@
                                 Now + std::chrono::minutes(10));
   BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
 }
+
+// review/9: VMs that are lost right after their start are no voters.
+BOOST_AUTO_TEST_CASE(anEntryIsProvisionalUntilItsVmHasStayed) {
+  RegistrationWorld World;
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.isRegistered(); }));
+  BOOST_TEST(World.isProvisional());
+  World.Store.Faults.Refusal = 503;
+  World.registerUntil([&] { return World.Store.Calls["write"] == 2; });
+  World.Store.Faults.Refusal = 0;
+  std::uint64_t Writes = World.Store.Calls["write"];
+  BOOST_TEST(
+      World.registerUntil([&] { return World.Store.Calls["write"] > Writes; }));
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(!World.isProvisional());
+}
+
+BOOST_AUTO_TEST_CASE(aVmThatStartsAgainIsNotProvisional) {
+  RegistrationWorld World;
+  World.Store.put("cicadawind-vms", "vm-1", toJson(VmEntry{.Vm = "vm-1"}));
+  spawn(World.Loop, World.Registration.run());
+  BOOST_TEST(World.runUntil([&] { return World.Store.Calls["write"] == 2; }));
+  World.runFor(std::chrono::milliseconds(50));
+  BOOST_TEST(!World.isProvisional());
+}
+
+// It may have been confirmed since, and count as a voter.
+BOOST_AUTO_TEST_CASE(vmsAreListedAgainIfAProvisionalOneWasNotHeardOf) {
+  for (bool Listed : {true, false}) {
+    RegistrationWorld World;
+    if (Listed)
+      World.Store.put("cicadawind-vms", "vm-7",
+                      toJson(VmEntry{.Vm = "vm-7", .Provisional = true}));
+    auto Voters = [&] {
+      return World.Peers.voters(BootClock::now(), {.CountsProvisional = false})
+          .size();
+    };
+    spawn(World.Loop, World.Registration.run());
+    BOOST_TEST(World.runUntil([&] { return World.Store.Calls["list"] == 1; }));
+    World.runFor(std::chrono::milliseconds(50));
+    BOOST_TEST(Voters() == 1U);
+    if (Listed)
+      World.Store.put("cicadawind-vms", "vm-7", toJson(VmEntry{.Vm = "vm-7"}));
+    TimePoint End = BootClock::now() + std::chrono::milliseconds(600);
+    World.registerUntil([&] { return BootClock::now() > End; });
+    BOOST_TEST(World.Store.Calls["list"] == (Listed ? 2U : 1U));
+    BOOST_TEST(Voters() == (Listed ? 2U : 1U));
+  }
+}
--- a/test/Leases/VoterListTest.cpp
+++ b/test/Leases/VoterListTest.cpp
@@ -26,6 +26,20 @@
   BOOST_TEST(List.voters(at(81)).count("v2") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(provisionalVmsThatAreOnlyListedMayBeLeftOut) {
+  VoterList List({.OwnVm = "v1"});
+  VoterList::Lifetimes Times{.CountsProvisional = false};
+  List.recordListed("v2", true);
+  List.recordListed("v3", false);
+  BOOST_TEST(List.voters(at(0)).size() == 3);
+  BOOST_TEST(List.voters(at(0), Times).count("v2") == 0);
+  List.recordListed("v2", false);
+  BOOST_TEST(List.voters(at(0), Times).size() == 3);
+  List.recordListed("v4", true);
+  List.recordContact("v4", false, at(1));
+  BOOST_TEST(List.voters(at(1), Times).count("v4") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(departedVmsAnnouncedItLongAgoAndHaveNotStartedAgain) {
   VoterList List({.OwnVm = "v1"});
   List.recordNamed("v2", at(0), at(0));
--- a/test/System/RateLimitTest.cpp
+++ b/test/System/RateLimitTest.cpp
@@ -22,10 +22,12 @@
 
 /// Processes whose configuration has an account with a limit.
 struct LimitedFleet : RelayedFleet {
-  explicit LimitedFleet(std::size_t Vms = 6, std::size_t Started = 6)
+  explicit LimitedFleet(std::size_t Vms = 6, std::size_t Started = 6,
+                        std::size_t LostVms = 0)
       : RelayedFleet({.Programs = textFlag("programs", "build"),
                       .Vms = Vms,
                       .Started = Started,
+                      .LostVms = LostVms,
                       .Accounts =
                           R"([{"name":"a","apiKeys":["k"],"ratePerS":50,)"
                           R"("burst":50}])"}) {}
@@ -124,3 +126,15 @@
     Fleet.start(Vm);
   BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
 }
+
+// review/9, with accounts that have a limit: VMs that were lost right after
+// their start are no voters.
+BOOST_AUTO_TEST_CASE(aFleetIssuesPermitsBesideManyVmsThatWereLostAtTheirStart) {
+  LimitedFleet Fleet(1, 1, 1000);
+  std::size_t Nobody = Fleet.vms();
+  auto HasAllLeases = [&] { return Fleet.hasAllLeases(Nobody); };
+  BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
+  BOOST_REQUIRE(Fleet.end(0, SIGKILL));
+  Fleet.start(0);
+  BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
+}
--- a/test/System/RelayedFleet.cpp
+++ b/test/System/RelayedFleet.cpp
@@ -4,6 +4,7 @@
 #include "System/RelayedFleet.h"
 
 #include "EntryDecoders.h"
+#include "Membership/VmEntryCodec.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -45,6 +46,7 @@
       std::make_unique<TcpRelay>(Loop, tcpEndpoint("127.0.0.1", StorePort),
                                  tcpEndpoint("127.0.0.1", Store.port()));
   addDatabase();
+  listLostVms(Opts.LostVms, PeerPort);
   std::vector<std::string> Seeds;
   for (std::size_t I = 0; I < Opts.Vms; ++I)
     Seeds.push_back(relayAddress(I) + ":" + std::to_string(PeerPort));
@@ -69,6 +71,21 @@
   }
 }
 
+void RelayedFleet::listLostVms(std::size_t Count, int PeerPort) {
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::string Address = "127.0." + std::to_string(100 + I / 200) + "." +
+                          std::to_string(1 + I % 200) + ":";
+    VmEntry Lost{.Vm = "lost-" + std::to_string(I),
+                 .FailureDomain = "d1",
+                 .Region = "r1",
+                 .RouterPeer = Address + std::to_string(PeerPort),
+                 .PoolerPeer = Address + std::to_string(PeerPort + 1),
+                 .Incarnation = 1 + I,
+                 .Provisional = true};
+    Store.put("cicadawind-vms", Lost.Vm, toJson(Lost));
+  }
+}
+
 std::string RelayedFleet::addDatabase() {
   ++Version;
   nlohmann::json Routes = nlohmann::json::array();
--- a/test/System/RelayedFleet.h
+++ b/test/System/RelayedFleet.h
@@ -35,6 +35,9 @@
     /// Number of VMs, the first ones, that start at once; the others wait for
     /// start().
     std::size_t Started = 6;
+    /// Number of VMs that the store lists and that were lost right after their
+    /// start. Their addresses refuse connections.
+    std::size_t LostVms = 0;
     /// JSON list of the client accounts of the configuration; empty if it does
     /// not tell accounts apart.
     std::string Accounts;
@@ -74,6 +77,7 @@
   void silenceStore();
 
 private:
+  void listLostVms(std::size_t Count, int PeerPort);
   /// What the VM \p Index listens on, and where others reach it.
   static std::string boundAddress(std::size_t Index);
   static std::string relayAddress(std::size_t Index);
