--- a/src/Daemons/ProxyDaemon.h
+++ b/src/Daemons/ProxyDaemon.h
@@ -74,7 +74,7 @@
   /// Serves the active configuration without keys, to operators only.
   HttpResponse showConfig() const;
   void sweep(TimePoint Now);
-  /// Keeps this VM's entry in the store, and removes those of VMs that are gone.
+  /// Keeps this VM's entry in the store, and removes those of lost VMs.
   void sweepRegistration(TimePoint Now);
 
   boost::asio::io_context &Loop;
