--- a/src/Exchange/PeerExchange.h
+++ b/src/Exchange/PeerExchange.h
@@ -323,6 +323,7 @@
   /// Responds to an HTTP request of a peer or an operator.
   HttpResponse respond(const HttpRequest &Request);
   HttpResponse stateResponse(const HttpRequest &Request);
+  /// Tells a peer since when targets leave, as far as this VM knows.
   HttpResponse departuresResponse() const;
   /// Asks a live peer since when targets leave, if this VM does not know it.
   void fetchDeparturesIfDue(TimePoint Now);
--- a/src/Exchange/VmRegistration.h
+++ b/src/Exchange/VmRegistration.h
@@ -40,7 +40,8 @@
 /// A VM that the store did not list before is provisional there at first, and
 /// writes its entry again once it has run for ProvisionalTime: VMs that were
 /// started and soon lost are no voters for those that start later. A VM that
-/// was listed with provisional VMs of which nothing was heard lists once more.
+/// finds provisional VMs in the list of which nothing is heard lists once more,
+/// since they may have been confirmed meanwhile.
 ///
 /// If no call fails, writing the entry costs one to three calls to the store,
 /// checking or removing it one, removing another VM's two, and listing one for
@@ -116,8 +117,9 @@
   boost::asio::awaitable<void> listAgain();
   boost::asio::awaitable<void> checkEntry();
   boost::asio::awaitable<void> removeEntryOf(std::string Vm);
-  /// Returns whether the entry of \p Vm in the store, if there was one, is
-  /// removed or of a later process.
+  /// Removes the entry of \p Vm unless it is of a later process than known
+  /// here. Returns whether nothing is left to do: false if the store did not
+  /// answer.
   boost::asio::awaitable<bool> tryRemoveEntryOf(std::string Vm);
   /// Writes this VM's entry, or replaces the one that exists, and sets
   /// EntryVersion if the store accepted it.
