--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -75,6 +75,13 @@
   return nullptr;
 }
 
+LogPosition GroupDispatcher::appliedBy(const std::string &Instance) const {
+  for (const InstanceView &View : Views)
+    if (View.Name == Instance)
+      return View.Applied;
+  return LogPosition();
+}
+
 const TargetEntry *
 GroupDispatcher::findEntry(const std::string &Instance) const {
   const TargetConnections *Links = find(Instance);
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -200,6 +200,9 @@
   /// Returns the entry of \p Instance; null if it is no target of this group.
   const TargetEntry *findEntry(const std::string &Instance) const;
   std::vector<TargetEntry> entries() const;
+  /// Returns the log position that the latest reply of \p Instance stated as
+  /// applied; the lowest one if there is none.
+  LogPosition appliedBy(const std::string &Instance) const;
   const LeavingBound &leavingBound() const { return Bound; }
   /// Returns whether a direct connection to \p Instance could not be opened, or
   /// a request over a direct path timed out, and no direct connection has been
--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -8,6 +8,7 @@
 #include "Observability/Log.h"
 #include "Platform/PromotionService.h"
 #include "Promotion/PromotionTokens.h"
+#include "Promotion/ReservationPlanning.h"
 #include "Proxy/ProxyService.h"
 
 namespace cicadawind {
@@ -70,12 +71,32 @@
   return Out;
 }
 
-PromotionRecord FencedPromotion::latestOf(const std::string &Group,
-                                          const PromotionTurn &Turn) const {
-  auto It = Unordered.find(Group);
-  bool IsUnordered =
-      It != Unordered.end() && It->second.Decision == Turn.Latest;
-  return IsUnordered ? It->second.Before : Turn.Latest;
+bool FencedPromotion::needsReservation(const std::string &Group) const {
+  const GroupDispatcher *Dispatcher = Service.findGroup(Group);
+  if (!Dispatcher)
+    return false;
+  PromotionEvidence Evidence =
+      reservationEvidence(*Dispatcher, Service.targetsRevision());
+  if (Evidence.Candidates.empty())
+    return false;
+  const PromotionTurn *Reserved = Tokens.reserved(Group);
+  return !Reserved || isOutdated(*Reserved, *Dispatcher, Evidence);
+}
+
+PromotionTokens::ReservationPlan
+FencedPromotion::reservationPlan(const std::string &Group) const {
+  return
+      [this, Group](
+          const PromotionTurn &Turn) -> std::optional<SuccessionReservation> {
+        const GroupDispatcher *Dispatcher = Service.findGroup(Group);
+        if (!Dispatcher)
+          return std::nullopt;
+        PromotionEvidence Evidence =
+            reservationEvidence(*Dispatcher, Service.targetsRevision());
+        if (Evidence.Candidates.empty())
+          return std::nullopt;
+        return planReservation(Evidence, Turn.Latest, Turn.Prepared);
+      };
 }
 
 void FencedPromotion::recordRefusal(const std::string &Group,
@@ -105,9 +126,9 @@
   GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
   if (!Dispatcher)
     co_return std::nullopt;
-  PromotionRecord Latest = latestOf(Current.Group, Turn);
+  PromotionEvidence Evidence = evidenceFrom(*Dispatcher, Replies, Current);
   SuccessionVerdict Verdict =
-      decideSuccession(evidenceFrom(*Dispatcher, Replies, Current), Latest);
+      decideSuccession(Evidence, Turn.Latest, Turn.Prepared);
   const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
   if (!Choice) {
     Doubted.insert(Current.Group);
@@ -118,22 +139,24 @@
                          .Received = Choice->Successor.Received,
                          .Opens = Choice->Opens,
                          .ListRevision = Service.targetsRevision()};
+  bool MayUseNamed =
+      Turn.Reserved &&
+      mayOrderNamed(Evidence, Turn.Latest, Turn.Named, Choice->Successor);
   Result<PromotionClaim> Claimed =
-      co_await Tokens.claim(Current.Group, Turn, Record);
+      co_await Tokens.claim(Current.Group, Turn, Record, MayUseNamed);
   if (const Error *E = errorOf(Claimed)) {
     logNoToken(Current.Group, *E);
     co_return std::nullopt;
   }
   Doubted.erase(Current.Group);
-  Unordered[Current.Group] = {.Decision = valueOf(Claimed).Decision,
-                              .Before = Latest};
+  const PromotionRecord &Decided = valueOf(Claimed).Decision;
   co_return PromotionDecision{
       .Group = Current.Group,
       .OldPrimary = Current.OldPrimary,
       .IsPlanned = Current.Reason != PromotionReason::Lost,
-      .Successor = Record.Successor,
-      .Received = Record.Received,
-      .Opens = Record.Opens,
+      .Successor = Decided.Successor,
+      .Received = Decided.Received,
+      .Opens = Decided.Opens,
       .Token = valueOf(Claimed).Token,
       .ValidUntil = Current.BegunAt + Opts.MaxDecisionAge};
 }
@@ -228,7 +251,7 @@
                              {"token", std::to_string(Decision.Token)}});
       co_return false;
     }
-    Unordered.erase(Decision.Group);
+    Tokens.recordOrdered(Decision.Group);
     // The other VMs wait while the attempt goes on.
     Peers.broadcastPromotion(Decision.Group, Decision.Token, BootClock::now());
     PromotionOutcome Outcome = co_await orderOnce(Decision);
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -57,6 +57,9 @@
 
   boost::asio::awaitable<bool> run(std::string Group, std::string OldPrimary,
                                    PromotionReason Reason) override;
+  bool needsReservation(const std::string &Group) const override;
+  PromotionTokens::ReservationPlan
+  reservationPlan(const std::string &Group) const override;
 
 private:
   /// One run().
@@ -67,12 +70,6 @@
     /// When the record of the latest decision had been read.
     TimePoint BegunAt;
   };
-  struct UnorderedDecision {
-    PromotionRecord Decision;
-    /// The decision that it was to supersede.
-    PromotionRecord Before;
-  };
-
   /// Records a target among \p Replies that reports to be primary, other than
   /// \p OldPrimary. Returns whether there is one.
   bool findsPrimary(const std::string &Group, const TargetStatuses &Replies,
@@ -84,10 +81,6 @@
   /// must end.
   boost::asio::awaitable<std::optional<PromotionDecision>>
   decide(Attempt Current, PromotionTurn Turn, TargetStatuses Replies);
-  /// Returns the record that \p Turn builds on, without a decision of this VM
-  /// that was never ordered.
-  PromotionRecord latestOf(const std::string &Group,
-                           const PromotionTurn &Turn) const;
   /// Returns which record an attempt to replace \p OldPrimary builds on.
   PromotionTokens::Source sourceFor(const std::string &Group,
                                     const std::string &OldPrimary) const;
@@ -114,8 +107,6 @@
   TargetSurvey Survey;
   /// Groups whose latest record allowed no promotion; it may be outdated.
   std::set<std::string> Doubted;
-  /// The latest decision of this VM for each group, unless it was ordered.
-  std::map<std::string, UnorderedDecision> Unordered;
 };
 
 } // namespace cicadawind
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -65,6 +65,10 @@
     : Opts(std::move(NewOpts)), Service(Service), Peers(Peers), Leases(Leases),
       Tokens(Tokens), Promotions(Promotions) {}
 
+bool LeasedPromotion::needsReservation(const std::string &Group) const {
+  return !Tokens.reserved(Group);
+}
+
 Term LeasedPromotion::nextTerm(const std::string &Group) const {
   Term Highest = 0;
   auto It = HighestTerms.find(Group);
--- a/src/Promotion/LeasedPromotion.h
+++ b/src/Promotion/LeasedPromotion.h
@@ -55,6 +55,13 @@
 
   boost::asio::awaitable<bool> run(std::string Group, std::string OldPrimary,
                                    PromotionReason Reason) override;
+  bool needsReservation(const std::string &Group) const override;
+  /// Returns an empty plan, since these tokens are used with a decision of a
+  /// majority of the VMs.
+  PromotionTokens::ReservationPlan
+  reservationPlan(const std::string &) const override {
+    return nullptr;
+  }
 
 private:
   struct Attempt;
--- a/src/Promotion/Promotion.h
+++ b/src/Promotion/Promotion.h
@@ -10,6 +10,7 @@
 #include "Promotion/PromotionProcedure.h"
 #include "Promotion/PromotionTokens.h"
 #include "Promotion/PromotionTurn.h"
+#include "Promotion/ReservationPlanning.h"
 #include "Promotion/TargetSurvey.h"
 
 #endif
--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -205,11 +205,10 @@
 }
 
 void PromotionDriver::reserveIfFirst(const std::string &Group, TimePoint Now) {
-  // Two reserved tokens would allow decisions that do not know of each other.
   if (votersOf(Group, Now).Rank > 0)
     return Tokens.dropReserved(Group);
-  if (Tokens.needsReservation(Group, Now))
-    spawn(Loop, Tokens.reserve(Group));
+  if (Tokens.mayReserve(Group, Now) && Procedure->needsReservation(Group))
+    spawn(Loop, Tokens.reserve(Group, Procedure->reservationPlan(Group)));
 }
 
 boost::asio::awaitable<void>
--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -111,7 +111,7 @@
   void checkGroup(GroupDispatcher &Group, TimePoint Now);
   /// Postpones this VM's next attempt for \p Group, because a peer promotes.
   void deferToPeer(const std::string &Group);
-  /// Starts the reservation of a token if this VM has rank 0 and holds none;
+  /// Starts the reservation of a token if this VM has rank 0 and needs one;
   /// drops it if another VM has rank 0.
   void reserveIfFirst(const std::string &Group, TimePoint Now);
   /// Returns why the group's primary should be replaced; empty if it should
--- a/src/Promotion/PromotionProcedure.h
+++ b/src/Promotion/PromotionProcedure.h
@@ -1,6 +1,8 @@
 #ifndef CICADAWIND_PROMOTION_PROMOTIONPROCEDURE_H
 #define CICADAWIND_PROMOTION_PROMOTIONPROCEDURE_H
 
+#include "Promotion/PromotionTokens.h"
+
 #include <boost/asio/awaitable.hpp>
 
 #include <string>
@@ -42,6 +44,12 @@
   /// known. Returns whether a new primary was promoted and confirmed.
   virtual boost::asio::awaitable<bool>
   run(std::string Group, std::string OldPrimary, PromotionReason Reason) = 0;
+  /// Returns whether a token is to be claimed in advance for \p Group, which
+  /// needs no promotion now.
+  virtual bool needsReservation(const std::string &Group) const = 0;
+  /// Returns what to record with that token.
+  virtual PromotionTokens::ReservationPlan
+  reservationPlan(const std::string &Group) const = 0;
 };
 
 } // namespace cicadawind
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -21,53 +21,73 @@
 /// eras are exact even where they are read as floating-point numbers.
 constexpr unsigned CountBits = 32;
 
-/// Returns what \p Object says of the group: the number of claims and the
-/// latest decision, which is unknown if the object does not record it.
+static std::uint64_t numberAt(const nlohmann::json &Json, const char *Name) {
+  auto It = Json.find(Name);
+  bool IsNumber = It != Json.end() && It->is_number_unsigned();
+  return IsNumber ? It->get<std::uint64_t>() : 0;
+}
+
+static PromotionRecord recordFrom(const nlohmann::json &Json) {
+  auto Target = Json.find("target");
+  if (Target == Json.end() || !Target->is_string())
+    return {.IsKnown = false};
+  return {.Claim = numberAt(Json, "decided"),
+          .Successor = Target->get<std::string>(),
+          .Received = {.WrittenIn = numberAt(Json, "received_term"),
+                       .Index = numberAt(Json, "received_index")},
+          .Opens = numberAt(Json, "opens_term"),
+          .ListRevision = numberAt(Json, "list_revision")};
+}
+
+/// Returns what \p Object says of the group. The latest decision is unknown if
+/// the object does not record it.
 static PromotionTurn turnFrom(const StoredObject &Object) {
   PromotionTurn Out;
   Out.Version = Object.Version;
   nlohmann::json Json = tryParseJson(Object.Value);
   if (!Json.is_object())
     return Out;
-  auto NumberAt = [&Json](const char *Name) -> std::uint64_t {
-    auto It = Json.find(Name);
-    bool IsNumber = It != Json.end() && It->is_number_unsigned();
-    return IsNumber ? It->get<std::uint64_t>() : 0;
-  };
-  Out.Claims = NumberAt("token");
-  auto Target = Json.find("target");
-  Out.Latest.IsKnown = Target != Json.end() && Target->is_string();
-  if (!Out.Latest.IsKnown)
-    return Out;
-  Out.Latest = {.Claim = NumberAt("decided"),
-                .Successor = Target->get<std::string>(),
-                .Received = {.WrittenIn = NumberAt("received_term"),
-                             .Index = NumberAt("received_index")},
-                .Opens = NumberAt("opens_term"),
-                .ListRevision = NumberAt("list_revision")};
+  Out.Claims = numberAt(Json, "token");
+  Out.Latest = recordFrom(Json);
   // Other programs count claims without a decision, and a store that came back
   // from an older copy has lost the latest one.
   bool HasDecision = Json.contains("opens_term");
   bool IsOfThisEra =
-      NumberAt("era") == StoreRevision::unpack(Object.Version).Era;
-  if (!HasDecision || !IsOfThisEra)
-    Out.Latest = PromotionRecord{.IsKnown = false};
+      numberAt(Json, "era") == StoreRevision::unpack(Object.Version).Era;
+  if (!Out.Latest.IsKnown || !HasDecision || !IsOfThisEra) {
+    Out.Latest = {.IsKnown = false};
+    return Out;
+  }
+  auto Prepared = Json.find("prepared");
+  if (Prepared == Json.end() || !Prepared->is_object())
+    return Out;
+  Out.Prepared = recordFrom(*Prepared);
+  if (!Out.Prepared.IsKnown)
+    Out.Latest = {.IsKnown = false};
   return Out;
 }
 
+static void addRecord(nlohmann::json &Json, const PromotionRecord &Record) {
+  Json["decided"] = Record.Claim;
+  Json["received_term"] = Record.Received.WrittenIn;
+  Json["received_index"] = Record.Received.Index;
+  Json["opens_term"] = Record.Opens;
+  Json["list_revision"] = Record.ListRevision;
+}
+
 static std::string encode(const PromotionTurn &Turn, const std::string &Vm) {
-  const PromotionRecord &Latest = Turn.Latest;
   nlohmann::json Json{{"token", Turn.Claims},
                       {"holder", Vm},
-                      {"target", Latest.Successor},
+                      {"target", Turn.Latest.Successor},
                       {"era", StoreRevision::unpack(Turn.Version).Era}};
-  if (!Latest.IsKnown)
+  if (!Turn.Latest.IsKnown)
     return Json.dump();
-  Json["decided"] = Latest.Claim;
-  Json["received_term"] = Latest.Received.WrittenIn;
-  Json["received_index"] = Latest.Received.Index;
-  Json["opens_term"] = Latest.Opens;
-  Json["list_revision"] = Latest.ListRevision;
+  addRecord(Json, Turn.Latest);
+  if (Turn.Prepared.Successor.empty())
+    return Json.dump();
+  nlohmann::json &Prepared = Json["prepared"];
+  Prepared["target"] = Turn.Prepared.Successor;
+  addRecord(Prepared, Turn.Prepared);
   return Json.dump();
 }
 
@@ -82,15 +102,19 @@
 
 } // namespace internal
 
-bool PromotionTokens::needsReservation(const std::string &Group,
-                                       TimePoint Now) const {
+bool PromotionTokens::mayReserve(const std::string &Group,
+                                 TimePoint Now) const {
   if (Now - StartedAt < Opts.ReservationDelay)
     return false;
   auto It = Groups.find(Group);
-  if (It == Groups.end())
-    return true;
-  const GroupState &State = It->second;
-  return !State.Reserved && !State.Reserving && Now >= State.NextReservation;
+  return It == Groups.end() ||
+         (!It->second.Reserving && Now >= It->second.NextReservation);
+}
+
+const PromotionTurn *PromotionTokens::reserved(const std::string &Group) const {
+  auto It = Groups.find(Group);
+  bool Holds = It != Groups.end() && It->second.Reserved;
+  return Holds ? &*It->second.Reserved : nullptr;
 }
 
 void PromotionTokens::dropBelow(const std::string &Group, std::uint64_t Token) {
@@ -99,38 +123,69 @@
     State.Reserved.reset();
 }
 
-boost::asio::awaitable<void> PromotionTokens::reserve(std::string Group) {
+boost::asio::awaitable<void> PromotionTokens::reserve(std::string Group,
+                                                      ReservationPlan Plan) {
   TimePoint Now = BootClock::now();
-  if (!needsReservation(Group, Now))
+  if (!mayReserve(Group, Now))
     co_return;
   Groups[Group].Reserving = true;
   Groups[Group].NextReservation = Now + Opts.ReservationInterval;
-  Result<PromotionTurn> Claimed = co_await readTurn(Group);
-  if (!errorOf(Claimed))
-    Claimed =
-        co_await claimNext(Group, valueOf(Claimed), valueOf(Claimed).Latest);
-  GroupState &State = Groups[Group];
-  State.Reserving = false;
+  std::uint64_t Attempts = Groups[Group].Attempts;
+  Result<PromotionTurn> Read = co_await readTurn(Group, Opts.StoreTimeout);
+  // A promotion that began in the meantime may use the reserved token, or order
+  // a claim that counts as not ordered here.
+  bool MayHaveClaimed = Groups[Group].Attempts != Attempts;
   // Retried after ReservationInterval. Not logged, since the store client
   // counts failed calls.
+  if (!errorOf(Read) && !MayHaveClaimed)
+    co_await reserveAfter(Group, valueOf(Read), std::move(Plan));
+  Groups[Group].Reserving = false;
+}
+
+boost::asio::awaitable<void>
+PromotionTokens::reserveAfter(std::string Group, PromotionTurn Turn,
+                              ReservationPlan Plan) {
+  SuccessionReservation Planned{.Latest = Turn.Latest,
+                                .Prepared = Turn.Prepared};
+  if (Plan) {
+    std::optional<SuccessionReservation> Out = Plan(Turn);
+    if (!Out)
+      co_return;
+    Planned = *Out;
+  }
+  // The store may name another target from now on, whether it replies or not.
+  dropReserved(Group);
+  Result<PromotionTurn> Claimed =
+      co_await claimNext(Group, Turn, Planned.Latest, Planned.Prepared);
   if (errorOf(Claimed))
     co_return;
+  GroupState &State = Groups[Group];
   State.Reserved = valueOf(Claimed);
-  internal::Logger.info(
-      "fencing token reserved",
-      {{"group", Group},
-       {"token", std::to_string(*State.Reserved->Reserved)},
-       {"latest_successor", State.Reserved->Latest.Successor}});
+  if (Plan) {
+    PromotionTurn &Reserved = *State.Reserved;
+    State.Own = OwnClaim{.Latest = Reserved.Latest,
+                         .Prepared = Reserved.Prepared,
+                         .LatestInstead = Reserved.Latest,
+                         .PreparedInstead = Turn.Prepared};
+    Reserved.Named = std::exchange(Reserved.Prepared, Turn.Prepared);
+    Reserved.Replaces = Planned.Replaces;
+  }
+  internal::Logger.info("fencing token reserved",
+                        {{"group", Group},
+                         {"token", std::to_string(*State.Reserved->Reserved)},
+                         {"latest_successor", State.Reserved->Latest.Successor},
+                         {"named", State.Reserved->Named.Successor}});
 }
 
 boost::asio::awaitable<Result<PromotionTurn>>
 PromotionTokens::begin(std::string Group, Source From) {
+  ++Groups[Group].Attempts;
   std::optional<PromotionTurn> Reserved;
   if (From != Source::StoreOnly)
     Reserved = Groups[Group].Reserved;
   if (Reserved && From == Source::ReservedFirst)
     co_return *Reserved;
-  Result<PromotionTurn> Read = co_await readTurn(Group);
+  Result<PromotionTurn> Read = co_await readTurn(Group, Opts.StoreTimeout);
   if (errorOf(Read) && Reserved)
     co_return *Reserved;
   co_return Read;
@@ -141,7 +196,8 @@
   Result<PromotionTurn> Turn = co_await begin(Group, Source::ReservedFirst);
   dropReserved(Group);
   if (!errorOf(Turn) && !valueOf(Turn).Reserved)
-    Turn = co_await claimNext(Group, valueOf(Turn), valueOf(Turn).Latest);
+    Turn = co_await claimNext(Group, valueOf(Turn), valueOf(Turn).Latest,
+                              valueOf(Turn).Prepared);
   if (const Error *E = errorOf(Turn))
     co_return *E;
   co_return *valueOf(Turn).Reserved;
@@ -162,15 +218,17 @@
 }
 
 boost::asio::awaitable<Result<PromotionTurn>>
-PromotionTokens::readTurn(std::string Group) {
+PromotionTokens::readTurn(std::string Group, Duration Timeout) {
   Result<StoredObject> Stored =
-      co_await Store.read(internal::TokensKind, Group, Opts.StoreTimeout);
+      co_await Store.read(internal::TokensKind, Group, Timeout);
   if (const Error *E = errorOf(Stored))
     co_return *E;
   PromotionTurn Turn = internal::turnFrom(valueOf(Stored));
-  const PromotionRecord &Own = Groups[Group].Unrecorded;
-  if (Own.Claim > Turn.Latest.Claim)
-    Turn.Latest = Own;
+  const std::optional<OwnClaim> &Own = Groups[Group].Own;
+  if (Own && Own->Latest == Turn.Latest && Own->Prepared == Turn.Prepared) {
+    Turn.Latest = Own->LatestInstead;
+    Turn.Prepared = Own->PreparedInstead;
+  }
   co_return Turn;
 }
 
@@ -183,12 +241,15 @@
 
 boost::asio::awaitable<Result<PromotionTurn>>
 PromotionTokens::claimNext(std::string Group, PromotionTurn Turn,
-                           PromotionRecord Decision) {
+                           PromotionRecord Latest, PromotionRecord Prepared) {
   std::uint64_t Before = Turn.Version;
   ++Turn.Claims;
-  if (Decision != Turn.Latest)
-    Decision.Claim = Turn.Claims;
-  Turn.Latest = Decision;
+  if (Latest != Turn.Latest)
+    Latest.Claim = Turn.Claims;
+  if (Prepared != Turn.Prepared)
+    Prepared.Claim = Turn.Claims;
+  Turn.Latest = Latest;
+  Turn.Prepared = Prepared;
   // If the store does not reply, it is unknown whether the claim was written,
   // so this token is not used. The next attempt reads the last token again.
   WriteResult Written = co_await write(Group, Turn, Opts.StoreTimeout);
@@ -202,28 +263,62 @@
   co_return Turn;
 }
 
+boost::asio::awaitable<WriteResult>
+PromotionTokens::recordUnderReserved(std::string Group, PromotionTurn Turn,
+                                     PromotionRecord Decision,
+                                     bool MayUseNamed) {
+  // A write without a response may take effect, and then another target may not
+  // be promoted under this token. So the store is tried by a read first.
+  if (MayUseNamed) {
+    Result<PromotionTurn> Read = co_await readTurn(Group, Opts.RecordTimeout);
+    if (const Error *E = errorOf(Read))
+      co_return WriteResult{.Outcome = WriteOutcome::NotWritten,
+                            .Message = E->Message};
+  }
+  Turn.Latest = std::move(Decision);
+  Turn.Prepared = {};
+  co_return co_await write(Group, Turn, Opts.StoreTimeout);
+}
+
 boost::asio::awaitable<Result<PromotionClaim>>
 PromotionTokens::claim(std::string Group, PromotionTurn Turn,
-                       PromotionRecord Decision) {
+                       PromotionRecord Decision, bool MayUseNamed) {
+  ++Groups[Group].Attempts;
+  const PromotionTurn *Held = reserved(Group);
+  bool IsHeld = Held && Held->Reserved == Turn.Reserved;
   // The token that is claimed or used now is the highest of this VM.
   dropReserved(Group);
   if (!Turn.Reserved) {
-    Result<PromotionTurn> Next = co_await claimNext(Group, Turn, Decision);
+    Result<PromotionTurn> Next =
+        co_await claimNext(Group, Turn, Decision, PromotionRecord());
     if (const Error *E = errorOf(Next))
       co_return *E;
+    Decision = valueOf(Next).Latest;
+    Groups[Group].Own = OwnClaim{.Latest = Decision,
+                                 .LatestInstead = Turn.Latest,
+                                 .PreparedInstead = Turn.Prepared};
     co_return PromotionClaim{.Token = *valueOf(Next).Reserved,
-                             .Decision = valueOf(Next).Latest};
+                             .Decision = Decision};
   }
+  if (!IsHeld)
+    co_return Error{.Code = ErrorCode::Conflict,
+                    .Message = "the reserved token was replaced"};
+  PromotionClaim ForNamed{.Token = *Turn.Reserved, .Decision = Turn.Named};
+  if (MayUseNamed && Decision.Successor == Turn.Named.Successor)
+    co_return ForNamed;
   Decision.Claim = Turn.Claims;
-  Turn.Latest = Decision;
-  WriteResult Written = co_await write(Group, Turn, Opts.RecordTimeout);
-  if (Written.Outcome == WriteOutcome::Conflict)
-    co_return internal::writeError(Written);
-  if (Written.Outcome != WriteOutcome::Accepted) {
-    Groups[Group].Unrecorded = Decision;
+  WriteResult Written =
+      co_await recordUnderReserved(Group, Turn, Decision, MayUseNamed);
+  if (Written.Outcome == WriteOutcome::NotWritten && MayUseNamed) {
     internal::Logger.info("decision not recorded in the store",
                           {{"group", Group}, {"why", Written.Message}});
+    co_return ForNamed;
   }
+  if (Written.Outcome != WriteOutcome::Accepted)
+    co_return internal::writeError(Written);
+  Groups[Group].Own = OwnClaim{.Latest = Decision,
+                               .LatestInstead = Turn.Latest,
+                               .PreparedInstead = Turn.Prepared};
   co_return PromotionClaim{.Token = *Turn.Reserved, .Decision = Decision};
 }
 
--- a/src/Promotion/PromotionTurn.h
+++ b/src/Promotion/PromotionTurn.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace cicadawind {
 
@@ -12,11 +13,19 @@
 /// \brief What the next claim of a fencing token for a group builds on.
 struct PromotionTurn {
   PromotionRecord Latest;
+  /// The promotion that another VM may have ordered without recording it as
+  /// Latest; its successor is empty if there is none.
+  PromotionRecord Prepared;
   /// Number of claims so far, and version of the object that records them.
   std::uint64_t Claims = 0;
   std::uint64_t Version = 0;
   /// Token that this VM has claimed in advance; it is the latest claim.
   std::optional<std::uint64_t> Reserved;
+  /// The promotion that may be ordered under Reserved without the store, as the
+  /// store has it.
+  PromotionRecord Named;
+  /// The primary that Named is to replace.
+  std::string Replaces;
 };
 
 /// \class PromotionClaim
--- a/src/Succession/Succession.h
+++ b/src/Succession/Succession.h
@@ -7,6 +7,7 @@
 #include "Succession/PromotionDecision.h"
 #include "Succession/PromotionEvidence.h"
 #include "Succession/PromotionRecord.h"
+#include "Succession/SuccessionReservation.h"
 #include "Succession/SuccessionRule.h"
 #include "Succession/SuccessorCandidate.h"
 
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -24,18 +24,6 @@
          Evidence.ListRevision > Latest.ListRevision;
 }
 
-/// Returns whether the successor of \p Latest may be the primary although
-/// \p Evidence names another one or none.
-static bool mayBeUnknownPrimary(const PromotionRecord &Latest,
-                                const PromotionEvidence &Evidence) {
-  if (!Latest.IsKnown || Latest.Successor.empty() || isGone(Latest, Evidence) ||
-      Latest.Successor == Evidence.OldPrimary)
-    return false;
-  // A primary of a later term shows that the record is outdated, because the
-  // store came back from an older copy.
-  return Evidence.OldPrimaryTerm <= Latest.Opens;
-}
-
 static const SuccessorCandidate *find(const PromotionEvidence &Evidence,
                                       const std::string &Instance) {
   auto It = std::find_if(Evidence.Candidates.begin(), Evidence.Candidates.end(),
@@ -100,8 +88,53 @@
       [&](const std::string &Each) { return find(Evidence, Each) != nullptr; });
 }
 
+/// Returns whether \p Pending follows the primary that \p Prepared is to
+/// replace. It was named without being asked for the term that it follows.
+static bool followsReplaced(const SuccessorCandidate &Pending,
+                            const PromotionRecord &Prepared) {
+  return Pending.Follows + 1 >= Prepared.Opens;
+}
+
+/// Returns decideSuccession() for the one record \p Latest, which was decided,
+/// or only prepared if \p IsPrepared.
+static SuccessionVerdict supersede(const PromotionEvidence &Evidence,
+                                   const PromotionRecord &Latest,
+                                   bool IsPrepared) {
+  const SuccessorCandidate *Pending = find(Evidence, Latest.Successor);
+  if (mayBeUnknownPrimary(Latest, Evidence)) {
+    if (!Pending)
+      return awaitSilent(Latest, Evidence);
+    // An order of the latest decision may have been carried out since the
+    // successor replied, or may be before this decision's is. Another successor
+    // could hold entries that it lacked.
+    bool MayBeDecided = !IsPrepared || followsReplaced(*Pending, Latest);
+    if (MayBeDecided && isCompletable(*Pending, Latest, Evidence))
+      return complete(*Pending, Latest);
+  }
+  Term Needed = newestOpened(Evidence, Latest);
+  std::optional<SuccessorCandidate> Best =
+      chooseSuccessor(Evidence.Candidates, Needed, Latest.Successor);
+  // The targets that followed the needed term are gone, and the term with them.
+  if (!Best && hasAllReplied(Evidence))
+    Best = chooseSuccessor(Evidence.Candidates, 0, Latest.Successor);
+  if (!Best)
+    return NoSuccessor{Needed};
+  return choose(*Best);
+}
+
 } // namespace internal
 
+bool mayBeUnknownPrimary(const PromotionRecord &Record,
+                         const PromotionEvidence &Evidence) {
+  if (!Record.IsKnown || Record.Successor.empty() ||
+      internal::isGone(Record, Evidence) ||
+      Record.Successor == Evidence.OldPrimary)
+    return false;
+  // A primary of a later term shows that the record is outdated, because the
+  // store came back from an older copy.
+  return Evidence.OldPrimaryTerm <= Record.Opens;
+}
+
 std::optional<SuccessorCandidate>
 chooseSuccessor(const std::vector<SuccessorCandidate> &Candidates, Term AtLeast,
                 const std::string &Preferred) {
@@ -116,27 +149,18 @@
 }
 
 SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
-                                   const PromotionRecord &Latest) {
-  const SuccessorCandidate *Pending =
-      internal::find(Evidence, Latest.Successor);
-  if (internal::mayBeUnknownPrimary(Latest, Evidence)) {
-    if (!Pending)
-      return internal::awaitSilent(Latest, Evidence);
-    // An order of the latest decision may have been carried out since the
-    // successor replied, or may be before this decision's is. Another successor
-    // could hold entries that it lacked.
-    if (internal::isCompletable(*Pending, Latest, Evidence))
-      return internal::complete(*Pending, Latest);
-  }
-  Term Needed = internal::newestOpened(Evidence, Latest);
-  std::optional<SuccessorCandidate> Best =
-      chooseSuccessor(Evidence.Candidates, Needed, Latest.Successor);
-  // The targets that followed the needed term are gone, and the term with them.
-  if (!Best && internal::hasAllReplied(Evidence))
-    Best = chooseSuccessor(Evidence.Candidates, 0, Latest.Successor);
-  if (!Best)
-    return NoSuccessor{Needed};
-  return internal::choose(*Best);
+                                   const PromotionRecord &Latest,
+                                   const PromotionRecord &Prepared) {
+  if (Prepared.Successor.empty())
+    return internal::supersede(Evidence, Latest, false);
+  bool IsPreparedOld = Prepared.Successor == Evidence.OldPrimary;
+  bool IsLatestSilent = !internal::find(Evidence, Latest.Successor);
+  if (!IsPreparedOld && IsLatestSilent && mayBeUnknownPrimary(Latest, Evidence))
+    return internal::awaitSilent(Latest, Evidence);
+  PromotionEvidence Complete = Evidence;
+  if (Latest.Successor == Evidence.OldPrimary)
+    Complete.OldPrimaryTerm = std::max(Evidence.OldPrimaryTerm, Latest.Opens);
+  return internal::supersede(Complete, Prepared, true);
 }
 
 } // namespace cicadawind
--- a/src/Succession/SuccessionRule.h
+++ b/src/Succession/SuccessionRule.h
@@ -41,8 +41,14 @@
 using SuccessionVerdict =
     std::variant<SuccessionChoice, PresumedPrimary, NoSuccessor>;
 
+/// Returns whether the successor of \p Record may be the primary although
+/// \p Evidence names another one or none.
+bool mayBeUnknownPrimary(const PromotionRecord &Record,
+                         const PromotionEvidence &Evidence);
+
 /// Returns which target may be promoted by a decision that supersedes
-/// \p Latest.
+/// \p Latest. \p Prepared is the promotion that may have been ordered since
+/// without a record; its successor is empty if there is none.
 ///
 /// Invariant: no target is promoted that does not follow the newest term which
 /// may have been opened, since it may hold acknowledged entries that this term
@@ -52,9 +58,12 @@
 /// hand-over is wanted is no such evidence, and a proof of the old primary is
 /// older than an order that is carried out after it. The term is given up only
 /// if the registry no longer lists that target and every listed one has
-/// replied. Costs O(targets x candidates).
+/// replied. While the primary of \p Latest is neither known to be lost nor
+/// replies as a replica, \p Prepared is not completed. Costs
+/// O(targets x candidates).
 SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
-                                   const PromotionRecord &Latest);
+                                   const PromotionRecord &Latest,
+                                   const PromotionRecord &Prepared = {});
 
 } // namespace cicadawind
 
--- a/test/Fakes/MemoryStore.h
+++ b/test/Fakes/MemoryStore.h
@@ -18,6 +18,8 @@
   explicit MemoryStore(boost::asio::io_context &Loop) : Changed(Loop) {}
 
   bool Outage = false;
+  /// Time that each read takes before it reads.
+  Duration ReadTime = Duration::zero();
   /// Number of upcoming writes that take effect without a response.
   int LoseAnswers = 0;
   /// Number of upcoming writes that do not take effect and get no response.
@@ -27,6 +29,8 @@
 
   boost::asio::awaitable<Result<StoredObject>>
   read(std::string Kind, std::string Name, Duration) override {
+    if (ReadTime > Duration::zero())
+      co_await sleepFor(ReadTime);
     if (Outage)
       co_return unavailable();
     co_return current(Kind + "/" + Name);
@@ -107,6 +111,11 @@
     Changed.notifyAll();
   }
 
+  /// Returns the value of an object; empty if there is none.
+  std::string valueOf(const std::string &Kind, const std::string &Name) {
+    return Objects[Kind + "/" + Name].Value;
+  }
+
   /// Keeps a copy of all objects, to which restoreCopy() returns: what was
   /// written since is lost, versions go back and a new era begins.
   void keepCopy() { Copy = Objects; }
--- a/test/Promotion/ModelVm.h
+++ b/test/Promotion/ModelVm.h
@@ -12,6 +12,15 @@
 
 namespace cicadawind::test {
 
+/// \class ModelRecords
+/// \brief What the store says of the group; see PromotionTurn.
+struct ModelRecords {
+  PromotionRecord Latest;
+  PromotionRecord Prepared;
+
+  bool operator==(const ModelRecords &) const = default;
+};
+
 /// \class ModelSurvey
 /// \brief What the targets replied to a survey of a VM, and why it was made.
 struct ModelSurvey {
@@ -32,12 +41,10 @@
   /// Term in which Primary proved that it leads; 0 without a proof.
   Term ConfirmedTerm = 0;
   std::optional<PromotionTurn> Reserved;
-  /// Its latest decision that the store did not take.
-  std::optional<PromotionRecord> Unrecorded;
-  /// Its latest decision none of whose orders can be carried out.
-  std::optional<PromotionRecord> Void;
-  /// The record that Void superseded.
-  PromotionRecord BeforeVoid;
+  /// Its latest claim none of whose orders can be carried out.
+  std::optional<ModelRecords> Void;
+  /// The records that Void replaced.
+  ModelRecords BeforeVoid;
   std::optional<ModelSurvey> Survey;
   std::optional<PromotionDecision> Decision;
   bool IsHandOver = false;
--- a/test/Promotion/PromotionModel.cpp
+++ b/test/Promotion/PromotionModel.cpp
@@ -104,7 +104,7 @@
     return Vm.Decision && Vm.Orders < Opts.MaxOrders &&
            InFlight.size() < Opts.MaxInFlight;
   case Kind::Reserve:
-    return !Vm.Reserved && !StoreIsAway;
+    return mayReserve(Event.Vm);
   default:
     return false;
   }
@@ -242,7 +242,7 @@
   case Kind::StepDown:
     return Platform.stepDown();
   case Kind::Reserve:
-    return reserve(Vm);
+    return reserve(Event.Vm);
   default:
     return order(Vm, Event.Kind);
   }
--- a/test/Promotion/PromotionModel.h
+++ b/test/Promotion/PromotionModel.h
@@ -25,6 +25,8 @@
   /// A reserved token comes without the record, and its decision is not
   /// recorded.
   ReservationWithoutRecord,
+  /// A reserved token may be used without the store for any target.
+  ReservationNamesNobody,
 };
 
 /// \class PromotionModel
@@ -108,18 +110,32 @@
   /// store's record.
   bool decideOnce(ModelVm &Vm, const ModelSurvey &Survey, bool IsAnswered);
   std::optional<PromotionTurn> beginTurn(ModelVm &Vm) const;
+  /// Returns the turn of the store as \p Vm takes it: without its own claim if
+  /// that was never ordered.
+  PromotionTurn readTurn(const ModelVm &Vm) const;
   PromotionEvidence evidenceFrom(const ModelVm &Vm,
                                  const ModelSurvey &Survey) const;
-  PromotionRecord latestFor(const ModelVm &Vm, const PromotionTurn &Turn) const;
+  ModelRecords recordsFor(const ModelVm &Vm, const PromotionTurn &Turn) const;
   /// Returns the claim of \p Record after \p Turn; empty if another VM came
   /// first or the store is away.
-  std::optional<PromotionClaim> claim(const PromotionTurn &Turn,
-                                      PromotionRecord Record);
-  std::optional<PromotionClaim> recordReserved(const PromotionTurn &Turn,
-                                               PromotionRecord Record);
+  std::optional<PromotionClaim> claim(ModelVm &Vm, const PromotionTurn &Turn,
+                                      PromotionRecord Record,
+                                      bool MayOrderNamed);
+  std::optional<PromotionClaim> claimReserved(ModelVm &Vm,
+                                              const PromotionTurn &Turn,
+                                              PromotionRecord Record,
+                                              bool MayOrderNamed);
+  /// Stores \p Records under \p Claims, and lets \p Vm remember that it has
+  /// not ordered them.
+  void store(ModelVm &Vm, const ModelRecords &Records,
+             const ModelRecords &Before, std::uint64_t Claims);
   void adopt(ModelVm &Vm, const ModelSurvey &Survey,
              const PromotionClaim &Claimed);
-  void reserve(ModelVm &Vm);
+  /// Names a successor for the primary that \p Vm has proved, and reserves a
+  /// token for it.
+  void reserve(unsigned Vm);
+  bool mayReserve(unsigned Vm) const;
+  PromotionEvidence reservationEvidence(unsigned Vm) const;
   void order(ModelVm &Vm, PromotionEventKind Kind);
   void checkOrder(ModelVm &Vm);
   void carryOut(std::size_t Index);
--- a/test/Promotion/PromotionModelDecisions.cpp
+++ b/test/Promotion/PromotionModelDecisions.cpp
@@ -43,9 +43,17 @@
     return Reserved;
   if (StoreIsAway)
     return std::nullopt;
+  return readTurn(Vm);
+}
+
+PromotionTurn PromotionModel::readTurn(const ModelVm &Vm) const {
   PromotionTurn Out = Stored;
-  if (Vm.Unrecorded && Vm.Unrecorded->Claim > Out.Latest.Claim)
-    Out.Latest = *Vm.Unrecorded;
+  ModelRecords Read{.Latest = Out.Latest, .Prepared = Out.Prepared};
+  if (Vm.Void != Read)
+    return Out;
+  Out.Latest = Opts.KeepsSuperseded ? Vm.BeforeVoid.Latest : PromotionRecord();
+  Out.Prepared =
+      Opts.KeepsSuperseded ? Vm.BeforeVoid.Prepared : PromotionRecord();
   return Out;
 }
 
@@ -67,55 +75,102 @@
   return Out;
 }
 
-PromotionRecord PromotionModel::latestFor(const ModelVm &Vm,
-                                          const PromotionTurn &Turn) const {
+ModelRecords PromotionModel::recordsFor(const ModelVm &Vm,
+                                        const PromotionTurn &Turn) const {
   bool IsIgnored = (Opts.Flaw == PromotionFlaw::UnknownPrimaryIgnoresRecord &&
                     Vm.Primary.empty()) ||
                    (Opts.Flaw == PromotionFlaw::ReservationWithoutRecord &&
                     Turn.Reserved.has_value());
   if (IsIgnored)
     return {};
-  if (Vm.Void != Turn.Latest)
-    return Turn.Latest;
-  return Opts.KeepsSuperseded ? Vm.BeforeVoid : PromotionRecord();
+  return {.Latest = Turn.Latest, .Prepared = Turn.Prepared};
 }
 
-std::optional<PromotionClaim> PromotionModel::claim(const PromotionTurn &Turn,
-                                                    PromotionRecord Record) {
+void PromotionModel::store(ModelVm &Vm, const ModelRecords &Records,
+                           const ModelRecords &Before, std::uint64_t Claims) {
+  Stored = {.Latest = Records.Latest,
+            .Prepared = Records.Prepared,
+            .Claims = Claims,
+            .Version = Stored.Version + 1};
+  Vm.Void = Records;
+  Vm.BeforeVoid = Before;
+}
+
+std::optional<PromotionClaim> PromotionModel::claim(ModelVm &Vm,
+                                                    const PromotionTurn &Turn,
+                                                    PromotionRecord Record,
+                                                    bool MayOrderNamed) {
   if (Turn.Reserved)
-    return recordReserved(Turn, Record);
+    return claimReserved(Vm, Turn, Record, MayOrderNamed);
   if (StoreIsAway || Turn.Version != Stored.Version)
     return std::nullopt;
   Record.Claim = Turn.Claims + 1;
-  Stored = {
-      .Latest = Record, .Claims = Turn.Claims + 1, .Version = Turn.Version + 1};
+  store(Vm, {.Latest = Record}, recordsFor(Vm, Turn), Record.Claim);
   return PromotionClaim{.Token = Stored.Claims, .Decision = Record};
 }
 
 std::optional<PromotionClaim>
-PromotionModel::recordReserved(const PromotionTurn &Turn,
-                               PromotionRecord Record) {
+PromotionModel::claimReserved(ModelVm &Vm, const PromotionTurn &Turn,
+                              PromotionRecord Record, bool MayOrderNamed) {
   Record.Claim = Turn.Claims;
   PromotionClaim Out{.Token = *Turn.Reserved, .Decision = Record};
-  if (StoreIsAway || Opts.Flaw == PromotionFlaw::ReservationWithoutRecord)
+  if (Opts.Flaw == PromotionFlaw::ReservationWithoutRecord ||
+      (Opts.Flaw == PromotionFlaw::ReservationNamesNobody && StoreIsAway))
+    return Out;
+  bool IsNamed = Record.Successor == Turn.Named.Successor;
+  if (MayOrderNamed && (IsNamed || StoreIsAway)) {
+    Out.Decision = Turn.Named;
     return Out;
-  if (Turn.Version != Stored.Version)
+  }
+  if (StoreIsAway || Turn.Version != Stored.Version)
     return std::nullopt;
-  Stored.Latest = Record;
-  ++Stored.Version;
+  store(Vm, {.Latest = Record}, recordsFor(Vm, Turn), Record.Claim);
   return Out;
 }
 
-void PromotionModel::reserve(ModelVm &Vm) {
-  ++Stored.Claims;
-  ++Stored.Version;
-  Vm.Reserved = Stored;
-  Vm.Reserved->Reserved = Stored.Claims;
+PromotionEvidence PromotionModel::reservationEvidence(unsigned Vm) const {
+  PromotionEvidence Out{.OldPrimary = Vms[Vm].Primary,
+                        .OldPrimaryTerm = Vms[Vm].ConfirmedTerm};
+  for (unsigned Id = 0; Id < ModelPlatform::TargetCount; ++Id) {
+    std::string Name = targetName(Id);
+    Out.Listed.insert(Name);
+    if (Name != Out.OldPrimary && vmReaches(Vm, Id) &&
+        !Platform.at(Id).IsLeaving)
+      Out.Candidates.push_back({.Instance = Name});
+  }
+  return Out;
+}
+
+bool PromotionModel::mayReserve(unsigned Vm) const {
+  const ModelVm &Each = Vms[Vm];
+  return !Each.Reserved && !StoreIsAway && Each.ConfirmedTerm > 0 &&
+         !reservationEvidence(Vm).Candidates.empty();
+}
+
+void PromotionModel::reserve(unsigned Vm) {
+  ModelVm &Each = Vms[Vm];
+  Each.Survey.reset();
+  Each.Decision.reset();
+  PromotionTurn Turn = readTurn(Each);
+  std::optional<SuccessionReservation> Plan =
+      planReservation(reservationEvidence(Vm), Turn.Latest, Turn.Prepared);
+  if (!Plan)
+    return;
+  std::uint64_t Claims = Turn.Claims + 1;
+  Plan->Prepared.Claim = Claims;
+  if (Plan->Latest != Turn.Latest)
+    Plan->Latest.Claim = Claims;
+  store(Each, {.Latest = Plan->Latest, .Prepared = Plan->Prepared},
+        {.Latest = Plan->Latest, .Prepared = Turn.Prepared}, Claims);
+  Each.Reserved = Stored;
+  Each.Reserved->Prepared = Turn.Prepared;
+  Each.Reserved->Reserved = Claims;
+  Each.Reserved->Named = Plan->Prepared;
+  Each.Reserved->Replaces = Plan->Replaces;
 }
 
 void PromotionModel::adopt(ModelVm &Vm, const ModelSurvey &Survey,
                            const PromotionClaim &Claimed) {
-  Vm.Void = Claimed.Decision;
   Vm.Decision = PromotionDecision{.OldPrimary = Survey.OldPrimary,
                                   .Successor = Claimed.Decision.Successor,
                                   .Received = Claimed.Decision.Received,
@@ -131,8 +186,10 @@
       Opts.ReadsRecordFirst ? Survey.Turn : beginTurn(Vm);
   if (!Turn)
     return false;
+  PromotionEvidence Evidence = evidenceFrom(Vm, Survey);
+  ModelRecords Records = recordsFor(Vm, *Turn);
   SuccessionVerdict Verdict =
-      decideSuccession(evidenceFrom(Vm, Survey), latestFor(Vm, *Turn));
+      decideSuccession(Evidence, Records.Latest, Records.Prepared);
   const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
   bool IsReserved = Turn->Reserved.has_value();
   if (!Choice) {
@@ -143,16 +200,19 @@
     }
     return IsReserved;
   }
+  bool MayOrderNamed =
+      IsReserved &&
+      mayOrderNamed(Evidence, Records.Latest, Turn->Named, Choice->Successor);
   std::optional<PromotionClaim> Claimed =
-      claim(*Turn, {.Successor = Choice->Successor.Instance,
-                    .Received = Choice->Successor.Received,
-                    .Opens = Choice->Opens});
-  if (Claimed && IsReserved && StoreIsAway)
-    Vm.Unrecorded = Claimed->Decision;
-  if (Claimed && IsAnswered) {
-    Vm.BeforeVoid = latestFor(Vm, *Turn);
+      claim(Vm, *Turn,
+            {.Successor = Choice->Successor.Instance,
+             .Received = Choice->Successor.Received,
+             .Opens = Choice->Opens},
+            MayOrderNamed);
+  if (Claimed && IsAnswered)
     adopt(Vm, Survey, *Claimed);
-  }
+  else if (Claimed)
+    Vm.Void.reset();
   return !Claimed && IsReserved;
 }
 
@@ -238,6 +298,11 @@
   Out += '\0';
 }
 
+static void append(std::string &Out, const ModelRecords &Records) {
+  append(Out, Records.Latest);
+  append(Out, Records.Prepared);
+}
+
 static void append(std::string &Out, const ModelSurvey &Survey) {
   append(Out, Survey.OldPrimary);
   append(Out, (Survey.IsHandOver ? 1U : 0U) | (Survey.IsOldProved ? 2U : 0U));
@@ -260,6 +325,9 @@
 static void append(std::string &Out, const PromotionTurn &Reserved,
                    std::uint64_t StoredVersion) {
   append(Out, Reserved.Latest);
+  append(Out, Reserved.Prepared);
+  append(Out, Reserved.Named);
+  append(Out, Reserved.Replaces);
   append(Out, Reserved.Claims);
   append(Out, Reserved.Version == StoredVersion ? 1 : 0);
 }
@@ -273,9 +341,6 @@
                   (Vm.Survey ? 4U : 0U) | (Vm.Decision ? 8U : 0U));
   if (Vm.Reserved)
     append(Out, *Vm.Reserved, StoredVersion);
-  append(Out, Vm.Unrecorded ? 1 : 0);
-  if (Vm.Unrecorded)
-    append(Out, *Vm.Unrecorded);
   if (Vm.Void) {
     append(Out, *Vm.Void);
     append(Out, Vm.BeforeVoid);
@@ -298,6 +363,7 @@
   append(Out, StoreIsAway ? 1 : 0);
   append(Out, Stored.Claims);
   append(Out, Stored.Latest);
+  append(Out, Stored.Prepared);
   for (unsigned Side : Cuts)
     append(Out, Side & ((1U << ModelPlatform::TargetCount) - 1));
   for (const Order &Each : InFlight) {
--- a/test/Promotion/PromotionOrdersTest.cpp
+++ b/test/Promotion/PromotionOrdersTest.cpp
@@ -161,6 +161,13 @@
   BOOST_TEST(firstViolation(Opts, FlawSeeds) != "");
 }
 
+BOOST_AUTO_TEST_CASE(searchFindsThatAReservationNamesNobody) {
+  Options Opts;
+  Opts.Flaw = PromotionFlaw::ReservationNamesNobody;
+  Opts.ChecksTokens = false;
+  BOOST_TEST(firstViolation(Opts, FlawSeeds) != "");
+}
+
 // A VM that never reached the leaving primary hands over to the replaced one.
 BOOST_AUTO_TEST_CASE(handOverNeedsAProofOfThePrimary) {
   BOOST_TEST(
--- a/test/Promotion/PromotionTokensTest.cpp
+++ b/test/Promotion/PromotionTokensTest.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE PromotionTokens
 #include <boost/test/unit_test.hpp>
 
+#include "Async/AsyncSignal.h"
 #include "Fakes/MemoryStore.h"
 #include "LoopRunner.h"
 #include "Promotion/PromotionTokens.h"
@@ -29,7 +30,7 @@
   void reserve(std::size_t Vm) {
     test::runOn(Loop,
                 [](PromotionTokens &Tokens) -> boost::asio::awaitable<bool> {
-                  co_await Tokens.reserve("g");
+                  co_await Tokens.reserve("g", nullptr);
                   co_return true;
                 }(*Holders[Vm]));
   }
@@ -39,11 +40,54 @@
     return errorOf(Token) ? 0 : valueOf(Token);
   }
 
+  /// Lets VM number \p Vm reserve a token with which "b" replaces "a".
+  void reserveFor(std::size_t Vm) {
+    auto Plan = [this](const PromotionTurn &Turn) {
+      Seen = Turn;
+      return SuccessionReservation{.Latest = {.Successor = "a", .Opens = 1},
+                                   .Prepared = {.Successor = "b", .Opens = 2},
+                                   .Replaces = "a"};
+    };
+    test::runOn(
+        Loop,
+        [](PromotionTokens &Tokens, PromotionTokens::ReservationPlan How)
+            -> boost::asio::awaitable<bool> {
+          co_await Tokens.reserve("g", How);
+          co_return true;
+        }(*Holders[Vm], Plan));
+  }
+  PromotionTurn begin(std::size_t Vm, PromotionTokens::Source From) {
+    return valueOf(test::runOn(Loop, Holders[Vm]->begin("g", From)));
+  }
+  /// Returns the target for which VM number \p Vm gets a token if it decides
+  /// for "c" after \p Turn; empty if it gets none.
+  std::string claimForC(std::size_t Vm, const PromotionTurn &Turn,
+                        bool MayUseNamed = true) {
+    PromotionRecord C{.Successor = "c", .Opens = 2};
+    auto Claimed =
+        test::runOn(Loop, Holders[Vm]->claim("g", Turn, C, MayUseNamed));
+    return errorOf(Claimed) ? "" : valueOf(Claimed).Decision.Successor;
+  }
+
   boost::asio::io_context Loop;
   fakes::MemoryStore Store;
+  /// The turn for which the latest reservation was planned.
+  PromotionTurn Seen;
   std::vector<std::unique_ptr<PromotionTokens>> Holders;
 };
 
+using Source = PromotionTokens::Source;
+
+/// Reserves a token; an error if that is planned.
+boost::asio::awaitable<void> reserveUnexpectedly(PromotionTokens &Tokens,
+                                                 bool &Ended) {
+  co_await Tokens.reserve("g", [](const PromotionTurn &) {
+    BOOST_ERROR("planned over an attempt");
+    return std::optional<SuccessionReservation>();
+  });
+  Ended = true;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(noTokenIsUsedTwiceAfterTheStoreLostTheClaim) {
@@ -85,3 +129,68 @@
     }
   }
 }
+
+// Guards against the cause of review/6: a decision that only one VM knows.
+BOOST_AUTO_TEST_CASE(withoutTheStoreOnlyTheNamedTargetGetsAToken) {
+  TokenWorld World(2);
+  World.reserveFor(0);
+  PromotionTurn Turn = World.begin(0, Source::ReservedFirst);
+  World.Store.Outage = true;
+  BOOST_TEST(World.claimForC(0, Turn) == "b");
+  World.Store.Outage = false;
+  PromotionTurn Other = World.begin(1, Source::StoreOnly);
+  BOOST_TEST(Other.Latest.Successor == "a");
+  BOOST_TEST(Other.Prepared.Successor == "b");
+}
+
+BOOST_AUTO_TEST_CASE(withTheStoreAnyDecisionIsRecordedUnderAReservedToken) {
+  TokenWorld World(2);
+  World.reserveFor(0);
+  BOOST_TEST(World.claimForC(0, World.begin(0, Source::ReservedFirst)) == "c");
+  PromotionTurn Other = World.begin(1, Source::StoreOnly);
+  BOOST_TEST(Other.Latest.Successor == "c");
+  BOOST_TEST(Other.Prepared.Successor == "");
+}
+
+// Guards against two targets under one token: the lost write may be in effect.
+BOOST_AUTO_TEST_CASE(recordWithoutAResponseGivesNoToken) {
+  TokenWorld World(2);
+  World.reserveFor(0);
+  PromotionTurn Turn = World.begin(0, Source::ReservedFirst);
+  World.Store.LoseAnswers = 1;
+  BOOST_TEST(World.claimForC(0, Turn) == "");
+  BOOST_TEST(World.claimForC(0, Turn) == "");
+}
+
+BOOST_AUTO_TEST_CASE(tokenIsNotUsedForATargetThatMayNotBeNamed) {
+  TokenWorld World(1);
+  World.reserveFor(0);
+  PromotionTurn Turn = World.begin(0, Source::ReservedFirst);
+  World.Store.Outage = true;
+  BOOST_TEST(World.claimForC(0, Turn, false) == "");
+}
+
+// A VM knows that it has not ordered what it reserved. After a start it does
+// not, and another VM never does.
+BOOST_AUTO_TEST_CASE(onlyItsVmKnowsThatAReservationIsUnused) {
+  TokenWorld World(2);
+  World.reserveFor(0);
+  BOOST_TEST(World.begin(0, Source::StoreOnly).Prepared.Successor == "");
+  BOOST_TEST(World.begin(1, Source::StoreOnly).Prepared.Successor == "b");
+  World.Holders[0]->recordOrdered("g");
+  BOOST_TEST(World.begin(0, Source::StoreOnly).Prepared.Successor == "b");
+}
+
+// Guards against a reservation that takes a claim for never ordered while it is
+// about to be ordered.
+BOOST_AUTO_TEST_CASE(noTokenIsReservedOverAnAttemptThatBegan) {
+  TokenWorld World(1);
+  World.reserveFor(0);
+  World.Store.ReadTime = std::chrono::milliseconds(20);
+  bool Ended = false;
+  spawn(World.Loop, reserveUnexpectedly(*World.Holders[0], Ended));
+  PromotionTurn Turn = World.begin(0, Source::ReservedFirst);
+  while (!Ended)
+    World.Loop.run_one();
+  BOOST_TEST(Turn.Reserved.has_value());
+}
--- a/test/Promotion/PromotionWorld.h
+++ b/test/Promotion/PromotionWorld.h
@@ -10,6 +10,8 @@
 #include "Proxy/ProxyWorld.h"
 #include "System/PortBlock.h"
 
+#include <nlohmann/json.hpp>
+
 #include <memory>
 #include <string>
 
@@ -82,6 +84,32 @@
         "\"}";
     Store.put("cicadawind-promotions", "g", Value);
   }
+  /// Stores that another VM reserved token number \p Token while \p Primary led
+  /// term 1, and named \p Instance as the only target that it promotes without
+  /// the store.
+  void prepareDecision(std::uint64_t Token, const std::string &Primary,
+                       const std::string &Instance) {
+    auto Record = [&](const std::string &Target, int Opens) {
+      return R"("target":")" + Target + R"(","decided":)" +
+             std::to_string(Token) + R"(,"received_term":0,)" +
+             R"("received_index":0,"opens_term":)" + std::to_string(Opens) +
+             R"(,"list_revision":)" +
+             std::to_string(Service->targetsRevision());
+    };
+    Store.put("cicadawind-promotions", "g",
+              R"({"holder":"vm-2","token":)" + std::to_string(Token) + "," +
+                  Record(Primary, 1) + R"(,"prepared":{)" +
+                  Record(Instance, 2) + "}}");
+  }
+  /// Returns the target that the store names to be promoted without it; empty
+  /// if there is none.
+  std::string storedPreparedTarget() {
+    std::string Value = Store.valueOf("cicadawind-promotions", "g");
+    nlohmann::json Json = nlohmann::json::parse(Value, nullptr, false);
+    if (!Json.is_object() || !Json.contains("prepared"))
+      return "";
+    return Json["prepared"]["target"];
+  }
   /// Waits until \p Id is the primary and the proxy has confirmed it; false if
   /// that does not happen in time.
   bool waitForPrimary(const std::string &Id) {
--- a/test/Promotion/ReplacedPrimaryTest.cpp
+++ b/test/Promotion/ReplacedPrimaryTest.cpp
@@ -146,3 +146,48 @@
   }
   BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
 }
+
+// The cause of review/6: another VM promoted "b" under a reserved token while
+// the store was away, and this VM, which reaches "a" alone, is the first to
+// reach the store again. Reads at "b" lacked the write that only "a" has.
+BOOST_AUTO_TEST_CASE(vmBesideTheReplacedPrimaryKnowsWhatWasDecidedUnseen) {
+  CutPrimaryWorld World;
+  World.silenceOthers();
+  World.prepareDecision(OtherVmsToken, "a", "b");
+  World.Promotions.carryOut("b", OtherVmsToken);
+  World.Caller.send("QUERY read READ i1");
+  BOOST_REQUIRE(World.runUntil([&] { return World.knownPrimary() != "a"; }));
+  World.runFor(std::chrono::milliseconds(3500));
+  BOOST_TEST(World.Group.primary() == "b");
+  BOOST_TEST(World.Promotions.Tokens.empty());
+}
+
+// The same while the primary that the store names is only out of this VM's
+// reach: its silence alone is no evidence against it.
+BOOST_AUTO_TEST_CASE(vmThatReachesTheNamedTargetAloneReplacesNoPrimary) {
+  PromotionWorld World;
+  World.prepareDecision(OtherVmsToken, "a", "b");
+  World.instance("a").Faults.Silent = true;
+  World.Service->findGroup("g")->tracker().forget("a");
+  World.runFor(std::chrono::milliseconds(500));
+  World.Service->findGroup("g")->tracker().forget("a");
+  World.listSilentVms(2);
+  World.runFor(std::chrono::milliseconds(2500));
+  BOOST_TEST(World.Group.primary() == "a");
+  BOOST_TEST(World.Promotions.Tokens.empty());
+}
+
+// A decision without the store is for the target that the store names, although
+// another one has the longer log, so that every other VM can know of it.
+BOOST_AUTO_TEST_CASE(decisionWithoutTheStoreIsTheOneThatTheStoreNames) {
+  PromotionWorld World;
+  ProxyCaller Caller(World, "latest");
+  World.Group.at("b").ReplicationPaused = true;
+  BOOST_REQUIRE(
+      World.runUntil([&] { return World.storedPreparedTarget() == "b"; }));
+  Caller.ask("WRITE i1 x");
+  World.Store.Outage = true;
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  BOOST_TEST(World.Group.primary() == "b");
+}
