Reserve no token by the view of an earlier lead

Cause: planReservation() took a prepared promotion for done if this VM believes its target to be the primary, also if that belief is of an earlier lead: a VM that had not noticed two promotions named the wrong target again, and hid the one that another VM may order without the store.

In a group without commits there is then no reservation after a promotion without the store.

--- a/src/Succession/SuccessionReservation.cpp
+++ b/src/Succession/SuccessionReservation.cpp
@@ -27,6 +27,14 @@
   return Pending;
 }
 
+/// Returns whether the primary of \p Evidence is named by \p Prepared, but has
+/// not proved the term that this opens. An earlier lead may be meant.
+static bool isOutdatedView(const PromotionEvidence &Evidence,
+                           const PromotionRecord &Prepared) {
+  return Prepared.Successor == Evidence.OldPrimary &&
+         Evidence.OldPrimaryTerm < Prepared.Opens;
+}
+
 } // namespace internal
 
 std::optional<SuccessionReservation>
@@ -34,6 +42,8 @@
                 const PromotionRecord &Latest,
                 const PromotionRecord &Prepared) {
   SuccessionReservation Out{.Latest = Latest, .Replaces = Evidence.OldPrimary};
+  if (internal::isOutdatedView(Evidence, Prepared))
+    return std::nullopt;
   bool IsLatestOpen = mayBeUnknownPrimary(Latest, Evidence);
   if (!IsLatestOpen)
     Out.Latest = internal::provedPrimary(Evidence, Latest);
--- a/test/Promotion/SuccessionReservationTest.cpp
+++ b/test/Promotion/SuccessionReservationTest.cpp
@@ -94,6 +94,8 @@
   Promoted.OldPrimaryTerm = 2;
   Promoted.Candidates.pop_back();
   BOOST_TEST(planned(Promoted, record("a", 1), record("c", 2)) == "c 2, b 3");
+  // An earlier lead of "c" is no evidence.
+  BOOST_TEST(planned(Promoted, record("a", 2), record("c", 3)) == "none");
 }
 
 // Guards against the cause of review/6: a VM that does not reach the target
