--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -154,8 +154,6 @@
       .Group = Current.Group,
       .OldPrimary = Current.OldPrimary,
       .IsPlanned = Current.Reason != PromotionReason::Lost,
-      .IsOldPrimaryLatest = Turn.Latest.Successor == Current.OldPrimary &&
-                            Turn.Prepared.Successor.empty(),
       .Successor = Decided.Successor,
       .Received = Decided.Received,
       .Opens = Decided.Opens,
@@ -218,8 +216,9 @@
   // may have become primary.
   if (!isStillDue(*Decision))
     co_return false;
-  if (Reason == PromotionReason::Leaving && !co_await handOver(*Decision))
-    co_return false;
+  if (Reason == PromotionReason::Leaving)
+    co_await Survey.stepDown(Group, OldPrimary, Decision->Successor,
+                             Decision->Opens);
   internal::Logger.info("successor chosen",
                         {{"group", Group},
                          {"target", Decision->Successor},
@@ -235,37 +234,11 @@
 }
 
 boost::asio::awaitable<PromotionOutcome>
-FencedPromotion::orderOnce(const PromotionDecision &Decision,
-                           std::string Instance) {
-  return Promotions.promote(Decision.Group, std::move(Instance), Opts.Vm,
+FencedPromotion::orderOnce(const PromotionDecision &Decision) {
+  return Promotions.promote(Decision.Group, Decision.Successor, Opts.Vm,
                             Decision.Token, Opts.OrderTimeout);
 }
 
-boost::asio::awaitable<bool>
-FencedPromotion::handOver(const PromotionDecision &Decision) {
-  // An earlier order for the leaving primary may still be carried out. It would
-  // promote it again once it has stepped down, in a term that no record has.
-  // The same order under this token changes nothing, but lets the platform
-  // refuse earlier ones. Without a reply it may be carried out late itself, so
-  // this token is then used for nothing else.
-  if (Decision.IsOldPrimaryLatest) {
-    PromotionOutcome Outcome =
-        co_await orderOnce(Decision, Decision.OldPrimary);
-    if (Outcome != PromotionOutcome::Accepted) {
-      internal::Logger.info("hand-over stopped; earlier orders for the leaving "
-                            "primary may be carried out",
-                            {{"group", Decision.Group},
-                             {"target", Decision.OldPrimary},
-                             {"token", std::to_string(Decision.Token)},
-                             {"end", nameOf(Outcome)}});
-      co_return false;
-    }
-  }
-  co_await Survey.stepDown(Decision.Group, Decision.OldPrimary,
-                           Decision.Successor, Decision.Opens);
-  co_return true;
-}
-
 boost::asio::awaitable<bool>
 FencedPromotion::order(PromotionDecision Decision) {
   for (unsigned Attempt = 1; Attempt <= Opts.MaxOrders; ++Attempt) {
@@ -281,7 +254,7 @@
     Tokens.recordOrdered(Decision.Group);
     // The other VMs wait while the attempt goes on.
     Peers.broadcastPromotion(Decision.Group, Decision.Token, BootClock::now());
-    PromotionOutcome Outcome = co_await orderOnce(Decision, Decision.Successor);
+    PromotionOutcome Outcome = co_await orderOnce(Decision);
     internal::Logger.info("promotion ordered",
                           {{"group", Decision.Group},
                            {"target", Decision.Successor},
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -96,12 +96,8 @@
   /// Orders \p Decision until the platform accepts or refuses it, at most
   /// MaxOrders times and only while it is due.
   boost::asio::awaitable<bool> order(PromotionDecision Decision);
-  /// Orders \p Instance under the token of \p Decision.
   boost::asio::awaitable<PromotionOutcome>
-  orderOnce(const PromotionDecision &Decision, std::string Instance);
-  /// Makes the leaving primary step down and its successor receive its log.
-  /// Returns whether the successor may be ordered.
-  boost::asio::awaitable<bool> handOver(const PromotionDecision &Decision);
+  orderOnce(const PromotionDecision &Decision);
 
   Options Opts;
   ProxyService &Service;
--- a/src/Succession/PromotionDecision.h
+++ b/src/Succession/PromotionDecision.h
@@ -22,9 +22,6 @@
   std::string OldPrimary;
   /// Whether OldPrimary is replaced although it is reached.
   bool IsPlanned = false;
-  /// Whether OldPrimary is the successor of the latest decision and no other
-  /// target can have been promoted since.
-  bool IsOldPrimaryLatest = false;
   std::string Successor;
   /// End of the successor's log when it was chosen.
   LogPosition Received;
