--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -139,13 +139,8 @@
                          .Received = Choice->Successor.Received,
                          .Opens = Choice->Opens,
                          .ListRevision = Service.targetsRevision()};
-  bool IsPlanned = Current.Reason != PromotionReason::Lost;
-  bool IsSettling =
-      IsPlanned && settlesFirst(Evidence, Turn.Latest, Turn.Prepared);
-  if (IsSettling)
-    Record = settling(Current, Turn.Latest);
   bool MayUseNamed =
-      Turn.Reserved && !IsSettling &&
+      Turn.Reserved &&
       mayOrderNamed(Evidence, Turn.Latest, Turn.Named, Choice->Successor);
   Result<PromotionClaim> Claimed =
       co_await Tokens.claim(Current.Group, Turn, Record, MayUseNamed);
@@ -155,25 +150,15 @@
   }
   Doubted.erase(Current.Group);
   const PromotionRecord &Decided = valueOf(Claimed).Decision;
-  co_return PromotionDecision{.Group = Current.Group,
-                              .OldPrimary = Current.OldPrimary,
-                              .IsPlanned = IsPlanned,
-                              .IsSettling = IsSettling,
-                              .Successor = Decided.Successor,
-                              .Received = Decided.Received,
-                              .Opens = Decided.Opens,
-                              .Token = valueOf(Claimed).Token,
-                              .Recorded = Decided,
-                              .ValidUntil =
-                                  Current.BegunAt + Opts.MaxDecisionAge};
-}
-
-PromotionRecord FencedPromotion::settling(const Attempt &Current,
-                                          const PromotionRecord &Latest) {
-  PromotionRecord Out = Latest;
-  Out.Successor = Current.OldPrimary;
-  Out.IsSettled = false;
-  return Out;
+  co_return PromotionDecision{
+      .Group = Current.Group,
+      .OldPrimary = Current.OldPrimary,
+      .IsPlanned = Current.Reason != PromotionReason::Lost,
+      .Successor = Decided.Successor,
+      .Received = Decided.Received,
+      .Opens = Decided.Opens,
+      .Token = valueOf(Claimed).Token,
+      .ValidUntil = Current.BegunAt + Opts.MaxDecisionAge};
 }
 
 bool FencedPromotion::isStillDue(const PromotionDecision &Decision) {
@@ -231,10 +216,6 @@
   // may have become primary.
   if (!isStillDue(*Decision))
     co_return false;
-  if (Decision->IsSettling) {
-    co_await settle(*Decision);
-    co_return false;
-  }
   if (Reason == PromotionReason::Leaving)
     co_await Survey.stepDown(Group, OldPrimary, Decision->Successor,
                              Decision->Opens);
@@ -258,19 +239,6 @@
                             Decision.Token, Opts.OrderTimeout);
 }
 
-boost::asio::awaitable<void>
-FencedPromotion::settle(const PromotionDecision &Decision) {
-  Tokens.recordOrdered(Decision.Group);
-  PromotionOutcome Outcome = co_await orderOnce(Decision);
-  internal::Logger.info("leaving primary ordered before it steps down",
-                        {{"group", Decision.Group},
-                         {"target", Decision.Successor},
-                         {"token", std::to_string(Decision.Token)},
-                         {"end", nameOf(Outcome)}});
-  if (Outcome == PromotionOutcome::Accepted)
-    Tokens.recordSettled(Decision.Group, Decision.Recorded);
-}
-
 boost::asio::awaitable<bool>
 FencedPromotion::order(PromotionDecision Decision) {
   for (unsigned Attempt = 1; Attempt <= Opts.MaxOrders; ++Attempt) {
@@ -292,8 +260,6 @@
                            {"target", Decision.Successor},
                            {"token", std::to_string(Decision.Token)},
                            {"end", nameOf(Outcome)}});
-    if (Outcome == PromotionOutcome::Accepted && Attempt == 1)
-      Tokens.recordSettled(Decision.Group, Decision.Recorded);
     if (Outcome == PromotionOutcome::Accepted)
       co_return true;
     if (Outcome == PromotionOutcome::Refused)
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -89,9 +89,6 @@
   /// primary.
   void recordRefusal(const std::string &Group,
                      const SuccessionVerdict &Verdict);
-  /// Returns the decision to order the leaving primary of \p Current again.
-  static PromotionRecord settling(const Attempt &Current,
-                                  const PromotionRecord &Latest);
   /// Returns whether the reason for \p Decision still holds: no other target
   /// has become primary, no peer has announced a promotion, and a lost primary
   /// is not reached again.
@@ -99,8 +96,6 @@
   /// Orders \p Decision until the platform accepts or refuses it, at most
   /// MaxOrders times and only while it is due.
   boost::asio::awaitable<bool> order(PromotionDecision Decision);
-  /// Orders a primary that is only to be settled, once.
-  boost::asio::awaitable<void> settle(const PromotionDecision &Decision);
   boost::asio::awaitable<PromotionOutcome>
   orderOnce(const PromotionDecision &Decision);
 
--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -36,8 +36,7 @@
           .Received = {.WrittenIn = numberAt(Json, "received_term"),
                        .Index = numberAt(Json, "received_index")},
           .Opens = numberAt(Json, "opens_term"),
-          .ListRevision = numberAt(Json, "list_revision"),
-          .IsSettled = numberAt(Json, "settled") != 0};
+          .ListRevision = numberAt(Json, "list_revision")};
 }
 
 /// Returns what \p Object says of the group. The latest decision is unknown if
@@ -74,7 +73,6 @@
   Json["received_index"] = Record.Received.Index;
   Json["opens_term"] = Record.Opens;
   Json["list_revision"] = Record.ListRevision;
-  Json["settled"] = Record.IsSettled ? 1U : 0U;
 }
 
 static std::string encode(const PromotionTurn &Turn, const std::string &Vm) {
@@ -154,11 +152,6 @@
     if (!Out)
       co_return;
     Planned = *Out;
-    // The named promotion was carried out, and leads now.
-    const std::optional<PromotionRecord> &Settled = Groups[Group].Settled;
-    bool WasNamed = Settled && Turn.Prepared == *Settled;
-    if (WasNamed && Planned.Latest.Successor == Settled->Successor)
-      Planned.Latest.IsSettled = true;
   }
   // The store may name another target from now on, whether it replies or not.
   dropReserved(Group);
@@ -236,9 +229,6 @@
     Turn.Latest = Own->LatestInstead;
     Turn.Prepared = Own->PreparedInstead;
   }
-  const std::optional<PromotionRecord> &Settled = Groups[Group].Settled;
-  if (Settled && Turn.Latest == *Settled)
-    Turn.Latest.IsSettled = true;
   co_return Turn;
 }
 
--- a/src/Promotion/PromotionTokens.h
+++ b/src/Promotion/PromotionTokens.h
@@ -87,12 +87,6 @@
   /// Returns the reserved token, or claims a new one without a decision. Fails
   /// like claim().
   boost::asio::awaitable<Result<std::uint64_t>> take(std::string Group);
-  /// Records that no order for the successor of \p Decision, a claim of this
-  /// VM, can be carried out any more. The store has it with the next
-  /// reservation.
-  void recordSettled(const std::string &Group, PromotionRecord Decision) {
-    Groups[Group].Settled = std::move(Decision);
-  }
   /// Claims a token in advance, in place of one that is reserved already. An
   /// empty \p Plan stands for a token without a named promotion.
   boost::asio::awaitable<void> reserve(std::string Group, ReservationPlan Plan);
@@ -121,8 +115,6 @@
     /// Number of calls of begin() and claim().
     std::uint64_t Attempts = 0;
     std::optional<OwnClaim> Own;
-    /// The latest record that is settled as far as this VM knows.
-    std::optional<PromotionRecord> Settled;
     TimePoint NextReservation;
   };
 
--- a/src/Succession/PromotionDecision.h
+++ b/src/Succession/PromotionDecision.h
@@ -3,7 +3,6 @@
 
 #include "Core/Clock.h"
 #include "Core/LogPosition.h"
-#include "Succession/PromotionRecord.h"
 
 #include <cstdint>
 #include <string>
@@ -23,17 +22,12 @@
   std::string OldPrimary;
   /// Whether OldPrimary is replaced although it is reached.
   bool IsPlanned = false;
-  /// Whether Successor is OldPrimary, which is only to be settled before it
-  /// steps down; see settlesFirst().
-  bool IsSettling = false;
   std::string Successor;
   /// End of the successor's log when it was chosen.
   LogPosition Received;
   /// Term that the promotion opens.
   Term Opens = 0;
   std::uint64_t Token = 0;
-  /// What the store has of it.
-  PromotionRecord Recorded;
   /// Time after which it is not ordered any more.
   TimePoint ValidUntil;
 };
--- a/src/Succession/PromotionRecord.h
+++ b/src/Succession/PromotionRecord.h
@@ -29,10 +29,6 @@
   /// Revision of a list of targets that has the successor.
   std::uint64_t ListRevision = 0;
 
-  /// Whether no order for Successor can be carried out any more. An order that
-  /// got no reply may be, long after others.
-  bool IsSettled = false;
-
   bool operator==(const PromotionRecord &) const = default;
 };
 
--- a/src/Succession/SuccessionReservation.cpp
+++ b/src/Succession/SuccessionReservation.cpp
@@ -12,18 +12,15 @@
   bool IsOfLatest = Latest.IsKnown && Latest.Successor == Evidence.OldPrimary;
   if (IsOfLatest && Latest.Opens >= Evidence.OldPrimaryTerm)
     return Latest;
-  bool WasNoneDecided = Latest.IsKnown && Latest.Successor.empty();
   return {.Successor = Evidence.OldPrimary,
           .Opens = Evidence.OldPrimaryTerm,
-          .ListRevision = Evidence.ListRevision,
-          .IsSettled = WasNoneDecided};
+          .ListRevision = Evidence.ListRevision};
 }
 
 /// Returns \p Pending as the promotion that a new token names.
 static PromotionRecord nameAgain(const PromotionEvidence &Evidence,
                                  PromotionRecord Pending) {
   Pending.Claim = 0;
-  Pending.IsSettled = false;
   Pending.Opens = std::max(Pending.Opens, Evidence.OldPrimaryTerm + 1);
   if (Evidence.Listed.count(Pending.Successor))
     Pending.ListRevision = Evidence.ListRevision;
@@ -50,8 +47,6 @@
   bool IsLatestOpen = mayBeUnknownPrimary(Latest, Evidence);
   if (!IsLatestOpen)
     Out.Latest = internal::provedPrimary(Evidence, Latest);
-  if (!IsLatestOpen && !Out.Latest.IsSettled && Prepared.Successor.empty())
-    return std::nullopt;
   if (mayBeUnknownPrimary(Prepared, Evidence))
     Out.Prepared = internal::nameAgain(Evidence, Prepared);
   else if (IsLatestOpen)
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -163,12 +163,4 @@
   return internal::supersede(Complete, Prepared, true);
 }
 
-bool settlesFirst(const PromotionEvidence &Evidence,
-                  const PromotionRecord &Latest,
-                  const PromotionRecord &Prepared) {
-  bool IsOfLatest = Latest.IsKnown && Latest.Successor == Evidence.OldPrimary;
-  return Evidence.ReachesOldPrimary && IsOfLatest && !Latest.IsSettled &&
-         Prepared.Successor.empty();
-}
-
 } // namespace cicadawind
--- a/src/Succession/SuccessionRule.h
+++ b/src/Succession/SuccessionRule.h
@@ -65,18 +65,6 @@
                                    const PromotionRecord &Latest,
                                    const PromotionRecord &Prepared = {});
 
-/// Returns whether an order for the leaving primary of \p Evidence may still be
-/// carried out and has to be superseded before it steps down.
-///
-/// Such an order would promote it again after the step-down, in a term that no
-/// record has. The same order under a new token changes nothing but lets the
-/// platform refuse the earlier ones. It is recorded before it is sent, since it
-/// may be carried out late itself. It is not sent where another target may have
-/// been promoted since, because it would then end that target's lead.
-bool settlesFirst(const PromotionEvidence &Evidence,
-                  const PromotionRecord &Latest,
-                  const PromotionRecord &Prepared);
-
 } // namespace cicadawind
 
 #endif
