Without fences, promote no target that follows an older term than others

Seen by callers: on a platform that does not fence promotions, reads of a replaced primary's discarded commits come back, if it alone replies when its successor is lost. Cause: LeasedPromotion::chooseSuccessorIfDue() asked for no lowest term, so a target that follows an older term than others have served was promoted if no better one replied. Change: the same rule as on platforms that fence: the successor follows the newest term that any target has reported to this VM, and that term is given up only if every listed target replied. A primary that is lost before a replica followed its term is then replaced once the registry drops it.

--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -237,6 +237,21 @@
   }
 }
 
+std::optional<SuccessorCandidate>
+LeasedPromotion::bestCandidate(const Attempt &Current,
+                               const GroupDispatcher &Group) {
+  const PrimaryLease *Lease = Group.guard().lease();
+  Term Served = Lease ? Lease->highestTerm() : 0;
+  std::vector<SuccessorCandidate> Candidates =
+      candidatesFrom(Group, Current.Statuses, Current.OldPrimary);
+  std::optional<SuccessorCandidate> Best = chooseSuccessor(Candidates, Served);
+  // The targets that followed the newest term are gone, and the term with them.
+  bool HaveAllReplied = Current.Statuses.size() >= Group.entries().size();
+  if (!Best && HaveAllReplied)
+    Best = chooseSuccessor(Candidates, 0);
+  return Best;
+}
+
 void LeasedPromotion::chooseSuccessorIfDue(Attempt &Current, TimePoint Now) {
   if (!Current.Ballot.proposal().Successor.empty() || !Current.AskedAt)
     return;
@@ -250,8 +265,8 @@
     return;
   std::string Chosen = Current.Ballot.pendingSuccessor();
   if (Chosen.empty()) {
-    std::optional<SuccessorCandidate> Best = chooseSuccessor(
-        candidatesFrom(*Dispatcher, Current.Statuses, Current.OldPrimary), 0);
+    std::optional<SuccessorCandidate> Best =
+        bestCandidate(Current, *Dispatcher);
     if (!Best)
       return;
     Chosen = Best->Instance;
--- a/src/Promotion/LeasedPromotion.h
+++ b/src/Promotion/LeasedPromotion.h
@@ -4,14 +4,17 @@
 #include "Leases/PromotionBallot.h"
 #include "Promotion/PromotionProcedure.h"
 #include "Promotion/TargetSurvey.h"
+#include "Succession/SuccessorCandidate.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cicadawind {
 
+class GroupDispatcher;
 class LeaseExchange;
 class PeerExchange;
 class PromotionService;
@@ -78,6 +81,11 @@
   void askTargets(const std::shared_ptr<Attempt> &Current, TimePoint Now);
   void recordStatus(Attempt &Current, const std::string &Instance,
                     const TargetStatus &Status);
+  /// Returns the best candidate that follows the newest term which any target
+  /// has reported to this VM: others may hold entries that it discarded. Empty
+  /// if none does, unless every listed target has replied.
+  static std::optional<SuccessorCandidate>
+  bestCandidate(const Attempt &Current, const GroupDispatcher &Group);
   /// Names the successor once enough targets have answered.
   void chooseSuccessorIfDue(Attempt &Current, TimePoint Now);
   /// Returns whether the successor has received what the demoted primary wrote,
