Bench: the named replica is lost as well, after all VMs were killed

No VM knows any more whether the named replica was promoted, so the group waits until the registry drops it.

--- a/bench/PromotionGapBench.cpp
+++ b/bench/PromotionGapBench.cpp
@@ -136,6 +136,18 @@
   return After.gapAfterLoss();
 }
 
+/// The same; the replica that was named is lost with the primary.
+double namedReplicaLostAfterAllVmsWereKilled() {
+  std::string Stored;
+  {
+    GapWorld Before;
+    Stored = Before.storedObject();
+  }
+  GapWorld After(Stored);
+  After.instance("b").crash();
+  return After.gapAfterLoss();
+}
+
 double oneVmLeft() {
   GapWorld World;
   World.listGoneVms(6);
@@ -202,6 +214,8 @@
   run("store_away_one_replica_behind", storeAwayOneReplicaBehind);
   run("store_away_one_replica_silent", storeAwayOneReplicaSilent);
   run("all_vms_killed_with_a_token_reserved", allVmsKilledWithATokenReserved);
+  run("named_replica_lost_after_all_vms_were_killed",
+      namedReplicaLostAfterAllVmsWereKilled);
   run("one_vm_left", oneVmLeft);
   run("one_vm_left_of_a_thousand", oneVmLeftOfAThousand);
   run("store_restored_from_an_older_copy", storeRestoredFromAnOlderCopy);
