Use no reserved token for a record of a later era

Cause, by reading: a decision under a reserved token is recorded on the version of the reservation; after the store came back from an older copy, another object may have that version, and the token is lower than those that other VMs get. claimNext() checks the era, recording under a reserved token did not. Change: the same check; the claim fails as a conflict, and the next one reads the store. PromotionTokensTest, reservedTokenIsNotUsedForARecordOfALaterEra: failed before (the decision for c got the old token), passes now.

--- a/src/Promotion/PromotionTokens.cpp
+++ b/src/Promotion/PromotionTokens.cpp
@@ -277,7 +277,14 @@
   }
   Turn.Latest = std::move(Decision);
   Turn.Prepared = {};
-  co_return co_await write(Group, Turn, Opts.StoreTimeout);
+  WriteResult Written = co_await write(Group, Turn, Opts.StoreTimeout);
+  // In a later era the object may be another one with the same version, and
+  // other VMs have got higher tokens.
+  if (Written.Outcome == WriteOutcome::Accepted &&
+      StoreRevision::unpack(Written.Version).Era !=
+          StoreRevision::unpack(Turn.Version).Era)
+    Written.Outcome = WriteOutcome::Conflict;
+  co_return Written;
 }
 
 boost::asio::awaitable<Result<PromotionClaim>>
--- a/test/Promotion/PromotionTokensTest.cpp
+++ b/test/Promotion/PromotionTokensTest.cpp
@@ -173,6 +173,17 @@
   BOOST_TEST(World.claimForC(0, Turn) == "");
 }
 
+// Guards against a decision under a token that is lower than those which other
+// VMs get since the store came back from an older copy.
+BOOST_AUTO_TEST_CASE(reservedTokenIsNotUsedForARecordOfALaterEra) {
+  TokenWorld World(1);
+  World.reserveFor(0);
+  PromotionTurn Turn = World.begin(0, Source::ReservedFirst);
+  World.Store.keepCopy();
+  World.Store.restoreCopy();
+  BOOST_TEST(World.claimForC(0, Turn) == "");
+}
+
 BOOST_AUTO_TEST_CASE(tokenIsNotUsedForATargetThatMayNotBeNamed) {
   TokenWorld World(1);
   World.reserveFor(0);
