--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -37,8 +37,9 @@
 /// fencing token of its own, which is claimed by a conditional update in the
 /// store: an order that got no reply may still be carried out seconds later,
 /// and must then be refused if a later decision was carried out. The VM of rank
-/// 0 reserves a token in advance, so that it can promote while the store is
-/// unavailable. How a primary is replaced is up to the PromotionProcedure.
+/// 0 reserves a token in advance, so that it can promote the target that the
+/// store names with it while the store is unavailable. How a primary is
+/// replaced is up to the PromotionProcedure.
 ///
 /// Runs on the loop's thread.
 class PromotionDriver {
--- a/src/Promotion/PromotionTokens.h
+++ b/src/Promotion/PromotionTokens.h
@@ -78,7 +78,7 @@
                                                        PromotionRecord Decision,
                                                        bool MayUseNamed);
   /// Records that the latest claim of this VM is ordered from now on. Until
-  /// then, what it replaced is what the store says for this VM.
+  /// then this VM goes by what that claim replaced.
   void recordOrdered(const std::string &Group) { Groups[Group].Own.reset(); }
   /// Drops the reserved token.
   void dropReserved(const std::string &Group) {
@@ -90,8 +90,8 @@
   /// Claims a token in advance, in place of one that is reserved already. An
   /// empty \p Plan stands for a token without a named promotion.
   boost::asio::awaitable<void> reserve(std::string Group, ReservationPlan Plan);
-  /// Returns whether reserve() may run at \p Now: it does not run, and has not
-  /// been tried within ReservationInterval.
+  /// Returns whether reserve() may be called at \p Now: no earlier call is
+  /// still in progress, and none began within ReservationInterval.
   bool mayReserve(const std::string &Group, TimePoint Now) const;
   /// Returns the turn with the reserved token; null if there is none.
   const PromotionTurn *reserved(const std::string &Group) const;
--- a/src/Succession/SuccessionReservation.h
+++ b/src/Succession/SuccessionReservation.h
@@ -19,6 +19,7 @@
 struct SuccessionReservation {
   /// The latest decision, or the primary that was proved since.
   PromotionRecord Latest;
+  /// The promotion that may be ordered under the token without the store.
   PromotionRecord Prepared;
   /// The primary that Prepared is to replace.
   std::string Replaces;
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -88,8 +88,8 @@
       [&](const std::string &Each) { return find(Evidence, Each) != nullptr; });
 }
 
-/// Returns whether \p Pending follows the primary that \p Prepared is to
-/// replace. It was named without being asked for the term that it follows.
+/// Returns whether \p Pending, the successor of \p Prepared, follows the
+/// primary that it is to replace. It may have been named before it did.
 static bool followsReplaced(const SuccessorCandidate &Pending,
                             const PromotionRecord &Prepared) {
   return Pending.Follows + 1 >= Prepared.Opens;
