--- a/bench/PromotionGapBench.cpp
+++ b/bench/PromotionGapBench.cpp
@@ -125,25 +125,21 @@
   return World.gapAfterLoss();
 }
 
+/// Returns the group's object in the store after a VM reserved a token.
+std::string objectAfterReservation() {
+  GapWorld World;
+  return World.storedObject();
+}
+
 /// The VM starts anew with what it had reserved in the store.
 double allVmsKilledWithATokenReserved() {
-  std::string Stored;
-  {
-    GapWorld Before;
-    Stored = Before.storedObject();
-  }
-  GapWorld After(Stored);
+  GapWorld After(objectAfterReservation());
   return After.gapAfterLoss();
 }
 
 /// The same; the replica that was named is lost with the primary.
 double namedReplicaLostAfterAllVmsWereKilled() {
-  std::string Stored;
-  {
-    GapWorld Before;
-    Stored = Before.storedObject();
-  }
-  GapWorld After(Stored);
+  GapWorld After(objectAfterReservation());
   After.instance("b").crash();
   return After.gapAfterLoss();
 }
