Review case 14: a planned hand-over goes to a replica that is known to lack acknowledged commits

Cause: FencedPromotion::run() orders the promotion whatever stepDown() has found about the successor's log. Case: syncReplicas 1, each machine restarted once, one replica receives nothing for 3 s, the primary reports draining; nothing crashes.

--- a/review/AckedCommits3.h
+++ b/review/AckedCommits3.h
@@ -50,6 +50,13 @@
     System.Db.crash(Id);
   }
 
+  /// \p Id reports that it leaves; it goes on serving.
+  void drain(const std::string &Id) {
+    Record.line("planned: " + Id + " reports draining");
+    System.Db.at(Id).Leaving = true;
+    System.registerAll();
+  }
+
   /// Stops \p Each with SIGTERM and starts it again.
   awaitable<bool> restart(Proxy &Each) {
     Record.line("planned: SIGTERM to " + Each.Name);
