Review stand-ins: a proxy's process inherits no sockets

Cause: the proxies kept the listening sockets of the stand-in databases open, so that connections to a crashed instance were accepted by the kernel.

--- a/review/Deployment3.h
+++ b/review/Deployment3.h
@@ -117,6 +117,8 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     std::freopen(Log.c_str(), "a", stdout);
     dup2(STDOUT_FILENO, STDERR_FILENO);
+    // Sockets of the stand-ins must not stay open in the machine's process.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     char Program[] = "target/cicadawind-proxy";
     char *Arguments[] = {Program, nullptr};
     char *Environment[] = {Variable.data(), nullptr};
