--- a/review/Database3.h
+++ b/review/Database3.h
@@ -106,6 +106,10 @@
   /// Called just before \p Id leads, with the log that it has received.
   std::function<void(const std::string &Id)> OnPromoted = [](const std::string &) {};
 
+  /// Whether \p Id loses the answer to a request that it has run. The
+  /// connection stays open, and nothing more arrives on it.
+  std::function<bool(const std::string &Id)> LosesAnswer = [](const std::string &) { return false; };
+
   /// The process of the instance ends; what it has sent has left.
   void crash(const std::string &Id) {
     Instance &I = at(Id);
@@ -345,7 +349,15 @@
   void answer(const std::string &Lines_) {
     if (!I.Up)
       return;
-    G.Record(I.Id + " ran " + Request + " '" + Text.substr(0, 60) + "' -> " + Lines_.substr(0, Lines_.find("\r\n")));
+    bool IsLost = G.LosesAnswer(I.Id);
+    // The proxy's own brackets around single reads would fill the record.
+    bool IsBracket = Request == "-" && (Verb == "BEGIN" || Verb == "ROLLBACK");
+    if (!IsBracket || IsLost)
+      G.Record(I.Id + " ran " + Request + " '" + Text.substr(0, 60) + "' -> " + Lines_.substr(0, Lines_.find("\r\n")) +
+               (IsLost ? " (lost)" : ""));
+    // Busy from now on: the connection returns nothing further.
+    if (IsLost)
+      return;
     std::string Bytes = Lines_ + "READY " + State + " " + textOf(I.applied()) + "\r\n";
     G.travel([Self = shared_from_this(), Bytes] { Self->Stream->send(Bytes); });
     Busy = false;
