--- a/review/Deployment3.h
+++ b/review/Deployment3.h
@@ -257,7 +257,6 @@
       return Db.promote(Id);
     };
     Db.OnChange = [this] { registerAll(); };
-    Objects.put("config", "main", configuration());
     registerAll();
     boost::asio::co_spawn(Loop, heartbeats(), boost::asio::detached);
   }
@@ -271,6 +270,7 @@
   }
 
   void startAll() {
+    Objects.put("config", "main", configuration());
     for (Proxy &Each : Proxies) {
       writeSettings(Each);
       Each.start(Folder);
@@ -317,6 +317,8 @@
   std::string Folder;
   int Promotes = 0;
   unsigned StatementTimeoutMs = 800;
+  /// Tenants of the desired state; none if null.
+  json Tenants;
 
   void registerAll() {
     for (auto &[Id, I] : Db.all()) {
@@ -352,7 +354,7 @@
     };
     json Service{{"name", Db.options().Service}, {"healthPath", "/health"}, {"maxConns", Db.options().MaxConnections},
                  {"protocol", "h1"},             {"tls", false},            {"syncReplicas", Db.options().SyncReplicas}};
-    return {{"configVersion", 7},
+    json Out{{"configVersion", 7},
             {"routes",
              {Route("pedidos", "primary", 1), Route("catalogo", "bounded", 2),
               Route("precios", "read_your_writes", 2)}},
@@ -363,6 +365,9 @@
               {"headerTimeoutMs", 3000},
               {"idleTimeoutMs", 15000},
               {"txIdleMs", 3000}}}};
+    if (!Tenants.is_null())
+      Out["tenants"] = Tenants;
+    return Out;
   }
 
   awaitable<void> heartbeats() {
