Decode for how many replicas a commit of a group waits

Cause: syncReplicas was read nowhere, so no decision could depend on what a group promises of an acknowledged commit. Change: GroupLimits::SyncReplicas, from the configuration, between VMs (a plain number as before where it is 0), on the operators' page and in what differs between two configurations. Nothing depends on it yet.

--- a/src/Config/ProxyConfig.h
+++ b/src/Config/ProxyConfig.h
@@ -46,6 +46,9 @@
 struct GroupLimits {
   /// Maximum number of connections that a target accepts from all VMs together.
   unsigned MaxConnections = 16;
+  /// Number of replicas that have received a commit before it is acknowledged.
+  /// An acknowledged commit is in the logs of one target more than that.
+  unsigned SyncReplicas = 0;
 
   bool operator==(const GroupLimits &) const = default;
 };
--- a/src/Daemons/ConfigPage.cpp
+++ b/src/Daemons/ConfigPage.cpp
@@ -122,8 +122,9 @@
     Out.Config.Routes[Route.Database] = Route;
   }
   for (const Json &Each : In.at("groups"))
-    Out.Config.Groups[Each.at("group").get<std::string>()].MaxConnections =
-        Each.at("max_connections").get<unsigned>();
+    Out.Config.Groups[Each.at("group").get<std::string>()] = {
+        .MaxConnections = Each.at("max_connections").get<unsigned>(),
+        .SyncReplicas = Each.value("sync_replicas", 0U)};
   Out.Config.Callers = limitsFrom(In.at("limits"));
   const Json &Accounts = In.at("accounts");
   if (Accounts.is_null())
@@ -149,8 +150,9 @@
     Routes.push_back(internal::toJson(Route));
   internal::Json Groups = internal::Json::array();
   for (const auto &[Name, Limits] : Shown.Groups)
-    Groups.push_back(
-        {{"group", Name}, {"max_connections", Limits.MaxConnections}});
+    Groups.push_back({{"group", Name},
+                      {"max_connections", Limits.MaxConnections},
+                      {"sync_replicas", Limits.SyncReplicas}});
   return {{"version", Shown.Version},
           {"routes", std::move(Routes)},
           {"groups", std::move(Groups)},
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -190,6 +190,11 @@
   return Limits == Config.Groups.end() ? 0 : Limits->second.MaxConnections;
 }
 
+unsigned ProxyService::syncReplicas(const std::string &Group) const {
+  auto Limits = Config->Groups.find(Group);
+  return Limits == Config->Groups.end() ? 0 : Limits->second.SyncReplicas;
+}
+
 std::set<std::string> ProxyService::votersFor(const std::string &Group) const {
   std::set<std::string> Out;
   auto Found = Groups.find(Group);
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -110,13 +110,27 @@
   return Out;
 }
 
+/// A group without replicas to wait for, the usual one, is a plain number.
+static Json toJson(const GroupLimits &Limits) {
+  if (Limits.SyncReplicas == 0)
+    return Limits.MaxConnections;
+  return Json::array({Limits.MaxConnections, Limits.SyncReplicas});
+}
+
+static GroupLimits groupFrom(const Json &In) {
+  if (!In.is_array())
+    return {.MaxConnections = In.get<unsigned>()};
+  return {.MaxConnections = In.at(0).get<unsigned>(),
+          .SyncReplicas = In.at(1).get<unsigned>()};
+}
+
 static void addConfig(Json &Out, const ProxyConfig &Config) {
   Out["routes"] = Json::array();
   for (const auto &[Name, Route] : Config.Routes)
     Out["routes"].push_back(toJson(Route));
   Out["groups"] = Json::object();
   for (const auto &[Name, Limits] : Config.Groups)
-    Out["groups"][Name] = Limits.MaxConnections;
+    Out["groups"][Name] = toJson(Limits);
   Out["limits"] = toJson(Config.Callers);
   if (!Config.Accounts.isEnabled())
     return;
@@ -134,8 +148,8 @@
     RouteConfig Route = routeFrom(Each);
     Out.Routes[Route.Database] = Route;
   }
-  for (const auto &[Name, Connections] : In.at("groups").items())
-    Out.Groups[Name].MaxConnections = Connections.get<unsigned>();
+  for (const auto &[Name, Limits] : In.at("groups").items())
+    Out.Groups[Name] = groupFrom(Limits);
   Out.Callers = limitsFrom(In.at("limits"));
   if (!In.contains("accounts"))
     return Out;
--- a/test/Config/ConfigDifferenceTest.cpp
+++ b/test/Config/ConfigDifferenceTest.cpp
@@ -69,6 +69,8 @@
     {[](auto &C) { C.Groups.erase("g"); }, "group_removed|g|||\n"},
     {[](auto &C) { C.Groups["g"].MaxConnections = 5; },
      "group_limit_changed|g|max_connections|4|5\n"},
+    {[](auto &C) { C.Groups["g"].SyncReplicas = 1; },
+     "group_limit_changed|g|sync_replicas|0|1\n"},
     {[](auto &C) { C.Callers.MaxMessageBytes = 1024; },
      "caller_limit_changed||max_message|262144 bytes|1024 bytes\n"},
     {[](auto &C) { C.Callers.IncompleteMessage = Millis(1); },
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -58,6 +58,14 @@
 
 ProxyWorld::~ProxyWorld() { Service.reset(); }
 
+void ProxyWorld::setSyncReplicas(unsigned Count) {
+  auto Next = std::make_shared<ProxyConfig>(*Config);
+  ++Next->Version;
+  Next->Groups["g"].SyncReplicas = Count;
+  Config = Next;
+  Service->applyConfig(Config);
+}
+
 std::vector<TargetEntry> ProxyWorld::listedTargets() const {
   std::vector<TargetEntry> Entries;
   for (const auto &[Id, Each] : Instances) {
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -39,6 +39,9 @@
     SweepHook = std::move(Hook);
   }
 
+  /// Makes the group promise that \p Count replicas have received a commit
+  /// before it is acknowledged. The emulated instances wait for none.
+  void setSyncReplicas(unsigned Count);
   /// Applies the registry's current list of targets to the proxy.
   void applyListedTargets();
   /// Returns the registry's list: the instances that are not down.
