--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -28,6 +28,13 @@
                  {"lag_ms", std::to_string(Status.Lag.count())}});
 }
 
+static std::string joined(const std::set<std::string> &Names) {
+  std::string Out;
+  for (const std::string &Each : Names)
+    Out += (Out.empty() ? "" : " ") + Each;
+  return Out;
+}
+
 } // namespace internal
 
 FencedPromotion::FencedPromotion(Options NewOpts, ProxyService &Service,
@@ -68,6 +75,8 @@
   for (const TargetEntry &Entry : Group.entries())
     Out.Listed.insert(Entry.Instance);
   Out.ListRevision = Service.targetsRevision();
+  Out.SyncReplicas = Service.syncReplicas(Current.Group);
+  Out.IsDraft = Current.Reason == PromotionReason::Leaving;
   return Out;
 }
 
@@ -108,6 +117,14 @@
     GroupDispatcher *Dispatcher = Service.findGroup(Group);
     if (Dispatcher && Dispatcher->findEntry(Presumed->Instance))
       Dispatcher->recordPrimaryClaim(Presumed->Instance);
+  } else if (const auto *Open = std::get_if<UnprovedSuccessor>(&Verdict)) {
+    Unproved.insert(Group);
+    internal::Logger.warning(
+        "no target is proved to have every acknowledged commit; the promotion "
+        "waits",
+        {{"group", Group},
+         {"best", Open->Instance},
+         {"may_be_ahead", internal::joined(Open->MayBeAhead)}});
   } else if (const auto *None = std::get_if<NoSuccessor>(&Verdict)) {
     internal::Logger.warning(
         "no target can be promoted",
@@ -126,22 +143,31 @@
   GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
   if (!Dispatcher)
     co_return std::nullopt;
-  PromotionEvidence Evidence = evidenceFrom(*Dispatcher, Replies, Current);
-  SuccessionVerdict Verdict =
-      decideSuccession(Evidence, Turn.Latest, Turn.Prepared);
+  SuccessionVerdict Verdict = decideSuccession(
+      evidenceFrom(*Dispatcher, Replies, Current), Turn.Latest, Turn.Prepared);
   const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
   if (!Choice) {
     Doubted.insert(Current.Group);
     recordRefusal(Current.Group, Verdict);
     co_return std::nullopt;
   }
-  PromotionRecord Record{.Successor = Choice->Successor.Instance,
-                         .Received = Choice->Successor.Received,
-                         .Opens = Choice->Opens,
+  co_return co_await claim(Current, Turn, Replies, *Choice);
+}
+
+boost::asio::awaitable<std::optional<PromotionDecision>>
+FencedPromotion::claim(const Attempt &Current, const PromotionTurn &Turn,
+                       const TargetStatuses &Replies, SuccessionChoice Choice) {
+  GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
+  if (!Dispatcher)
+    co_return std::nullopt;
+  PromotionEvidence Evidence = evidenceFrom(*Dispatcher, Replies, Current);
+  PromotionRecord Record{.Successor = Choice.Successor.Instance,
+                         .Received = Choice.Successor.Received,
+                         .Opens = Choice.Opens,
                          .ListRevision = Service.targetsRevision()};
   bool MayUseNamed =
       Turn.Reserved &&
-      mayOrderNamed(Evidence, Turn.Latest, Turn.Named, Choice->Successor);
+      mayOrderNamed(Evidence, Turn.Latest, Turn.Named, Choice.Successor);
   Result<PromotionClaim> Claimed =
       co_await Tokens.claim(Current.Group, Turn, Record, MayUseNamed);
   if (const Error *E = errorOf(Claimed)) {
@@ -187,9 +213,20 @@
                               : PromotionTokens::Source::ReservedFirst;
 }
 
-boost::asio::awaitable<bool> FencedPromotion::run(std::string Group,
-                                                  std::string OldPrimary,
-                                                  PromotionReason Reason) {
+boost::asio::awaitable<PromotionEnd>
+FencedPromotion::run(std::string Group, std::string OldPrimary,
+                     PromotionReason Reason) {
+  Unproved.erase(Group);
+  bool Done = co_await runAttempt(Group, OldPrimary, Reason);
+  if (Done)
+    co_return PromotionEnd::Done;
+  co_return Unproved.count(Group) ? PromotionEnd::Unproved
+                                  : PromotionEnd::NotDone;
+}
+
+boost::asio::awaitable<bool>
+FencedPromotion::runAttempt(std::string Group, std::string OldPrimary,
+                            PromotionReason Reason) {
   Attempt Current{.Group = Group, .OldPrimary = OldPrimary, .Reason = Reason};
   Result<PromotionTurn> Turn =
       co_await Tokens.begin(Group, sourceFor(Group, OldPrimary));
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -55,8 +55,9 @@
   FencedPromotion(Options Opts, ProxyService &Service, PeerExchange &Peers,
                   PromotionTokens &Tokens, PromotionService &Promotions);
 
-  boost::asio::awaitable<bool> run(std::string Group, std::string OldPrimary,
-                                   PromotionReason Reason) override;
+  boost::asio::awaitable<PromotionEnd> run(std::string Group,
+                                           std::string OldPrimary,
+                                           PromotionReason Reason) override;
   bool needsReservation(const std::string &Group) const override;
   PromotionTokens::ReservationPlan
   reservationPlan(const std::string &Group) const override;
@@ -70,6 +71,9 @@
     /// When the record of the latest decision had been read.
     TimePoint BegunAt;
   };
+  /// Runs one attempt. Returns whether the successor became primary.
+  boost::asio::awaitable<bool>
+  runAttempt(std::string Group, std::string OldPrimary, PromotionReason Reason);
   /// Records a target among \p Replies that reports to be primary, other than
   /// \p OldPrimary. Returns whether there is one.
   bool findsPrimary(const std::string &Group, const TargetStatuses &Replies,
@@ -81,6 +85,10 @@
   /// must end.
   boost::asio::awaitable<std::optional<PromotionDecision>>
   decide(Attempt Current, PromotionTurn Turn, TargetStatuses Replies);
+  /// Claims a token for \p Choice; empty if there is none.
+  boost::asio::awaitable<std::optional<PromotionDecision>>
+  claim(const Attempt &Current, const PromotionTurn &Turn,
+        const TargetStatuses &Replies, SuccessionChoice Choice);
   /// Returns which record an attempt to replace \p OldPrimary builds on.
   PromotionTokens::Source sourceFor(const std::string &Group,
                                     const std::string &OldPrimary) const;
@@ -107,6 +115,8 @@
   TargetSurvey Survey;
   /// Groups whose latest record allowed no promotion; it may be outdated.
   std::set<std::string> Doubted;
+  /// Groups whose latest attempt ended as PromotionEnd::Unproved.
+  std::set<std::string> Unproved;
 };
 
 } // namespace cicadawind
--- a/src/Promotion/LeasedPromotion.cpp
+++ b/src/Promotion/LeasedPromotion.cpp
@@ -81,19 +81,19 @@
   return Highest + 1;
 }
 
-boost::asio::awaitable<bool> LeasedPromotion::run(std::string Group,
-                                                  std::string OldPrimary,
-                                                  PromotionReason Reason) {
+boost::asio::awaitable<PromotionEnd>
+LeasedPromotion::run(std::string Group, std::string OldPrimary,
+                     PromotionReason Reason) {
   Result<std::uint64_t> Claimed = co_await Tokens.take(Group);
   GroupDispatcher *Dispatcher = Service.findGroup(Group);
   if (const Error *E = errorOf(Claimed)) {
     internal::Logger.info(
         "promotion stopped; no fencing token could be claimed",
         {{"group", Group}, {"why", E->Message}});
-    co_return false;
+    co_return PromotionEnd::NotDone;
   }
   if (!Dispatcher)
-    co_return false;
+    co_return PromotionEnd::NotDone;
   TimePoint Now = BootClock::now();
   PromotionBallot::Options BallotOpts = Opts.Ballot;
   BallotOpts.Proposal.Holder = Opts.Vm;
@@ -115,7 +115,7 @@
   Tokens.dropBelow(Group, Current->Ballot.highestToken());
   if (!Done && !Current->Ordered)
     cancel(*Current);
-  co_return Done;
+  co_return Done ? PromotionEnd::Done : PromotionEnd::NotDone;
 }
 
 boost::asio::awaitable<bool>
--- a/src/Promotion/LeasedPromotion.h
+++ b/src/Promotion/LeasedPromotion.h
@@ -56,8 +56,9 @@
                   LeaseExchange &Leases, PromotionTokens &Tokens,
                   PromotionService &Promotions);
 
-  boost::asio::awaitable<bool> run(std::string Group, std::string OldPrimary,
-                                   PromotionReason Reason) override;
+  boost::asio::awaitable<PromotionEnd> run(std::string Group,
+                                           std::string OldPrimary,
+                                           PromotionReason Reason) override;
   bool needsReservation(const std::string &Group) const override;
   /// Returns an empty plan, since these tokens are used with a decision of a
   /// majority of the VMs.
--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -219,14 +219,20 @@
       "promotion begins",
       {{"group", Group}, {"old_primary", OldPrimary}, {"why", ReasonName}});
   TimePoint Start = BootClock::now();
-  bool Done = co_await Procedure->run(Group, OldPrimary, Reason);
+  PromotionEnd End = co_await Procedure->run(Group, OldPrimary, Reason);
+  bool Done = End == PromotionEnd::Done;
+  // Without a live peer nobody else can try.
+  bool LeavesToPeers = End == PromotionEnd::Unproved &&
+                       votersOf(Group, BootClock::now()).Peers > 0;
   TimePoint Now = BootClock::now();
   GroupState &State = Groups[Group];
   State.InProgress = false;
   State.DueSince.reset();
   State.BlockedSince.reset();
   if (!Done)
-    State.NotBefore = std::max(State.NotBefore, Now + Opts.RetryBackoff);
+    State.NotBefore =
+        std::max(State.NotBefore, Now + (LeavesToPeers ? Opts.UnprovedBackoff
+                                                       : Opts.RetryBackoff));
   Meter.count("promotions_total",
               {{"why", ReasonName}, {"outcome", Done ? "done" : "not_done"}});
   Meter.observe("promotion_seconds", Now - Start, {{"why", ReasonName}});
--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -54,6 +54,9 @@
     /// Wait of this VM after an attempt that failed or that another VM
     /// preempted.
     Duration RetryBackoff = std::chrono::milliseconds(700);
+    /// The same after an attempt that left the choice unproved. Longer than
+    /// PeerPromotionWait, so that a VM that reaches other targets may try.
+    Duration UnprovedBackoff = std::chrono::milliseconds(2200);
     /// Time that this VM waits after a peer announced a promotion, so that the
     /// peer can complete it.
     Duration PeerPromotionWait = std::chrono::milliseconds(1500);
--- a/src/Promotion/PromotionProcedure.h
+++ b/src/Promotion/PromotionProcedure.h
@@ -33,6 +33,16 @@
   return "lost";
 }
 
+/// How an attempt to replace a primary ended.
+enum class PromotionEnd {
+  /// A new primary was promoted and confirmed.
+  Done,
+  NotDone,
+  /// No target was proved to have every acknowledged commit. Another VM may
+  /// reach the targets that this one does not.
+  Unproved,
+};
+
 /// \class PromotionProcedure
 /// \brief Interface to the steps that replace a primary. They depend on whether
 /// the platform fences promotions; see FencedPromotion and LeasedPromotion.
@@ -41,8 +51,8 @@
   virtual ~PromotionProcedure() = default;
 
   /// Tries once to replace \p OldPrimary, which is empty if no primary is
-  /// known. Returns whether a new primary was promoted and confirmed.
-  virtual boost::asio::awaitable<bool>
+  /// known.
+  virtual boost::asio::awaitable<PromotionEnd>
   run(std::string Group, std::string OldPrimary, PromotionReason Reason) = 0;
   /// Returns whether a token is to be claimed in advance for \p Group, which
   /// needs no promotion now.
--- a/src/Succession/PromotionEvidence.h
+++ b/src/Succession/PromotionEvidence.h
@@ -5,6 +5,7 @@
 #include "Succession/SuccessorCandidate.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,14 @@
   /// All targets that the registry lists, and the revision of this list.
   std::set<std::string> Listed;
   std::uint64_t ListRevision = 0;
+  /// Number of replicas that have received a commit before it is acknowledged.
+  unsigned SyncReplicas = 0;
+  /// End of the whole log of OldPrimary, which has stepped down; empty if it
+  /// has not, or if its reply is missing. The candidates replied after it.
+  std::optional<LogPosition> FinalPosition;
+  /// Whether OldPrimary goes on writing until it is made to step down. What is
+  /// chosen before that is chosen again afterwards.
+  bool IsDraft = false;
 };
 
 } // namespace cicadawind
--- a/src/Succession/Succession.h
+++ b/src/Succession/Succession.h
@@ -4,6 +4,7 @@
 #ifndef CICADAWIND_SUCCESSION_SUCCESSION_H
 #define CICADAWIND_SUCCESSION_SUCCESSION_H
 
+#include "Succession/CommitProof.h"
 #include "Succession/PromotionDecision.h"
 #include "Succession/PromotionEvidence.h"
 #include "Succession/PromotionRecord.h"
--- a/src/Succession/SuccessionReservation.cpp
+++ b/src/Succession/SuccessionReservation.cpp
@@ -1,5 +1,7 @@
 #include "Succession/SuccessionReservation.h"
 
+#include "Succession/CommitProof.h"
+
 #include <algorithm>
 
 namespace cicadawind {
@@ -76,7 +78,8 @@
   bool HasKeptLog = It->Received >= Named.Received;
   bool FollowsNewest = It->Follows >= Chosen.Follows;
   bool IsAsRecorded = It->Follows < Named.Opens;
-  return HasKeptLog && FollowsNewest && IsAsRecorded;
+  bool IsProved = Evidence.IsDraft || mayBeAhead(Evidence, *It).empty();
+  return HasKeptLog && FollowsNewest && IsAsRecorded && IsProved;
 }
 
 } // namespace cicadawind
--- a/src/Succession/SuccessionReservation.h
+++ b/src/Succession/SuccessionReservation.h
@@ -39,7 +39,8 @@
 /// of that of \p Chosen, which \p Evidence allows to supersede \p Latest.
 ///
 /// The named target may have received less of the primary's log than
-/// \p Chosen, but it follows the same term and has kept what it had.
+/// \p Chosen, but it follows the same term and has kept what it had. It lacks
+/// nothing that mayBeAhead() says another one may hold.
 bool mayOrderNamed(const PromotionEvidence &Evidence,
                    const PromotionRecord &Latest, const PromotionRecord &Named,
                    const SuccessorCandidate &Chosen);
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -1,5 +1,7 @@
 #include "Succession/SuccessionRule.h"
 
+#include "Succession/CommitProof.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -8,9 +10,10 @@
 namespace internal {
 
 static bool isBetter(const SuccessorCandidate &A, const SuccessorCandidate &B,
-                     const std::string &Preferred) {
+                     const std::string &Preferred, bool LogMatters) {
   auto Rank = [&](const SuccessorCandidate &Each) {
-    return std::tuple(Each.Follows, !Each.IsLeaving, Each.MayLead,
+    LogPosition First = LogMatters ? Each.Received : LogPosition();
+    return std::tuple(Each.Follows, First, !Each.IsLeaving, Each.MayLead,
                       Each.Received, Each.Instance == Preferred);
   };
   return Rank(A) > Rank(B);
@@ -80,6 +83,34 @@
   return std::max(Evidence.OldPrimaryTerm, Latest.Opens);
 }
 
+/// Returns the best candidate that follows a term of at least \p AtLeast. One
+/// that leaves is taken only if no other one is proved.
+static std::optional<SuccessorCandidate>
+chooseFrom(const PromotionEvidence &Evidence, Term AtLeast,
+           const std::string &Preferred) {
+  std::optional<SuccessorCandidate> Best =
+      chooseSuccessor(Evidence.Candidates, AtLeast, Preferred);
+  if (Evidence.SyncReplicas == 0 || Evidence.IsDraft)
+    return Best;
+  if (Best && mayBeAhead(Evidence, *Best).empty())
+    return Best;
+  return chooseSuccessor(Evidence.Candidates, AtLeast, Preferred, true);
+}
+
+/// Returns the choice in place of \p Pending, the successor of \p Latest, which
+/// replied that it does not lead the term that \p Latest opens. A later token
+/// shuts out the orders for it that have not been accepted.
+static SuccessionVerdict chooseByLog(const SuccessorCandidate &Pending,
+                                     const PromotionRecord &Latest,
+                                     const PromotionEvidence &Evidence) {
+  Term Needed = std::max(Evidence.OldPrimaryTerm, Pending.Follows);
+  std::optional<SuccessorCandidate> Best =
+      chooseFrom(Evidence, Needed, Latest.Successor);
+  if (!Best)
+    return NoSuccessor{Needed};
+  return complete(*Best, Latest);
+}
+
 /// Returns whether no listed target can follow a newer term than the
 /// candidates.
 static bool hasAllReplied(const PromotionEvidence &Evidence) {
@@ -108,15 +139,17 @@
     // successor replied, or may be before this decision's is. Another successor
     // could hold entries that it lacked.
     bool MayBeDecided = !IsPrepared || followsReplaced(*Pending, Latest);
+    if (Evidence.SyncReplicas > 0 && Pending->Follows < Latest.Opens)
+      return chooseByLog(*Pending, Latest, Evidence);
     if (MayBeDecided && isCompletable(*Pending, Latest, Evidence))
       return complete(*Pending, Latest);
   }
   Term Needed = newestOpened(Evidence, Latest);
   std::optional<SuccessorCandidate> Best =
-      chooseSuccessor(Evidence.Candidates, Needed, Latest.Successor);
+      chooseFrom(Evidence, Needed, Latest.Successor);
   // The targets that followed the needed term are gone, and the term with them.
   if (!Best && hasAllReplied(Evidence))
-    Best = chooseSuccessor(Evidence.Candidates, 0, Latest.Successor);
+    Best = chooseFrom(Evidence, 0, Latest.Successor);
   if (!Best)
     return NoSuccessor{Needed};
   return choose(*Best);
@@ -137,30 +170,50 @@
 
 std::optional<SuccessorCandidate>
 chooseSuccessor(const std::vector<SuccessorCandidate> &Candidates, Term AtLeast,
-                const std::string &Preferred) {
+                const std::string &Preferred, bool LogMatters) {
   std::optional<SuccessorCandidate> Best;
   for (const SuccessorCandidate &Each : Candidates)
     if (Each.Follows >= AtLeast &&
-        (!Best || internal::isBetter(Each, *Best, Preferred)))
+        (!Best || internal::isBetter(Each, *Best, Preferred, LogMatters)))
       Best = Each;
   if (Best && !Best->MayLead)
     return std::nullopt;
   return Best;
 }
 
-SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
-                                   const PromotionRecord &Latest,
-                                   const PromotionRecord &Prepared) {
+namespace internal {
+
+/// Returns decideSuccession() without the proof by the logs.
+static SuccessionVerdict decideByRecords(const PromotionEvidence &Evidence,
+                                         const PromotionRecord &Latest,
+                                         const PromotionRecord &Prepared) {
   if (Prepared.Successor.empty())
-    return internal::supersede(Evidence, Latest, false);
+    return supersede(Evidence, Latest, false);
   bool IsPreparedOld = Prepared.Successor == Evidence.OldPrimary;
-  bool IsLatestSilent = !internal::find(Evidence, Latest.Successor);
+  bool IsLatestSilent = !find(Evidence, Latest.Successor);
   if (!IsPreparedOld && IsLatestSilent && mayBeUnknownPrimary(Latest, Evidence))
-    return internal::awaitSilent(Latest, Evidence);
+    return awaitSilent(Latest, Evidence);
   PromotionEvidence Complete = Evidence;
   if (Latest.Successor == Evidence.OldPrimary)
     Complete.OldPrimaryTerm = std::max(Evidence.OldPrimaryTerm, Latest.Opens);
-  return internal::supersede(Complete, Prepared, true);
+  return supersede(Complete, Prepared, true);
+}
+
+} // namespace internal
+
+SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
+                                   const PromotionRecord &Latest,
+                                   const PromotionRecord &Prepared) {
+  SuccessionVerdict Verdict =
+      internal::decideByRecords(Evidence, Latest, Prepared);
+  const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
+  if (!Choice || Evidence.IsDraft)
+    return Verdict;
+  std::set<std::string> Ahead = mayBeAhead(Evidence, Choice->Successor);
+  if (Ahead.empty())
+    return Verdict;
+  return UnprovedSuccessor{.Instance = Choice->Successor.Instance,
+                           .MayBeAhead = std::move(Ahead)};
 }
 
 } // namespace cicadawind
--- a/src/Succession/SuccessionRule.h
+++ b/src/Succession/SuccessionRule.h
@@ -5,6 +5,7 @@
 #include "Succession/PromotionRecord.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -16,9 +17,12 @@
 /// one that may lead, of these the one with the longest log, of these
 /// \p Preferred. Empty if there is none, or if the best one may not lead:
 /// instead of it, none that follows an older term is taken.
+///
+/// If \p LogMatters, because acknowledged commits are known to be in a
+/// replica's log, the longest log comes before whether a target leaves.
 std::optional<SuccessorCandidate>
 chooseSuccessor(const std::vector<SuccessorCandidate> &Candidates, Term AtLeast,
-                const std::string &Preferred = {});
+                const std::string &Preferred = {}, bool LogMatters = false);
 
 /// The target to promote, and the term that this opens.
 struct SuccessionChoice {
@@ -38,8 +42,15 @@
   Term Needed = 0;
 };
 
-using SuccessionVerdict =
-    std::variant<SuccessionChoice, PresumedPrimary, NoSuccessor>;
+/// The best candidate may lack an acknowledged commit that one of MayBeAhead
+/// may hold; see mayBeAhead(). These are asked again.
+struct UnprovedSuccessor {
+  std::string Instance;
+  std::set<std::string> MayBeAhead;
+};
+
+using SuccessionVerdict = std::variant<SuccessionChoice, PresumedPrimary,
+                                       NoSuccessor, UnprovedSuccessor>;
 
 /// Returns whether the successor of \p Record may be the primary although
 /// \p Evidence names another one or none.
@@ -61,6 +72,11 @@
 /// replied. While the primary of \p Latest is neither known to be lost nor
 /// replies as a replica, \p Prepared is not completed. Costs
 /// O(targets x candidates).
+///
+/// Where commits are acknowledged once replicas have received them, no record
+/// beats the logs: a successor of \p Latest or \p Prepared that replies as a
+/// replica is completed only if no candidate is ahead of it, and a choice that
+/// mayBeAhead() leaves open is an UnprovedSuccessor, unless it is a draft.
 SuccessionVerdict decideSuccession(const PromotionEvidence &Evidence,
                                    const PromotionRecord &Latest,
                                    const PromotionRecord &Prepared = {});
--- a/test/Emulator/EmulatedInstance.cpp
+++ b/test/Emulator/EmulatedInstance.cpp
@@ -155,6 +155,10 @@
       --Owner.Faults.Busy;
       return refuse("BUSY");
     }
+    if (Verb == "DEMOTE" && Owner.Faults.BusyDemotes > 0) {
+      --Owner.Faults.BusyDemotes;
+      return refuse("BUSY");
+    }
     if (Verb == "SET" || Verb == "PREPARE" || Verb == "CLOSE" ||
         Verb == "RESET")
       return runLocal(Verb, Text);
--- a/test/Emulator/EmulatedInstance.h
+++ b/test/Emulator/EmulatedInstance.h
@@ -36,6 +36,8 @@
   int LoseAnswers = 0;
   /// Number of requests to refuse as busy.
   int Busy = 0;
+  /// Number of requests to step down to refuse as busy.
+  int BusyDemotes = 0;
   /// Time that each request takes.
   Duration Work = Duration::zero();
 };
--- a/test/Promotion/ModelPlatform.cpp
+++ b/test/Promotion/ModelPlatform.cpp
@@ -30,9 +30,17 @@
   Targets[Id].Follows = ++Current;
   findReturned(Targets[Id].Log);
   supersede(Targets[Id].Log);
+  Acknowledged.resize(commonLength(Acknowledged, Targets[Id].Log));
   return true;
 }
 
+std::string ModelPlatform::lackedBy(unsigned Id) const {
+  bool HasAll =
+      commonLength(Acknowledged, Targets[Id].Log) == Acknowledged.size();
+  return HasAll ? ""
+                : toString(positionAt(Acknowledged, Acknowledged.size() - 1));
+}
+
 void ModelPlatform::supersede(const std::string &NewLog) {
   for (const Target &Each : Targets)
     for (std::size_t I = commonLength(Each.Log, NewLog); I < Each.Log.size();
@@ -64,6 +72,8 @@
 void ModelPlatform::copy(unsigned Id) {
   Targets[Id].Log = Targets[Source].Log;
   Targets[Id].Follows = Current;
+  if (HasPrimary)
+    Acknowledged = Targets[Source].Log;
 }
 
 void ModelPlatform::appendKey(std::string &Out) const {
@@ -73,6 +83,8 @@
     Out += Each.Log;
     Out += '\0';
   }
+  Out += Acknowledged;
+  Out += '\0';
   Out += static_cast<char>(Source | HasPrimary << 2);
   Out += static_cast<char>(Current);
   Out += static_cast<char>(HighestToken);
--- a/test/Promotion/ModelPlatform.h
+++ b/test/Promotion/ModelPlatform.h
@@ -51,6 +51,10 @@
   /// Returns the name of the superseded entry that a promotion brought back;
   /// empty if there is none.
   const std::string &returned() const { return Returned; }
+  /// Returns the name of the last acknowledged entry, if the log of \p Id lacks
+  /// it; empty otherwise. An entry is acknowledged here once another target has
+  /// copied it from the primary that leads.
+  std::string lackedBy(unsigned Id) const;
   /// Appends what distinguishes this state from others to \p Out.
   void appendKey(std::string &Out) const;
 
@@ -67,6 +71,8 @@
   /// was promoted.
   std::vector<LogPosition> Superseded;
   std::string Returned;
+  /// The terms of the acknowledged entries that no promotion has discarded.
+  std::string Acknowledged;
 };
 
 } // namespace cicadawind::test
--- a/test/Promotion/ModelVm.h
+++ b/test/Promotion/ModelVm.h
@@ -29,6 +29,8 @@
   /// Whether OldPrimary proved that it leads after Turn was read.
   bool IsOldProved = false;
   std::vector<SuccessorCandidate> Candidates;
+  /// End of the log of OldPrimary, which has stepped down before.
+  std::optional<LogPosition> FinalPosition;
   /// What was read before the survey, if anything was.
   std::optional<PromotionTurn> Turn;
 };
--- a/test/Promotion/PromotionModel.cpp
+++ b/test/Promotion/PromotionModel.cpp
@@ -227,7 +227,6 @@
 }
 
 void PromotionModel::applyToVm(const PromotionEvent &Event) {
-  ModelVm &Vm = Vms[Event.Vm];
   switch (Event.Kind) {
   case Kind::Notice:
     return notice(Event.Vm);
@@ -244,7 +243,7 @@
   case Kind::Reserve:
     return reserve(Event.Vm);
   default:
-    return order(Vm, Event.Kind);
+    return order(Event.Vm, Event.Kind);
   }
 }
 
@@ -266,6 +265,8 @@
 std::string PromotionModel::violation() const {
   if (!Platform.returned().empty())
     return "superseded entry " + Platform.returned() + " came back";
+  if (!LogViolation.empty())
+    return LogViolation;
   return Opts.ChecksTokens ? TokenViolation : "";
 }
 
@@ -305,8 +306,10 @@
       continue;
     survey(Vm);
     decide(Vm, true);
+    if (mayStepDown(Vm))
+      Platform.stepDown();
     if (Vms[Vm].Decision)
-      order(Vms[Vm], Kind::Order);
+      order(Vm, Kind::Order);
   }
 }
 
--- a/test/Promotion/PromotionModel.h
+++ b/test/Promotion/PromotionModel.h
@@ -27,6 +27,11 @@
   ReservationWithoutRecord,
   /// A reserved token may be used without the store for any target.
   ReservationNamesNobody,
+  /// The logs prove nothing, although entries are acknowledged once a replica
+  /// has them.
+  RecordsBeatLogs,
+  /// A hand-over is ordered as it was decided before the step-down.
+  HandOverIgnoresFinalPosition,
 };
 
 /// \class PromotionModel
@@ -53,6 +58,9 @@
     bool KeepsSuperseded = true;
     /// Whether a VM reads the record before its survey, instead of after it.
     bool ReadsRecordFirst = true;
+    /// Whether an entry is acknowledged once a replica has it, so that the
+    /// target that is decided on must have all that are acknowledged then.
+    bool IsSynchronous = false;
     unsigned MaxCuts = 2;
     unsigned MaxInFlight = 3;
     unsigned MaxOrders = 3;
@@ -136,7 +144,13 @@
   void reserve(unsigned Vm);
   bool mayReserve(unsigned Vm) const;
   PromotionEvidence reservationEvidence(unsigned Vm) const;
-  void order(ModelVm &Vm, PromotionEventKind Kind);
+  /// Decides on a hand-over again by the log that the old primary, which has
+  /// stepped down, ends with. Returns whether Vm's decision may be ordered.
+  bool settleHandOver(unsigned Vm);
+  /// Records a violation if the decision of \p Vm is for a target that lacks an
+  /// acknowledged entry.
+  void checkLog(const ModelVm &Vm);
+  void order(unsigned Vm, PromotionEventKind Kind);
   void checkOrder(ModelVm &Vm);
   void carryOut(std::size_t Index);
   void endFaults(bool CarriesOut, unsigned Down);
@@ -158,6 +172,7 @@
   /// part of key(), since every token is claimed once.
   std::string TokenTargets;
   std::string TokenViolation;
+  std::string LogViolation;
 };
 
 } // namespace cicadawind::test
--- a/test/Promotion/PromotionModelDecisions.cpp
+++ b/test/Promotion/PromotionModelDecisions.cpp
@@ -67,6 +67,10 @@
       .Candidates = Survey.Candidates};
   for (unsigned Id = 0; Id < ModelPlatform::TargetCount; ++Id)
     Out.Listed.insert(targetName(Id));
+  if (Opts.IsSynchronous && Opts.Flaw != PromotionFlaw::RecordsBeatLogs)
+    Out.SyncReplicas = 1;
+  Out.FinalPosition = Survey.FinalPosition;
+  Out.IsDraft = Survey.IsHandOver && !Survey.FinalPosition;
   if (Opts.Flaw != PromotionFlaw::LongestLogWins)
     return Out;
   Out.OldPrimaryTerm = 0;
@@ -178,6 +182,50 @@
                                   .Token = Claimed.Token};
   Vm.IsHandOver = Survey.IsHandOver;
   Vm.Orders = 0;
+  if (!Vm.IsHandOver || Survey.FinalPosition)
+    checkLog(Vm);
+}
+
+void PromotionModel::checkLog(const ModelVm &Vm) {
+  std::string Lacked = Platform.lackedBy(targetId(Vm.Decision->Successor));
+  if (Opts.IsSynchronous && !Lacked.empty() && LogViolation.empty())
+    LogViolation =
+        Vm.Decision->Successor + " was chosen without entry " + Lacked;
+}
+
+bool PromotionModel::settleHandOver(unsigned Vm) {
+  ModelVm &Each = Vms[Vm];
+  if (!Opts.IsSynchronous || !Each.IsHandOver || Each.Orders > 0)
+    return true;
+  unsigned Old = targetId(Each.Decision->OldPrimary);
+  if (Opts.Flaw == PromotionFlaw::HandOverIgnoresFinalPosition) {
+    checkLog(Each);
+    return true;
+  }
+  if (Platform.leads(Old) || !vmReaches(Vm, Old))
+    return false;
+  PromotionDecision Before = *Each.Decision;
+  std::string Primary = std::exchange(Each.Primary, Before.OldPrimary);
+  survey(Vm);
+  std::optional<ModelSurvey> Survey = std::exchange(Each.Survey, {});
+  if (!Survey)
+    return false;
+  Each.Primary = Primary;
+  Survey->IsHandOver = true;
+  Survey->FinalPosition = Platform.at(Old).received();
+  bool IsSettled = std::any_of(
+      Survey->Candidates.begin(), Survey->Candidates.end(),
+      [&](const SuccessorCandidate &Candidate) {
+        return Candidate.Instance == Before.Successor &&
+               mayBeAhead(evidenceFrom(Each, *Survey), Candidate).empty();
+      });
+  if (!IsSettled) {
+    decideOnce(Each, *Survey, true);
+    return Each.Decision.has_value();
+  }
+  Each.Decision = Before;
+  checkLog(Each);
+  return true;
 }
 
 bool PromotionModel::decideOnce(ModelVm &Vm, const ModelSurvey &Survey,
@@ -246,8 +294,9 @@
   Used = Decision.Successor.front();
 }
 
-void PromotionModel::order(ModelVm &Vm, PromotionEventKind Kind) {
-  if (!isStillDue(Vm)) {
+void PromotionModel::order(unsigned Index, PromotionEventKind Kind) {
+  ModelVm &Vm = Vms[Index];
+  if (!isStillDue(Vm) || !settleHandOver(Index)) {
     Vm.Decision.reset();
     return;
   }
--- a/test/Promotion/PromotionOrdersTest.cpp
+++ b/test/Promotion/PromotionOrdersTest.cpp
@@ -53,6 +53,22 @@
   return "";
 }
 
+/// The same for decisions that lose an acknowledged entry only.
+std::string firstLogViolation(Options Opts, std::uint64_t Seeds) {
+  PromotionSearch Search(Opts);
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    PromotionSearch::Outcome Walk = Search.walk(Seed, WalkLength);
+    if (Walk.Violation.find("was chosen without entry") == std::string::npos)
+      continue;
+    PromotionSearch::Outcome Short = Search.shorten(Walk.Events);
+    std::string Text =
+        Short.Violation + " by " + PromotionSearch::toString(Short.Events);
+    std::cout << "seed " << Seed << ": " << Text << "\n";
+    return Text;
+  }
+  return "";
+}
+
 std::uint64_t seedsOr(std::uint64_t Fallback) {
   return numberFlag("seeds", Fallback);
 }
@@ -120,6 +136,21 @@
   BOOST_TEST(firstViolation(Options(), seedsOr(30000)) == "");
 }
 
+/// The model of a group that acknowledges an entry once a replica has it. What
+/// a later order carries out in place of an earlier one is not checked.
+Options synchronous() {
+  Options Out;
+  Out.IsSynchronous = true;
+  Out.SplitsAttempts = false;
+  return Out;
+}
+
+// Guards against a decision for a target that lacks an acknowledged entry, by
+// whatever was recorded, named or ordered before (review/11, review/12).
+BOOST_AUTO_TEST_CASE(noDecisionLosesAnAcknowledgedEntry) {
+  BOOST_TEST(firstLogViolation(synchronous(), seedsOr(30000)) == "");
+}
+
 // Guards against a rule that is safe because nobody can promote any more.
 BOOST_AUTO_TEST_CASE(primaryIsFoundOnceAllFaultsHaveEnded) {
   PromotionSearch Search{Options()};
@@ -168,6 +199,18 @@
   BOOST_TEST(firstViolation(Opts, FlawSeeds) != "");
 }
 
+BOOST_AUTO_TEST_CASE(searchFindsThatRecordsBeatLogs) {
+  Options Opts = synchronous();
+  Opts.Flaw = PromotionFlaw::RecordsBeatLogs;
+  BOOST_TEST(firstLogViolation(Opts, FlawSeeds) != "");
+}
+
+BOOST_AUTO_TEST_CASE(searchFindsThatAHandOverIgnoresTheFinalPosition) {
+  Options Opts = synchronous();
+  Opts.Flaw = PromotionFlaw::HandOverIgnoresFinalPosition;
+  BOOST_TEST(firstLogViolation(Opts, FlawSeeds) != "");
+}
+
 // A VM that never reached the leaving primary hands over to the replaced one.
 BOOST_AUTO_TEST_CASE(handOverNeedsAProofOfThePrimary) {
   BOOST_TEST(
--- a/test/Promotion/SuccessionRuleTest.cpp
+++ b/test/Promotion/SuccessionRuleTest.cpp
@@ -25,14 +25,20 @@
           .IsLeaving = IsLeaving};
 }
 
-/// Returns \p Verdict as "INSTANCE opens TERM", "INSTANCE is presumed" or
-/// "none follows TERM".
+/// Returns \p Verdict as "INSTANCE opens TERM", "INSTANCE is presumed", "none
+/// follows TERM" or "INSTANCE, unless A B is ahead".
 std::string textOf(const SuccessionVerdict &Verdict) {
   if (const auto *Choice = std::get_if<SuccessionChoice>(&Verdict))
     return Choice->Successor.Instance + " opens " +
            std::to_string(Choice->Opens);
   if (const auto *Presumed = std::get_if<PresumedPrimary>(&Verdict))
     return Presumed->Instance + " is presumed";
+  if (const auto *Open = std::get_if<UnprovedSuccessor>(&Verdict)) {
+    std::string Ahead;
+    for (const std::string &Each : Open->MayBeAhead)
+      Ahead += " " + Each;
+    return Open->Instance + ", unless" + Ahead + " is ahead";
+  }
   return "none follows " +
          std::to_string(std::get<NoSuccessor>(Verdict).Needed);
 }
@@ -286,3 +292,81 @@
        "none follows 2"},
   });
 }
+
+// Guards against the cause of review/11, 12 and 15: something else than the
+// logs decides where a commit is acknowledged once a replica has it.
+BOOST_AUTO_TEST_CASE(logsDecideWhereCommitsWaitForReplicas) {
+  PromotionRecord LedByA{.Claim = 1, .Successor = "a", .Opens = 1};
+  auto Evidence = [](std::vector<SuccessorCandidate> Candidates,
+                     const char *OldPrimary = "a") {
+    return PromotionEvidence{.OldPrimary = OldPrimary,
+                             .OldPrimaryTerm = *OldPrimary ? 1U : 0U,
+                             .Candidates = std::move(Candidates),
+                             .Listed = Listed,
+                             .SyncReplicas = 1};
+  };
+  check({
+      {"all but the primary replied",
+       Evidence({replica("b", 1, {1, 5}), replica("c", 1, {1, 9})}), LedByA,
+       "c opens 2"},
+      {"a replica is silent", Evidence({replica("b", 1, {1, 5})}), LedByA,
+       "b, unless a c is ahead"},
+      {"another one is recorded and behind",
+       Evidence({replica("b", 1, {1, 5}), replica("c", 1, {1, 9})}), PromotedB,
+       "c opens 2"},
+      {"the same, and no primary is known",
+       Evidence({replica("b", 1, {1, 5}), replica("c", 1, {1, 9})}, ""),
+       PromotedB, "c opens 2"},
+      {"the recorded one follows the term that it opens",
+       Evidence({replica("b", 2, {1, 5}), replica("c", 1, {1, 9})}), PromotedB,
+       "b, unless a c is ahead"},
+      {"no primary is known, and one target is silent",
+       Evidence({replica("a", 1, {1, 7}), replica("c", 1, {1, 5})}, ""),
+       {},
+       "a opens 2"},
+      {"no primary is known, and two targets are silent",
+       Evidence({replica("c", 1, {1, 5})}, ""),
+       {},
+       "c, unless a b is ahead"},
+      {"the longest log leaves, and another one lacks a part of it",
+       Evidence({replica("b", 1, {1, 5}), replica("c", 1, {1, 9}, true)}),
+       LedByA, "c opens 2"},
+      {"the longest log leaves, and another one is as long",
+       Evidence({replica("b", 1, {1, 9}), replica("c", 1, {1, 9}, true)}),
+       LedByA, "b opens 2"},
+  });
+}
+
+// Guards against a hand-over that is decided before the primary's log has
+// ended, or never.
+BOOST_AUTO_TEST_CASE(handOverIsProvedByTheFinalPosition) {
+  PromotionRecord LedByA{.Claim = 1, .Successor = "a", .Opens = 1};
+  auto Evidence = [](std::vector<SuccessorCandidate> Candidates) {
+    return PromotionEvidence{.OldPrimary = "a",
+                             .OldPrimaryTerm = 1,
+                             .ReachesOldPrimary = true,
+                             .Candidates = std::move(Candidates),
+                             .Listed = Listed,
+                             .SyncReplicas = 1};
+  };
+  auto Final = [&](std::vector<SuccessorCandidate> Candidates) {
+    PromotionEvidence Out = Evidence(std::move(Candidates));
+    Out.FinalPosition = LogPosition{1, 9};
+    return Out;
+  };
+  PromotionEvidence Draft = Evidence({replica("b", 1, {1, 5})});
+  Draft.IsDraft = true;
+  check({
+      {"before the step-down", Draft, LedByA, "b opens 2"},
+      {"one has the whole log, and the other one is silent",
+       Final({replica("b", 1, {1, 9})}), LedByA, "b opens 2"},
+      {"one has a part, and the other one is silent",
+       Final({replica("b", 1, {1, 8})}), LedByA, "b, unless a c is ahead"},
+      {"nobody has the whole log, so its end was not acknowledged",
+       Final({replica("b", 1, {1, 7}), replica("c", 1, {1, 8})}), LedByA,
+       "c opens 2"},
+      {"another one is recorded",
+       Final({replica("b", 1, {1, 5}), replica("c", 1, {1, 9})}), PromotedB,
+       "c opens 2"},
+  });
+}
