--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -137,14 +137,48 @@
                         {{"group", Group}, {"why", E.Message}});
 }
 
+std::set<std::string>
+FencedPromotion::targetsToAskAgain(const Attempt &Current,
+                                   const SuccessionVerdict &Verdict,
+                                   const TargetStatuses &Replies) const {
+  std::set<std::string> Out;
+  const GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
+  bool IsSettled = std::holds_alternative<SuccessionChoice>(Verdict);
+  if (!Dispatcher || IsSettled || Service.syncReplicas(Current.Group) == 0)
+    return Out;
+  for (const TargetEntry &Entry : Dispatcher->entries())
+    if (Entry.Instance != Current.OldPrimary && !Replies.count(Entry.Instance))
+      Out.insert(Entry.Instance);
+  return Out;
+}
+
+boost::asio::awaitable<SuccessionVerdict>
+FencedPromotion::judge(const Attempt &Current, const PromotionTurn &Turn,
+                       TargetStatuses &Replies) {
+  TimePoint End = Current.BegunAt + Opts.ProofTimeout;
+  for (;;) {
+    const GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
+    if (!Dispatcher)
+      co_return NoSuccessor();
+    SuccessionVerdict Verdict =
+        decideSuccession(evidenceFrom(*Dispatcher, Replies, Current),
+                         Turn.Latest, Turn.Prepared);
+    std::set<std::string> Silent = targetsToAskAgain(Current, Verdict, Replies);
+    if (Silent.empty() || BootClock::now() >= End)
+      co_return Verdict;
+    TargetStatuses Late = co_await Survey.askAgain(Current.Group, Silent, End);
+    internal::logReplies(Current.Group, Late);
+    Replies.merge(Late);
+  }
+}
+
 boost::asio::awaitable<std::optional<PromotionDecision>>
 FencedPromotion::decide(Attempt Current, PromotionTurn Turn,
                         TargetStatuses Replies) {
-  GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
-  if (!Dispatcher)
+  SuccessionVerdict Verdict = co_await judge(Current, Turn, Replies);
+  // A target that was asked again may have been promoted in the meantime.
+  if (findsPrimary(Current.Group, Replies, Current.OldPrimary))
     co_return std::nullopt;
-  SuccessionVerdict Verdict = decideSuccession(
-      evidenceFrom(*Dispatcher, Replies, Current), Turn.Latest, Turn.Prepared);
   const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
   if (!Choice) {
     Doubted.insert(Current.Group);
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -25,9 +25,11 @@
 /// \brief Replaces a primary on a platform that fences promotions by token.
 ///
 /// An attempt surveys the targets, decides on a successor by
-/// decideSuccession(), and claims a token that records the decision. In a
-/// planned switchover the leaving primary is then demoted to a replica, so that
-/// the successor can receive the primary's whole log before it is promoted. An
+/// decideSuccession(), and claims a token that records the decision. Where
+/// commits are acknowledged once replicas have received them, a target that has
+/// not replied is asked again until the choice is proved. In a planned
+/// switchover the leaving primary is then demoted to a replica, so that the
+/// successor can receive the primary's whole log before it is promoted. An
 /// order without a reply is repeated as it was, under the same token; see
 /// PromotionDecision. Runs on the loop's thread.
 class FencedPromotion : public PromotionProcedure {
@@ -47,6 +49,10 @@
     /// Time for which a decision is ordered, from the beginning of its survey.
     /// It is outdated then, for instance if the VM was suspended meanwhile.
     Duration MaxDecisionAge = std::chrono::milliseconds(4000);
+    /// Time that targets without which no choice is proved have to reply, from
+    /// the beginning of the survey. Then another VM may try, which may reach
+    /// them.
+    Duration ProofTimeout = std::chrono::milliseconds(1200);
     /// Returns whether a peer has announced a promotion of the group, so that
     /// this VM must not order one now.
     std::function<bool(const std::string &Group)> IsDeferred;
@@ -81,6 +87,16 @@
   PromotionEvidence evidenceFrom(const GroupDispatcher &Group,
                                  const TargetStatuses &Replies,
                                  const Attempt &Current) const;
+  /// Returns the verdict on \p Replies. Targets without a reply are asked again
+  /// as long as that may change it, and \p Replies gets what they say.
+  boost::asio::awaitable<SuccessionVerdict> judge(const Attempt &Current,
+                                                  const PromotionTurn &Turn,
+                                                  TargetStatuses &Replies);
+  /// Returns the targets to ask again, because \p Verdict may change with their
+  /// replies.
+  std::set<std::string> targetsToAskAgain(const Attempt &Current,
+                                          const SuccessionVerdict &Verdict,
+                                          const TargetStatuses &Replies) const;
   /// Decides on a successor and claims a token for it; empty if the attempt
   /// must end.
   boost::asio::awaitable<std::optional<PromotionDecision>>
--- a/src/Promotion/TargetSurvey.cpp
+++ b/src/Promotion/TargetSurvey.cpp
@@ -60,6 +60,53 @@
   co_return *Replies;
 }
 
+namespace internal {
+
+/// \class StatusPoll
+/// \brief Asks targets for their statuses again and again, each once at a time,
+/// and keeps the latest replies.
+class StatusPoll {
+public:
+  void ask(GroupDispatcher &Group, const std::string &Instance) {
+    if (!Shared->Asked.insert(Instance).second)
+      return;
+    Group.askStatus(Instance, [Data = Shared](const std::string &Name,
+                                              const TargetStatus *Status) {
+      Data->Asked.erase(Name);
+      if (Status)
+        Data->Replies[Name] = *Status;
+    });
+  }
+  const TargetStatuses &replies() const { return Shared->Replies; }
+
+private:
+  /// Outlives the poll, for replies that arrive later.
+  struct State {
+    std::set<std::string> Asked;
+    TargetStatuses Replies;
+  };
+
+  std::shared_ptr<State> Shared = std::make_shared<State>();
+};
+
+} // namespace internal
+
+boost::asio::awaitable<TargetStatuses>
+TargetSurvey::askAgain(std::string Group, std::set<std::string> Instances,
+                       TimePoint End) {
+  internal::StatusPoll Poll;
+  while (Poll.replies().size() < Instances.size() && BootClock::now() < End) {
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (!Dispatcher)
+      break;
+    for (const std::string &Each : Instances)
+      if (!Poll.replies().count(Each))
+        Poll.ask(*Dispatcher, Each);
+    co_await sleepFor(Opts.PollInterval);
+  }
+  co_return Poll.replies();
+}
+
 boost::asio::awaitable<bool> TargetSurvey::stepDown(std::string Group,
                                                     std::string OldPrimary,
                                                     std::string Successor,
--- a/src/Promotion/TargetSurvey.h
+++ b/src/Promotion/TargetSurvey.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,10 @@
   /// and returns the replies that arrive within Timeout.
   boost::asio::awaitable<TargetStatuses> run(std::string Group,
                                              std::string ExcludedInstance);
+  /// Asks the targets \p Instances for their status, again and again until each
+  /// has replied or \p End has passed, and returns the replies.
+  boost::asio::awaitable<TargetStatuses>
+  askAgain(std::string Group, std::set<std::string> Instances, TimePoint End);
   /// Demotes \p OldPrimary if its term is below \p Below, and waits at most
   /// CatchUpTimeout until \p Successor has received its whole log. Returns
   /// whether the old primary reported that it is a replica.
--- a/test/Promotion/AcknowledgedCommitsTest.cpp
+++ b/test/Promotion/AcknowledgedCommitsTest.cpp
@@ -71,6 +71,17 @@
   BOOST_TEST(World.Group.rolledBack() == 0);
 }
 
+// Guards against review/15: a replica that is busy is passed over, and the
+// acknowledged commits with it.
+BOOST_AUTO_TEST_CASE(busyReplicaIsAskedAgain) {
+  SyncWorld World;
+  World.writeWithoutB();
+  World.instance("c").Faults.Busy = 20;
+  World.instance("a").crash();
+  BOOST_TEST(World.waitForPrimary("c"));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+}
+
 // Guards against a choice without a replica that does not answer. It may hold
 // acknowledged commits until the registry drops it.
 BOOST_AUTO_TEST_CASE(silentReplicaIsAwaitedWhileItIsListed) {
