--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -10,6 +10,9 @@
 #include "Promotion/PromotionTokens.h"
 #include "Promotion/ReservationPlanning.h"
 #include "Proxy/ProxyService.h"
+#include "Succession/CommitProof.h"
+
+#include <algorithm>
 
 namespace cicadawind {
 namespace internal {
@@ -60,6 +63,15 @@
   return false;
 }
 
+void FencedPromotion::recordOldPrimary(Attempt &Current) const {
+  const GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
+  if (!Dispatcher)
+    return;
+  PromotionEvidence Evidence = evidenceFrom(*Dispatcher, {}, Current);
+  Current.OldPrimaryTerm = Evidence.OldPrimaryTerm;
+  Current.ReachesOldPrimary = Evidence.ReachesOldPrimary;
+}
+
 PromotionEvidence FencedPromotion::evidenceFrom(const GroupDispatcher &Group,
                                                 const TargetStatuses &Replies,
                                                 const Attempt &Current) const {
@@ -76,7 +88,13 @@
     Out.Listed.insert(Entry.Instance);
   Out.ListRevision = Service.targetsRevision();
   Out.SyncReplicas = Service.syncReplicas(Current.Group);
-  Out.IsDraft = Current.Reason == PromotionReason::Leaving;
+  Out.FinalPosition = Current.FinalPosition;
+  Out.IsDraft =
+      Current.Reason == PromotionReason::Leaving && !Current.FinalPosition;
+  if (!Current.FinalPosition)
+    return Out;
+  Out.OldPrimaryTerm = std::max(Out.OldPrimaryTerm, Current.OldPrimaryTerm);
+  Out.ReachesOldPrimary |= Current.ReachesOldPrimary;
   return Out;
 }
 
@@ -221,6 +239,69 @@
       .ValidUntil = Current.BegunAt + Opts.MaxDecisionAge};
 }
 
+boost::asio::awaitable<std::optional<PromotionDecision>>
+FencedPromotion::handOver(Attempt &Current, PromotionDecision Decision) {
+  StepDownReport Report = co_await Survey.stepDown(
+      Current.Group, Current.OldPrimary, Decision.Successor, Decision.Opens);
+  if (findsPrimary(Current.Group, Report.Replies, Current.OldPrimary))
+    co_return std::nullopt;
+  if (Report.hasCaughtUp(Decision.Successor))
+    co_return Decision;
+  bool IsPromised = Service.syncReplicas(Current.Group) > 0;
+  if (IsPromised ? Report.FinalPosition.has_value() : Report.hasAnyCaughtUp())
+    co_return co_await decideAgain(Current, Decision, std::move(Report));
+  // The old primary may write on, and replicas may receive that. An order ends
+  // it only where no acknowledged commit is promised to be kept.
+  if (!IsPromised)
+    co_return Decision;
+  internal::Logger.warning(
+      "promotion stopped; the leaving primary did not "
+      "report that it stepped down",
+      {{"group", Current.Group}, {"target", Current.OldPrimary}});
+  co_return std::nullopt;
+}
+
+bool FencedPromotion::isProved(const Attempt &Current,
+                               const std::string &Instance,
+                               const TargetStatuses &Replies) const {
+  const GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
+  if (!Dispatcher)
+    return false;
+  PromotionEvidence Evidence = evidenceFrom(*Dispatcher, Replies, Current);
+  if (Evidence.SyncReplicas == 0)
+    return true;
+  return std::any_of(Evidence.Candidates.begin(), Evidence.Candidates.end(),
+                     [&](const SuccessorCandidate &Each) {
+                       return Each.Instance == Instance &&
+                              mayBeAhead(Evidence, Each).empty();
+                     });
+}
+
+boost::asio::awaitable<std::optional<PromotionDecision>>
+FencedPromotion::decideAgain(Attempt &Current, PromotionDecision Decision,
+                             StepDownReport Report) {
+  Current.FinalPosition = Report.FinalPosition;
+  internal::logReplies(Current.Group, Report.Replies);
+  Result<PromotionTurn> Turn =
+      co_await Tokens.begin(Current.Group, PromotionTokens::Source::StoreFirst);
+  if (const Error *E = errorOf(Turn)) {
+    logNoToken(Current.Group, *E);
+    // Without the store no other target can be recorded.
+    if (isProved(Current, Decision.Successor, Report.Replies))
+      co_return Decision;
+    co_return std::nullopt;
+  }
+  SuccessionVerdict Verdict =
+      co_await judge(Current, valueOf(Turn), Report.Replies);
+  const auto *Choice = std::get_if<SuccessionChoice>(&Verdict);
+  if (Choice && Choice->Successor.Instance != Decision.Successor)
+    co_return co_await claim(Current, valueOf(Turn), Report.Replies, *Choice);
+  if (Choice || isProved(Current, Decision.Successor, Report.Replies))
+    co_return Decision;
+  recordRefusal(Current.Group, Verdict);
+  co_return std::nullopt;
+}
+
 bool FencedPromotion::isStillDue(const PromotionDecision &Decision) {
   GroupDispatcher *Dispatcher = Service.findGroup(Decision.Group);
   bool IsDeferred = Opts.IsDeferred && Opts.IsDeferred(Decision.Group);
@@ -287,9 +368,12 @@
   // may have become primary.
   if (!isStillDue(*Decision))
     co_return false;
-  if (Reason == PromotionReason::Leaving)
-    co_await Survey.stepDown(Group, OldPrimary, Decision->Successor,
-                             Decision->Opens);
+  if (Reason == PromotionReason::Leaving) {
+    recordOldPrimary(Current);
+    Decision = co_await handOver(Current, *Decision);
+  }
+  if (!Decision)
+    co_return false;
   internal::Logger.info("successor chosen",
                         {{"group", Group},
                          {"target", Decision->Successor},
--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -29,9 +29,10 @@
 /// commits are acknowledged once replicas have received them, a target that has
 /// not replied is asked again until the choice is proved. In a planned
 /// switchover the leaving primary is then demoted to a replica, so that the
-/// successor can receive the primary's whole log before it is promoted. An
-/// order without a reply is repeated as it was, under the same token; see
-/// PromotionDecision. Runs on the loop's thread.
+/// successor can receive the primary's whole log before it is promoted; if it
+/// does not, the decision is made again, by the position that the old primary's
+/// log ends at. An order without a reply is repeated as it was, under the same
+/// token; see PromotionDecision. Runs on the loop's thread.
 class FencedPromotion : public PromotionProcedure {
 public:
   struct Options {
@@ -76,6 +77,11 @@
     PromotionReason Reason = PromotionReason::Lost;
     /// When the record of the latest decision had been read.
     TimePoint BegunAt;
+    /// What was proved of OldPrimary before it stepped down.
+    Term OldPrimaryTerm = 0;
+    bool ReachesOldPrimary = false;
+    /// End of the log of OldPrimary, once that has stepped down.
+    std::optional<LogPosition> FinalPosition;
   };
   /// Runs one attempt. Returns whether the successor became primary.
   boost::asio::awaitable<bool>
@@ -84,6 +90,9 @@
   /// \p OldPrimary. Returns whether there is one.
   bool findsPrimary(const std::string &Group, const TargetStatuses &Replies,
                     const std::string &OldPrimary);
+  /// Keeps in \p Current what is proved of the old primary, before it is made
+  /// to step down.
+  void recordOldPrimary(Attempt &Current) const;
   PromotionEvidence evidenceFrom(const GroupDispatcher &Group,
                                  const TargetStatuses &Replies,
                                  const Attempt &Current) const;
@@ -105,6 +114,20 @@
   boost::asio::awaitable<std::optional<PromotionDecision>>
   claim(const Attempt &Current, const PromotionTurn &Turn,
         const TargetStatuses &Replies, SuccessionChoice Choice);
+  /// Makes the leaving primary of \p Current step down, and returns the
+  /// decision to order: \p Decision, or another one if its successor has not
+  /// received the whole log and another target has received more. Empty if no
+  /// target is proved to have every acknowledged commit.
+  boost::asio::awaitable<std::optional<PromotionDecision>>
+  handOver(Attempt &Current, PromotionDecision Decision);
+  /// Returns whether \p Replies prove that \p Instance has every acknowledged
+  /// commit, as far as that is promised.
+  bool isProved(const Attempt &Current, const std::string &Instance,
+                const TargetStatuses &Replies) const;
+  /// Decides again after \p Report, for handOver().
+  boost::asio::awaitable<std::optional<PromotionDecision>>
+  decideAgain(Attempt &Current, PromotionDecision Decision,
+              StepDownReport Report);
   /// Returns which record an attempt to replace \p OldPrimary builds on.
   PromotionTokens::Source sourceFor(const std::string &Group,
                                     const std::string &OldPrimary) const;
--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -125,14 +125,14 @@
 PromotionDriver::reasonToPromote(GroupDispatcher &Group, TimePoint Now) {
   const std::string &Primary = Group.tracker().primary();
   const TargetEntry *Entry = Group.findEntry(Primary);
-  if (Entry && Entry->Leaving)
-    return PromotionReason::Leaving;
   if (Group.failureDetector().isSuspect(Now)) {
     Peers.queryPrimary(Group.group(), Group.failureDetector().primary(), Now);
     logDoubt(Group, Now);
   }
   if (isLost(Group, Now))
     return PromotionReason::Lost;
+  if (Entry && Entry->Leaving)
+    return PromotionReason::Leaving;
   if (Primary.empty() && Group.isPrimaryMissing(Now))
     return PromotionReason::Lost;
   if (isBlocked(Group, Now))
--- a/src/Promotion/TargetSurvey.cpp
+++ b/src/Promotion/TargetSurvey.cpp
@@ -7,6 +7,7 @@
 #include "Observability/Log.h"
 #include "Proxy/ProxyService.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -107,44 +108,66 @@
   co_return Poll.replies();
 }
 
-boost::asio::awaitable<bool> TargetSurvey::stepDown(std::string Group,
-                                                    std::string OldPrimary,
-                                                    std::string Successor,
-                                                    Term Below) {
-  GroupDispatcher *Dispatcher = Service.findGroup(Group);
-  if (!Dispatcher)
-    co_return false;
+bool StepDownReport::hasCaughtUp(const std::string &Instance) const {
+  auto It = Replies.find(Instance);
+  return FinalPosition && It != Replies.end() &&
+         It->second.Received >= *FinalPosition;
+}
+
+bool StepDownReport::hasAnyCaughtUp() const {
+  return std::any_of(Replies.begin(), Replies.end(),
+                     [&](const auto &Each) { return hasCaughtUp(Each.first); });
+}
+
+boost::asio::awaitable<std::optional<LogPosition>>
+TargetSurvey::demote(std::string Group, std::string Instance, Term Below,
+                     TimePoint End) {
   auto FinalPosition = std::make_shared<std::optional<LogPosition>>();
-  auto SuccessorPosition = std::make_shared<LogPosition>();
-  Dispatcher->demote(
-      OldPrimary, Below,
-      [FinalPosition](const std::string &, const TargetStatus *Status) {
-        if (Status && !Status->IsPrimary)
-          *FinalPosition = Status->Received;
-      });
-  TimePoint End = BootClock::now() + Opts.CatchUpTimeout;
-  while (BootClock::now() < End) {
-    co_await sleepFor(Opts.PollInterval);
-    if (*FinalPosition && *SuccessorPosition >= **FinalPosition)
+  auto IsAsked = std::make_shared<bool>(false);
+  while (!*FinalPosition && BootClock::now() < End) {
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
+    if (!Dispatcher)
       break;
-    Dispatcher = Service.findGroup(Group);
+    if (!std::exchange(*IsAsked, true))
+      Dispatcher->demote(Instance, Below,
+                         [FinalPosition, IsAsked](const std::string &,
+                                                  const TargetStatus *Status) {
+                           *IsAsked = false;
+                           if (Status && !Status->IsPrimary)
+                             *FinalPosition = Status->Received;
+                         });
+    co_await sleepFor(Opts.PollInterval);
+  }
+  co_return *FinalPosition;
+}
+
+boost::asio::awaitable<StepDownReport>
+TargetSurvey::stepDown(std::string Group, std::string OldPrimary,
+                       std::string Successor, Term Below) {
+  TimePoint End = BootClock::now() + Opts.CatchUpTimeout;
+  StepDownReport Out;
+  Out.FinalPosition = co_await demote(Group, OldPrimary, Below, End);
+  internal::StatusPoll Poll;
+  while (Out.FinalPosition && BootClock::now() < End &&
+         !Out.hasCaughtUp(Successor)) {
+    GroupDispatcher *Dispatcher = Service.findGroup(Group);
     if (!Dispatcher)
-      co_return false;
-    if (*FinalPosition)
-      Dispatcher->askStatus(
-          Successor,
-          [SuccessorPosition](const std::string &, const TargetStatus *Status) {
-            if (Status)
-              *SuccessorPosition = Status->Received;
-          });
+      break;
+    for (const TargetEntry &Entry : Dispatcher->entries())
+      if (Entry.Instance != OldPrimary)
+        Poll.ask(*Dispatcher, Entry.Instance);
+    co_await sleepFor(Opts.PollInterval);
+    Out.Replies = Poll.replies();
   }
-  bool CaughtUp = *FinalPosition && *SuccessorPosition >= **FinalPosition;
-  internal::Logger.info("primary steps down",
-                        {{"group", Group},
-                         {"target", OldPrimary},
-                         {"successor", Successor},
-                         {"caught_up", CaughtUp ? "yes" : "no"}});
-  co_return FinalPosition->has_value();
+  internal::Logger.info(
+      "primary steps down",
+      {{"group", Group},
+       {"target", OldPrimary},
+       {"successor", Successor},
+       {"log_ends",
+        Out.FinalPosition ? toString(*Out.FinalPosition) : "unknown"},
+       {"caught_up", Out.hasCaughtUp(Successor) ? "yes" : "no"}});
+  co_return Out;
 }
 
 boost::asio::awaitable<bool> TargetSurvey::awaitPrimary(std::string Group,
--- a/src/Promotion/TargetSurvey.h
+++ b/src/Promotion/TargetSurvey.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +28,20 @@
                                                const TargetStatuses &Statuses,
                                                const std::string &OldPrimary);
 
+/// \class StepDownReport
+/// \brief What the targets replied after a primary was made to step down.
+struct StepDownReport {
+  /// End of the old primary's log; empty if it did not report that it is a
+  /// replica.
+  std::optional<LogPosition> FinalPosition;
+  /// Replies of the other targets to requests that were sent after that.
+  TargetStatuses Replies;
+
+  /// Returns whether \p Instance has received the old primary's whole log.
+  bool hasCaughtUp(const std::string &Instance) const;
+  bool hasAnyCaughtUp() const;
+};
+
 /// \class TargetSurvey
 /// \brief Asks targets for their statuses during a promotion.
 ///
@@ -54,18 +69,23 @@
   /// has replied or \p End has passed, and returns the replies.
   boost::asio::awaitable<TargetStatuses>
   askAgain(std::string Group, std::set<std::string> Instances, TimePoint End);
-  /// Demotes \p OldPrimary if its term is below \p Below, and waits at most
-  /// CatchUpTimeout until \p Successor has received its whole log. Returns
-  /// whether the old primary reported that it is a replica.
-  boost::asio::awaitable<bool> stepDown(std::string Group,
-                                        std::string OldPrimary,
-                                        std::string Successor, Term Below);
+  /// Demotes \p OldPrimary if its term is below \p Below, and waits until
+  /// \p Successor has received its whole log, at most for CatchUpTimeout.
+  boost::asio::awaitable<StepDownReport> stepDown(std::string Group,
+                                                  std::string OldPrimary,
+                                                  std::string Successor,
+                                                  Term Below);
   /// Waits until \p Instance is the confirmed primary; false if it is not
   /// within \p Timeout.
   boost::asio::awaitable<bool>
   awaitPrimary(std::string Group, std::string Instance, Duration Timeout);
 
 private:
+  /// Makes \p Instance a replica if its term is below \p Below; asks again
+  /// until \p End. Returns the end of its log, or nothing without a reply.
+  boost::asio::awaitable<std::optional<LogPosition>>
+  demote(std::string Group, std::string Instance, Term Below, TimePoint End);
+
   Options Opts;
   ProxyService &Service;
 };
--- a/test/Promotion/AcknowledgedCommitsTest.cpp
+++ b/test/Promotion/AcknowledgedCommitsTest.cpp
@@ -29,6 +29,29 @@
     Group.at("b").ReplicationPaused = true;
     BOOST_TEST(Writer.ask("WRITE i1 kept").starts_with("COMPLETE"));
   }
+  /// Returns whether the store has the decision to promote \p Instance.
+  bool hasDecisionFor(const std::string &Instance) {
+    nlohmann::json Json = nlohmann::json::parse(
+        Store.valueOf("cicadawind-promotions", "g"), nullptr, false);
+    return Json.is_object() && Json.value("target", "") == Instance;
+  }
+  /// Lets the primary leave, and commits a write that "b" does not receive as
+  /// soon as the hand-over to "b" is decided.
+  void leaveAndWriteAfterTheDecision() {
+    for (const char *Id : {"a", "c"})
+      instance(Id).Faults.Work = milliseconds(5);
+    onSweep([this](TimePoint Now) {
+      Driver.sweep(Now);
+      bool IsDue = Group.primary() == "a" && hasDecisionFor("b");
+      if (!IsDue || Group.at("b").ReplicationPaused)
+        return;
+      Group.at("b").ReplicationPaused = true;
+      Group.commit("a", "i1", "kept", "late", Now);
+    });
+    Leaving = {"a"};
+    applyListedTargets();
+  }
+
   ProxyCaller Writer{*this, "latest"};
 };
 
@@ -116,3 +139,47 @@
   BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
   BOOST_TEST((BootClock::now() - Start < milliseconds(1500)));
 }
+
+// Guards against review/12: a hand-over goes on to a target that is known to
+// lack what the leaving primary wrote before it stepped down.
+BOOST_AUTO_TEST_CASE(handOverDecidesAfterTheFinalPosition) {
+  SyncWorld World;
+  World.leaveAndWriteAfterTheDecision();
+  BOOST_TEST(World.waitForPrimary("c"));
+  BOOST_TEST(World.Group.at("b").ReplicationPaused);
+  BOOST_TEST(World.Group.rolledBack() == 0);
+}
+
+// The same where the store cannot record another target: nobody is promoted
+// until it can, or until the chosen one has received the rest.
+BOOST_AUTO_TEST_CASE(handOverWithoutTheStoreWaitsForTheChosenTarget) {
+  SyncWorld World;
+  World.leaveAndWriteAfterTheDecision();
+  BOOST_REQUIRE(World.runUntil([&] { return World.hasDecisionFor("b"); }));
+  World.Store.Outage = true;
+  World.runFor(milliseconds(1500));
+  BOOST_TEST(World.Group.primary() != "b");
+  World.Group.at("b").ReplicationPaused = false;
+  World.Store.Outage = false;
+  BOOST_TEST(World.runUntil([&] { return !World.Group.primary().empty(); }));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+}
+
+// Guards against an order while the leaving primary goes on writing.
+BOOST_AUTO_TEST_CASE(primaryThatRefusesToStepDownIsAskedAgain) {
+  SyncWorld World;
+  World.leaveAndWriteAfterTheDecision();
+  World.instance("a").Faults.BusyDemotes = 5;
+  BOOST_TEST(World.waitForPrimary("c"));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+}
+
+// Guards against a hand-over that waits for a primary which is lost meanwhile.
+BOOST_AUTO_TEST_CASE(leavingPrimaryThatIsLostIsReplacedWithoutItsStepDown) {
+  SyncWorld World;
+  World.Leaving = {"a"};
+  World.applyListedTargets();
+  World.instance("a").crash();
+  BOOST_TEST(World.runUntil([&] { return World.Group.primary() != "a"; }));
+  BOOST_TEST(World.Group.rolledBack() == 0);
+}
