--- a/src/Daemons/RateLimitDriver.cpp
+++ b/src/Daemons/RateLimitDriver.cpp
@@ -4,9 +4,13 @@
 #include "Daemons/RateLimitDriver.h"
 
 #include "Accounts/AccountDirectory.h"
+#include "Async/AsyncSignal.h"
 #include "Exchange/PeerExchange.h"
 #include "Observability/Log.h"
 #include "Observability/Metrics.h"
+#include "Platform/ObjectStore.h"
+
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <vector>
@@ -15,6 +19,9 @@
 namespace internal {
 
 static const Log Logger("quota");
+/// Kind of the objects in the store that are the witnesses of the failure
+/// domains.
+static const char *const WitnessKind = "cicadawind-witnesses";
 constexpr Duration VotersInterval = std::chrono::milliseconds(500);
 /// Time after the word of a VM that it leaves at which others remove its entry
 /// if it has not done so itself. Longer than a planned stop takes.
@@ -32,9 +39,14 @@
 
 } // namespace internal
 
-RateLimitDriver::RateLimitDriver(Options Opts, PeerExchange &Peers,
+RateLimitDriver::RateLimitDriver(boost::asio::io_context &Loop, Options Opts,
+                                 PeerExchange &Peers, ObjectStore &Store,
                                  Metrics &Meter)
-    : Peers(Peers), Meter(Meter), Quota(quotaOptions(std::move(Opts))) {
+    : Loop(Loop), Peers(Peers), Store(Store), Meter(Meter),
+      StoreTimeout(Opts.StoreTimeout), Witness(Opts.Witness),
+      Quota(quotaOptions(std::move(Opts))) {
+  Quota.setWitness(
+      [this](TimePoint Until) { return Witness.isHeldUntil(Until); });
   Peers.onQuotaMessage(
       [this](const std::string &From, const QuotaMessage &Message) {
         Quota.receive(From, Message, BootClock::now());
@@ -54,6 +66,7 @@
   Out.Random = std::move(Opts.Random);
   Out.StartedAt = BootClock::now();
   Out.Tolerance = Opts.Tolerance;
+  Out.Witness = Opts.Witness;
   Out.Send = [this](const std::string &Vm, const QuotaMessage &Message) {
     Peers.send(Vm, Message);
   };
@@ -122,6 +135,7 @@
 
 void RateLimitDriver::sweep(TimePoint Now) {
   updateFleet(Now);
+  sweepWitness(Now);
   Quota.sweep(Now);
   if (!Quota.isActive() || Now < NextReport)
     return;
@@ -130,6 +144,53 @@
   logOverLimit(Now);
 }
 
+void RateLimitDriver::sweepWitness(TimePoint Now) {
+  logWitness(Now);
+  switch (Witness.next(Quota.wantsWitness(Now), Now)) {
+  case QuorumWitness::Call::None:
+    return;
+  case QuorumWitness::Call::Read:
+    return spawn(Loop, readWitness());
+  case QuorumWitness::Call::Write:
+    return spawn(Loop, writeWitness());
+  }
+}
+
+boost::asio::awaitable<void> RateLimitDriver::readWitness() {
+  // Failed calls are counted by the store's client.
+  Result<StoredObject> Read = co_await Store.read(
+      internal::WitnessKind, Peers.self().FailureDomain, StoreTimeout);
+  if (errorOf(Read))
+    Witness.recordRead(std::nullopt, BootClock::now());
+  else
+    Witness.recordRead(valueOf(Read).Version, BootClock::now());
+}
+
+boost::asio::awaitable<void> RateLimitDriver::writeWitness() {
+  nlohmann::json Value{
+      {"vm", Peers.self().Vm},
+      {"incarnation", std::to_string(Peers.self().Incarnation)},
+      {"update", ++WitnessUpdates}};
+  TimePoint SentAt = BootClock::now();
+  WriteResult Written = co_await Store.write(
+      internal::WitnessKind, Peers.self().FailureDomain, Value.dump(),
+      Witness.expectedVersion(), StoreTimeout);
+  if (Written.Outcome == WriteOutcome::Accepted)
+    Witness.recordAccepted(Written.Version, SentAt, BootClock::now());
+  else
+    Witness.recordRefused();
+}
+
+void RateLimitDriver::logWitness(TimePoint Now) {
+  bool HasWitness = Witness.isHeldUntil(Now);
+  if (HasWitness == std::exchange(HadWitness, HasWitness))
+    return;
+  internal::Logger.info(HasWitness
+                            ? "has the store's vote in its failure domain"
+                            : "no longer has the store's vote",
+                        {{"domain", Peers.self().FailureDomain}});
+}
+
 void RateLimitDriver::leave() { Quota.leave(BootClock::now()); }
 
 void RateLimitDriver::reportCounts() {
--- a/src/Daemons/RateLimitDriver.h
+++ b/src/Daemons/RateLimitDriver.h
@@ -4,18 +4,26 @@
 #include "Core/Clock.h"
 #include "Core/Random.h"
 #include "Leases/VoterList.h"
+#include "Quotas/QuorumWitness.h"
 #include "Quotas/QuotaService.h"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 
+namespace boost::asio {
+class io_context;
+}
+
 namespace cicadawind {
 
 class AccountDirectory;
 class Metrics;
+class ObjectStore;
 class PeerExchange;
 
 /// \class RateLimitDriver
@@ -31,9 +39,13 @@
     std::map<std::string, std::string> Regions;
     RandomSource Random;
     RateTolerance Tolerance;
+    WitnessTimes Witness;
+    /// Timeout of one call to the store.
+    Duration StoreTimeout = std::chrono::milliseconds(700);
   };
 
-  RateLimitDriver(Options Opts, PeerExchange &Peers, Metrics &Meter);
+  RateLimitDriver(boost::asio::io_context &Loop, Options Opts,
+                  PeerExchange &Peers, ObjectStore &Store, Metrics &Meter);
 
   QuotaService &quota() { return Quota; }
   /// Sets the accounts of the active configuration.
@@ -58,11 +70,24 @@
   std::set<std::string> ofOwnDomain(const std::set<std::string> &Vms) const;
   /// Sets the voters of the own failure domain.
   void updateVoters(TimePoint Now);
+  /// Makes the call to the store that the witness needs now.
+  void sweepWitness(TimePoint Now);
+  boost::asio::awaitable<void> readWitness();
+  boost::asio::awaitable<void> writeWitness();
+  /// Logs that this VM has, or has no longer, the store's vote.
+  void logWitness(TimePoint Now);
   void reportCounts();
   void logOverLimit(TimePoint Now);
 
+  boost::asio::io_context &Loop;
   PeerExchange &Peers;
+  ObjectStore &Store;
   Metrics &Meter;
+  Duration StoreTimeout;
+  QuorumWitness Witness;
+  /// Number of this process's updates of the witness.
+  std::uint64_t WitnessUpdates = 0;
+  bool HadWitness = false;
   QuotaService Quota;
   /// Version of the live peers that Quota has; empty if it has none.
   std::optional<std::uint64_t> LiveVersion;
--- a/src/Quotas/Electorate.cpp
+++ b/src/Quotas/Electorate.cpp
@@ -14,6 +14,28 @@
   return (Voters + 1) / 2 + 1;
 }
 
+std::size_t Electorate::votesNeeded(unsigned Partition) const {
+  std::size_t Majority = majorityOf(votersOf(Partition).size());
+  std::size_t All = Members.size() + Absent.size();
+  if (Absent.empty() || All > MaxVoters)
+    return Majority;
+  return std::max(Majority, All / 2 + 1);
+}
+
+std::optional<std::size_t> Electorate::votesNeededWithWitness() const {
+  std::size_t All = Members.size() + Absent.size();
+  if (Members.empty() || All > MaxVoters)
+    return std::nullopt;
+  return (All + 1) / 2;
+}
+
+std::size_t Electorate::countMembers(const std::set<std::string> &Live) const {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 Members.begin(), Members.end(), [&](const std::string &Vm) {
+                   return Vm != OwnVm && Live.count(Vm) > 0;
+                 }));
+}
+
 void Electorate::update(std::set<std::string> Known,
                         const std::set<std::string> &Live,
                         const std::set<std::string> &Gone) {
--- a/src/Quotas/Electorate.h
+++ b/src/Quotas/Electorate.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -44,6 +45,16 @@
   const std::vector<std::string> &votersOf(unsigned Partition) const {
     return Voters.at(Partition);
   }
+  /// Returns the number of votes of votersOf(\p Partition) that a claim needs.
+  /// While VMs are left out, that is also more than half of all: the others may
+  /// be half of them, and have the store's vote.
+  std::size_t votesNeeded(unsigned Partition) const;
+  /// Returns the same for a claim that has the store's vote: half of all VMs,
+  /// with those that are left out. Empty if the voters are a part of the domain
+  /// only, so that two halves may have other voters.
+  std::optional<std::size_t> votesNeededWithWitness() const;
+  /// Returns the number of \p Live VMs that vote, and this one.
+  std::size_t countMembers(const std::set<std::string> &Live) const;
   /// Returns the number of votes that \p Voters have to give: at least half of
   /// them and one more, so that two issuers cannot be chosen even if one VM
   /// votes twice, because a copy of it runs, or if two VMs' lists differ by
--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -193,11 +193,42 @@
     Opts.OnLease(Partition, IsHeld);
 }
 
+bool QuotaService::isShortOfVotes() const {
+  return Domain.domainSize() > 0 &&
+         Domain.countMembers(LiveVms) < Domain.votesNeeded(0);
+}
+
+bool QuotaService::isShortForLong(TimePoint Now) const {
+  return ShortSince && Now - *ShortSince >= Opts.Witness.ShortageTime;
+}
+
+bool QuotaService::hasWitness(TimePoint Now) const {
+  return isShortForLong(Now) && HasWitnessUntil &&
+         HasWitnessUntil(Now + Opts.Times.LeaseLength);
+}
+
+bool QuotaService::wantsWitness(TimePoint Now) const {
+  std::optional<std::size_t> Needed = Domain.votesNeededWithWitness();
+  if (!IsActive || !mayIssue() || !isShortForLong(Now) || !Needed ||
+      Domain.countMembers(LiveVms) < *Needed)
+    return false;
+  // The first of the live VMs, in the same order for all.
+  for (const std::string &Vm : Domain.votersOf(0))
+    if (Vm == Opts.Vm || LiveVms.count(Vm) > 0)
+      return Vm == Opts.Vm;
+  return false;
+}
+
 std::optional<std::size_t> QuotaService::rankIn(unsigned Partition,
                                                 TimePoint Now) const {
   // It does not even have its own vote in the first LeaseLength.
   if (Domain.domainSize() == 0 || Now - Opts.StartedAt < Opts.Times.LeaseLength)
     return std::nullopt;
+  if (hasWitness(Now))
+    return 0;
+  // A claim would only take the votes that the VM with the witness needs.
+  if (isShortForLong(Now))
+    return std::nullopt;
   std::size_t Rank = 0;
   for (const std::string &Vm : Domain.votersOf(Partition)) {
     if (Vm == Opts.Vm)
@@ -207,6 +238,12 @@
   return std::nullopt;
 }
 
+std::size_t QuotaService::votesNeeded(unsigned Partition, TimePoint Now) const {
+  std::size_t Majority = Domain.votesNeeded(Partition);
+  std::optional<std::size_t> Half = Domain.votesNeededWithWitness();
+  return hasWitness(Now) && Half ? std::min(Majority, *Half) : Majority;
+}
+
 void QuotaService::sendClaim(unsigned Partition, TimePoint Now) {
   const std::vector<std::string> &Voters = Domain.votersOf(Partition);
   IssuerClaim Claim{.FailureDomain = Opts.FailureDomain,
@@ -215,8 +252,8 @@
                     .Number = ++LastClaim,
                     .DomainSize = Domain.domainSize()};
   Seats[Partition].recordClaim(Claim.Number, {Voters.begin(), Voters.end()},
-                               Electorate::majorityOf(Voters.size()),
-                               Claim.DomainSize, Now);
+                               votesNeeded(Partition, Now), Claim.DomainSize,
+                               Now);
   for (const std::string &Vm : Voters)
     if (Vm != Opts.Vm)
       Opts.Send(Vm, Claim);
@@ -259,6 +296,10 @@
 }
 
 void QuotaService::sweep(TimePoint Now) {
+  if (!isShortOfVotes())
+    ShortSince.reset();
+  else if (!ShortSince)
+    ShortSince = Now;
   for (unsigned Partition = 0; Partition < QuotaPartitions; ++Partition)
     sweepSeat(Partition, Now);
   Client.sweep(Now);
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -45,6 +45,7 @@
     std::function<void(const std::string &Vm, const QuotaMessage &)> Send;
     RateTolerance Tolerance;
     QuotaTimes Times;
+    WitnessTimes Witness;
     /// Called when this VM becomes the issuer of a partition, and when it is
     /// none any more; may be empty.
     std::function<void(unsigned Partition, bool Begins)> OnLease;
@@ -72,6 +73,14 @@
   /// Returns the VMs of the own failure domain that a majority has left out
   /// because they are silent.
   const std::set<std::string> &leftOut() const { return Domain.absent(); }
+  /// Returns whether this VM should ask for the store's vote: half of the
+  /// domain is live, no majority has been for some time, and this VM is the
+  /// first of the live ones. See QuorumWitness.
+  bool wantsWitness(TimePoint Now) const;
+  /// Records until when this VM has the store's vote.
+  void setWitness(std::function<bool(TimePoint)> IsHeldUntil) {
+    HasWitnessUntil = std::move(IsHeldUntil);
+  }
   /// Returns whether an account has a limit.
   bool isActive() const { return IsActive; }
 
@@ -127,6 +136,14 @@
   Millis idleTime(unsigned Partition, TimePoint Now);
   /// Reports a lease that has begun or ended since the last call.
   void reportLease(unsigned Partition, TimePoint Now);
+  /// Returns whether too few VMs of the domain are live for a majority.
+  bool isShortOfVotes() const;
+  /// Returns whether that has been so for some time.
+  bool isShortForLong(TimePoint Now) const;
+  /// Returns whether a claim sent at \p Now may count on the store's vote.
+  bool hasWitness(TimePoint Now) const;
+  /// Returns the number of votes that a claim sent at \p Now needs.
+  std::size_t votesNeeded(unsigned Partition, TimePoint Now) const;
   /// Returns this VM's rank among the live candidates; empty if it is none.
   std::optional<std::size_t> rankIn(unsigned Partition, TimePoint Now) const;
   PermitClient::Options clientOptions();
@@ -143,6 +160,9 @@
   /// VMs of the own failure domain that are live and do not leave.
   std::set<std::string> LiveVms;
   bool IsActive = false;
+  /// Since when the live VMs have been no majority; empty while they are.
+  std::optional<TimePoint> ShortSince;
+  std::function<bool(TimePoint)> HasWitnessUntil;
   /// When this VM began to leave; empty if it does not.
   std::optional<TimePoint> LeavingSince;
   /// Partitions whose lease has been reported as begun.
--- a/src/Quotas/QuotaTimes.h
+++ b/src/Quotas/QuotaTimes.h
@@ -45,6 +45,20 @@
   Duration MinOtherDenial = std::chrono::milliseconds(200);
 };
 
+/// \class WitnessTimes
+/// \brief Times of the store's vote, the same on all VMs; see QuorumWitness.
+struct WitnessTimes {
+  /// Minimum time between two calls to the store.
+  Duration CallInterval = std::chrono::milliseconds(1200);
+  /// Time for which an accepted update holds, from its sending on.
+  Duration HoldTime = std::chrono::milliseconds(4000);
+  /// Time without a change after which another VM may take over.
+  Duration TakeoverTime = std::chrono::milliseconds(6000);
+  /// Time without a majority after which the store's vote is wanted, and this
+  /// VM claims no lease without it.
+  Duration ShortageTime = std::chrono::milliseconds(2000);
+};
+
 } // namespace cicadawind
 
 #endif
--- a/src/Quotas/Quotas.h
+++ b/src/Quotas/Quotas.h
@@ -18,6 +18,7 @@
 #include "Quotas/PermitIssuer.h"
 #include "Quotas/PermitOutcome.h"
 #include "Quotas/PermitQueue.h"
+#include "Quotas/QuorumWitness.h"
 #include "Quotas/QuotaCounts.h"
 #include "Quotas/QuotaMessage.h"
 #include "Quotas/QuotaService.h"
--- a/test/Daemons/RateLimitDriverTest.cpp
+++ b/test/Daemons/RateLimitDriverTest.cpp
@@ -7,6 +7,7 @@
 #include "Accounts/AccountDirectory.h"
 #include "Daemons/RateLimitDriver.h"
 #include "Exchange/PeerExchangeWorld.h"
+#include "Fakes/MemoryStore.h"
 #include "Observability/LoggedLines.h"
 
 #include <nlohmann/json.hpp>
@@ -29,11 +30,12 @@
 /// A VM with a rate limit; the peer "vm-2" is in its failure domain.
 struct RateLimitWorld : PeerExchangeWorld {
   RateLimitWorld()
-      : Driver({.Vm = "vm-1",
-                .FailureDomain = "d1",
-                .Regions = {{"d1", "r1"}},
-                .Random = [] { return std::uint64_t{7}; }},
-               Peers, Meter) {
+      : Store(Loop), Driver(Loop,
+                            {.Vm = "vm-1",
+                             .FailureDomain = "d1",
+                             .Regions = {{"d1", "r1"}},
+                             .Random = [] { return std::uint64_t{7}; }},
+                            Peers, Store, Meter) {
     onSweep([this](TimePoint Now) {
       Peers.sweep(Now);
       Driver.sweep(Now);
@@ -63,6 +65,7 @@
         [this](const PermitOutcome &Each) { Outcomes.push_back(Each.Result); });
   }
 
+  fakes::MemoryStore Store;
   RateLimitDriver Driver;
   bool Votes = true;
   std::size_t Answered = 0;
--- a/test/Quotas/QuotaFleet.cpp
+++ b/test/Quotas/QuotaFleet.cpp
@@ -1,5 +1,7 @@
 #include "Quotas/QuotaFleet.h"
 
+#include "Platform/StoreRevision.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,6 +11,7 @@
 
 static constexpr Duration SweepInterval = 25ms;
 static constexpr Duration IssuerCheckInterval = 10ms;
+static constexpr Duration StoreTimeout = 700ms;
 /// Times of the membership, as in FleetGossip, RateLimitDriver and VoterList.
 static constexpr Duration HelloInterval = 1s;
 static constexpr Duration PeerTimeout = 8s;
@@ -75,12 +78,17 @@
   Service.Random = [this] { return Random(); };
   Service.StartedAt = clockOf(*Out);
   Service.Tolerance.Operations = Opts.ToleratedOperations;
+  Service.Witness = Opts.Witness;
   Service.Send = [this, Weak = std::weak_ptr(Out)](
                      const std::string &To, const QuotaMessage &Message) {
     send(Weak.lock(), To, Message);
   };
   Out->Service = std::make_unique<QuotaService>(std::move(Service));
   Out->Service->setAccounts(accounts(), clockOf(*Out));
+  Out->Witness = std::make_unique<QuorumWitness>(Opts.Witness);
+  Out->Service->setWitness([Weak = std::weak_ptr(Out)](TimePoint Until) {
+    return Weak.lock()->Witness->isHeldUntil(Until);
+  });
   updateFleet(*Out);
   // The sweeps of all VMs are not at the same time.
   atProcess(Out, Now + Millis(below(25)), [this, Out] { sweep(Out); });
@@ -115,10 +123,80 @@
 void QuotaFleet::sweep(const ProcessPtr &Each) {
   if (below(HelloInterval / SweepInterval) == 0)
     updateFleet(*Each);
+  sweepWitness(Each);
   Each->Service->sweep(clockOf(*Each));
   atProcess(Each, Now + SweepInterval, [this, Each] { sweep(Each); });
 }
 
+void QuotaFleet::sweepWitness(const ProcessPtr &Each) {
+  TimePoint Clock = clockOf(*Each);
+  switch (Each->Witness->next(Each->Service->wantsWitness(Clock), Clock)) {
+  case QuorumWitness::Call::None:
+    return;
+  case QuorumWitness::Call::Read:
+    return callStore(Each, false);
+  case QuorumWitness::Call::Write:
+    return callStore(Each, true);
+  }
+}
+
+void QuotaFleet::callStore(const ProcessPtr &Each, bool IsWrite) {
+  TimePoint SentAt = clockOf(*Each);
+  std::uint64_t Expected = Each->Witness->expectedVersion();
+  auto IsAnswered = std::make_shared<bool>(false);
+  Duration Delay = Millis(1 + below(8));
+  if (unit() < LateCalls)
+    Delay += Millis(below(6000));
+  bool IsReached = !StoreIsAway && TurnedAway.count(Each->Vm) == 0;
+  auto Run = [this, Each, IsWrite, Expected, SentAt, IsAnswered] {
+    std::optional<std::uint64_t> Result =
+        runInStore(domainOf(Each->Vm), IsWrite, Expected);
+    atProcess(
+        Each, Now + 2ms, [this, Each, IsWrite, Result, SentAt, IsAnswered] {
+          if (std::exchange(*IsAnswered, true))
+            return;
+          if (!IsWrite)
+            Each->Witness->recordRead(Result, clockOf(*Each));
+          else if (Result)
+            Each->Witness->recordAccepted(*Result, SentAt, clockOf(*Each));
+          else
+            Each->Witness->recordRefused();
+        });
+  };
+  if (IsReached)
+    at(Now + Delay, Run);
+  atProcess(Each, Now + StoreTimeout, [this, Each, IsWrite, IsAnswered] {
+    if (std::exchange(*IsAnswered, true))
+      return;
+    if (IsWrite)
+      Each->Witness->recordRefused();
+    else
+      Each->Witness->recordRead(std::nullopt, clockOf(*Each));
+  });
+}
+
+std::optional<std::uint64_t> QuotaFleet::runInStore(std::size_t Domain,
+                                                    bool IsWrite,
+                                                    std::uint64_t Expected) {
+  std::uint64_t &Number = Objects[Domain];
+  // The store knows nothing of the eras that versions are of.
+  if (IsWrite && Number != StoreRevision::unpack(Expected).Number)
+    return std::nullopt;
+  if (IsWrite)
+    Number = ++StoreNumber;
+  if (Number == 0)
+    return 0;
+  return StoreRevision{.Era = StoreEra, .Number = Number}.pack();
+}
+
+void QuotaFleet::restoreStoreCopy() {
+  Objects = StoreCopy;
+  ++StoreEra;
+  StoreNumber = 1;
+  for (const auto &[Domain, Number] : Objects)
+    StoreNumber = std::max(StoreNumber, Number);
+}
+
 void QuotaFleet::updateFleet(Process &Each) {
   std::vector<VmEntry> Live;
   std::set<std::string> Voters;
--- a/test/Quotas/QuotaFleet.h
+++ b/test/Quotas/QuotaFleet.h
@@ -2,6 +2,7 @@
 #define CICADAWIND_TEST_QUOTAS_QUOTAFLEET_H
 
 #include "Accounts/AccountDirectory.h"
+#include "Quotas/QuorumWitness.h"
 #include "Quotas/QuotaService.h"
 
 #include <algorithm>
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -37,6 +39,7 @@
     std::size_t Domains = 3;
     unsigned ToleratedOperations = 0;
     std::uint64_t Seed = 1;
+    WitnessTimes Witness;
     std::vector<Account> Accounts;
     /// Whether the operations of an account stay below its limit: in any time
     /// T, at most PerSecond * T + Burst are asked for.
@@ -83,9 +86,25 @@
   std::size_t vms() const { return Opts.Vms; }
   std::size_t domains() const { return Opts.Domains; }
 
+  /// Kills \p Vm for good, or until it is started again.
+  void kill(std::size_t Vm);
   /// Kills \p Vm and starts it again after \p Pause.
   void restart(std::size_t Vm, Duration Pause);
   void suspend(std::size_t Vm, Duration Length);
+  void setStoreAway(bool IsAway) { StoreIsAway = IsAway; }
+  /// Lets the store turn \p Vm away, or serve it again.
+  void setTurnedAway(std::size_t Vm, bool IsTurnedAway) {
+    if (IsTurnedAway)
+      TurnedAway.insert(Vm);
+    else
+      TurnedAway.erase(Vm);
+  }
+  /// Lets a part of the calls to the store be carried out late, without a
+  /// response in time.
+  void setLateCalls(double Share) { LateCalls = Share; }
+  /// Keeps a copy of the store, from which it comes back in a later era.
+  void keepStoreCopy() { StoreCopy = Objects; }
+  void restoreStoreCopy();
   /// Starts a second process of \p Vm with the same name, for \p Length.
   void doubleVm(std::size_t Vm, Duration Length);
   /// Multiplies the demand of the account \p Index by \p Factor.
@@ -120,6 +139,7 @@
     Duration ClockOffset = Duration::zero();
     double ClockRate = 1;
     std::unique_ptr<QuotaService> Service;
+    std::unique_ptr<QuorumWitness> Witness;
     std::vector<TimePoint> HeardOfAt;
     AccountDirectory Accounts;
   };
@@ -132,7 +152,13 @@
   };
 
   TimePoint clockOf(const Process &Each) const;
-  void kill(std::size_t Vm);
+  /// Makes the call to the store that the witness of \p Each needs.
+  void sweepWitness(const ProcessPtr &Each);
+  void callStore(const ProcessPtr &Each, bool IsWrite);
+  /// Runs a call in the store. Returns the version of the domain's object, or
+  /// nothing if a write's condition does not hold.
+  std::optional<std::uint64_t> runInStore(std::size_t Domain, bool IsWrite,
+                                          std::uint64_t Expected);
   ProcessPtr makeProcess(std::size_t Vm);
   void at(TimePoint When, std::function<void()> Work);
   /// Runs \p Work at \p When or when \p Each is no longer suspended; never if
@@ -161,6 +187,14 @@
   std::multimap<TimePoint, std::function<void()>> Events;
   /// The processes of each VM, usually one.
   std::vector<std::vector<ProcessPtr>> Vms;
+  bool StoreIsAway = false;
+  std::set<std::size_t> TurnedAway;
+  double LateCalls = 0;
+  std::uint64_t StoreEra = 1;
+  std::uint64_t StoreNumber = 1;
+  /// Numbers of the versions of the domains' objects; 0 if there is none.
+  std::map<std::size_t, std::uint64_t> Objects;
+  std::map<std::size_t, std::uint64_t> StoreCopy;
   double Loss = 0;
   double Repetition = 0;
   double Delayed = 0;
--- a/test/System/RateLimitTest.cpp
+++ b/test/System/RateLimitTest.cpp
@@ -138,3 +138,18 @@
   Fleet.start(0);
   BOOST_TEST(Fleet.runUntil(StartTimeout, HasAllLeases));
 }
+
+// review/14: half of a failure domain's VMs are lost, and the rest start anew.
+BOOST_AUTO_TEST_CASE(aFleetWhoseHalfIsLostIssuesPermits) {
+  LimitedFleet Fleet(2, 2);
+  std::size_t Nobody = Fleet.vms();
+  auto HasAllLeases = [&] { return Fleet.hasAllLeases(Nobody); };
+  BOOST_REQUIRE(Fleet.runUntil(StartTimeout, HasAllLeases));
+  // Its entry in the store is that of a VM that has run for a while.
+  Fleet.runUntil(3s, [] { return false; });
+  for (std::size_t Vm : {0, 1})
+    BOOST_REQUIRE(Fleet.end(Vm, SIGKILL));
+  Fleet.start(0);
+  // RECOVER allows 15 s.
+  BOOST_TEST(Fleet.runUntil(15s, HasAllLeases));
+}
