--- a/src/Callers/CallerRequests.cpp
+++ b/src/Callers/CallerRequests.cpp
@@ -249,9 +249,11 @@
 }
 
 void CallerSession::rollBackAndRelease() {
-  CurrentGrant.ReleasedByRollback = true;
-  auto Hook = [D = Dispatcher,
-               Link = CurrentGrant.Link](const TargetReply *Reply) {
+  CurrentGrant.RollbackEnded = std::make_shared<bool>(false);
+  auto Hook = [D = Dispatcher, Link = CurrentGrant.Link,
+               HasEnded =
+                   CurrentGrant.RollbackEnded](const TargetReply *Reply) {
+    *HasEnded = true;
     bool Ended =
         Reply && !Reply->Refused && Reply->Ready.Phase == SessionPhase::Idle;
     if (Ended)
@@ -335,15 +337,21 @@
     return;
   if (!Healthy || !Grant.Link->isOpen())
     return Grant.Link->close();
-  if (Grant.ReleasedByRollback)
+  if (Grant.RollbackEnded) {
+    // The link may be another session's by now.
+    if (!*Grant.RollbackEnded)
+      Dispatcher->expectRelease(Grant.Link);
     return;
+  }
   if (!Grant.Link->isIdle())
     return Grant.Link->close();
   if (!Grant.Link->inTransaction())
     return Dispatcher->release(Grant.Link);
   CurrentGrant = std::move(Grant);
   rollBackAndRelease();
+  std::shared_ptr<TargetLink> Link = std::move(CurrentGrant.Link);
   CurrentGrant = LinkGrant();
+  Dispatcher->expectRelease(Link);
 }
 
 void CallerSession::onErrorReply(const TargetReply &Reply) {
--- a/src/Dispatch/GroupDispatcher.cpp
+++ b/src/Dispatch/GroupDispatcher.cpp
@@ -335,6 +335,13 @@
   Links->release(Link);
 }
 
+void GroupDispatcher::expectRelease(const std::shared_ptr<TargetLink> &Link) {
+  TargetConnections *Links = find(Link->instance());
+  if (!Links)
+    return Link->failPending();
+  Links->expectRelease(Link, BootClock::now());
+}
+
 void GroupDispatcher::scheduleDispatch() {
   if (DispatchScheduled)
     return;
--- a/src/Dispatch/GroupDispatcher.h
+++ b/src/Dispatch/GroupDispatcher.h
@@ -129,6 +129,9 @@
   /// Releases a link that was granted. It is closed if a request on it is
   /// unanswered or its target was dropped.
   void release(const std::shared_ptr<TargetLink> &Link);
+  /// Says that nobody waits for \p Link any more but the hook of a rollback,
+  /// which releases it; see TargetConnections::expectRelease().
+  void expectRelease(const std::shared_ptr<TargetLink> &Link);
 
   /// Processes a reply of \p Instance. \p IsLeadershipProof says whether the
   /// reply, if it is a success, proves that \p Instance is the primary.
--- a/src/Links/LinkGrant.h
+++ b/src/Links/LinkGrant.h
@@ -23,9 +23,9 @@
   /// Position that the target's log must have reached; set only for reads at
   /// replicas.
   std::optional<LogPosition> MinPosition;
-  /// Whether a rollback has been sent whose reply releases the connection to
-  /// the dispatcher.
-  bool ReleasedByRollback = false;
+  /// Set if a rollback has been sent whose reply releases the connection to the
+  /// dispatcher: whether that has happened, or the connection failed.
+  std::shared_ptr<bool> RollbackEnded;
 };
 
 } // namespace cicadawind
--- a/src/Links/TargetConnections.cpp
+++ b/src/Links/TargetConnections.cpp
@@ -120,6 +120,7 @@
 void TargetConnections::release(const std::shared_ptr<TargetLink> &Link) {
   // From now on the session that acquires the link applies the timeouts.
   ControlLinks.erase(Link.get());
+  ExpectedLinks.erase(Link.get());
   if (!Link->isOpen() || !Link->isIdle() || !isOwn(Link))
     return Link->close();
   if (sendNextControlRequest(Link))
@@ -495,6 +496,35 @@
   }
 }
 
+void TargetConnections::expectRelease(const std::shared_ptr<TargetLink> &Link,
+                                      TimePoint Now) {
+  ExpectedLinks[Link.get()] = {.Link = Link, .Since = Now};
+}
+
+void TargetConnections::endUnreleased(TimePoint Now) {
+  std::vector<std::shared_ptr<TargetLink>> Unreleased;
+  for (auto It = ExpectedLinks.begin(); It != ExpectedLinks.end();) {
+    std::shared_ptr<TargetLink> Link = It->second.Link.lock();
+    bool IsExpected = Link && Link->isOpen();
+    if (IsExpected && Now - It->second.Since <= Opts.ControlRequestTimeout) {
+      ++It;
+      continue;
+    }
+    if (IsExpected)
+      Unreleased.push_back(Link);
+    It = ExpectedLinks.erase(It);
+  }
+  for (const std::shared_ptr<TargetLink> &Link : Unreleased) {
+    internal::Logger.info("connection closed; a rollback was not answered",
+                          {{"group", Opts.Group},
+                           {"target", Entry.Instance},
+                           {"through_peer", Link->relay()}});
+    // One lost reply says nothing about the target.
+    Link->onFailed(nullptr);
+    Link->failPending();
+  }
+}
+
 void TargetConnections::removeClosed() {
   AllLinks.erase(std::remove_if(AllLinks.begin(), AllLinks.end(),
                                 [](const std::weak_ptr<TargetLink> &Weak) {
@@ -534,6 +564,7 @@
   expireControlRequests(Now);
   checkWaitingLinks(Now);
   endTimedOutControlRequests(Now);
+  endUnreleased(Now);
   removeClosed();
   closeUnused(Now);
   Pace.expire(Now);
--- a/src/Links/TargetConnections.h
+++ b/src/Links/TargetConnections.h
@@ -115,6 +115,9 @@
   /// Takes back a link. Closes it if it has failed or has unanswered requests,
   /// or if it leads to an earlier incarnation of the target.
   void release(const std::shared_ptr<TargetLink> &Link);
+  /// Expects \p Link back, whose last request is a rollback that no session
+  /// waits for. Closes it if it is not released within ControlRequestTimeout.
+  void expectRelease(const std::shared_ptr<TargetLink> &Link, TimePoint Now);
   /// Opens a connection for statements of \p Account, one of which has waited
   /// since \p WaitsSince, if the path allows another one now. If the path is
   /// direct but the target cannot be reached, connects to \p FallbackRelay
@@ -221,6 +224,8 @@
   /// and abandons attempts to open a link that take longer than OpenTimeout.
   void checkWaitingLinks(TimePoint Now);
   void endTimedOutControlRequests(TimePoint Now);
+  /// Closes the links that were expected back and were not released in time.
+  void endUnreleased(TimePoint Now);
   void removeClosed();
   void closeUnused(TimePoint Now);
   /// Removes and returns the free link that was used last, or null.
@@ -253,6 +258,12 @@
   /// Links with an unanswered control request. No session applies a timeout
   /// to them, so the sweep does.
   std::map<const TargetLink *, std::weak_ptr<TargetLink>> ControlLinks;
+  struct ExpectedLink {
+    std::weak_ptr<TargetLink> Link;
+    TimePoint Since;
+  };
+  /// Links that no session owns any more and that are not free yet.
+  std::map<const TargetLink *, ExpectedLink> ExpectedLinks;
   /// Limits this VM's simultaneous statements at the target.
   ConcurrencyLimit Concurrency;
   AccountPool Pool;
--- a/test/Emulator/EmulatedInstance.cpp
+++ b/test/Emulator/EmulatedInstance.cpp
@@ -57,7 +57,8 @@
 
 private:
   void next() {
-    if (Running || Lines.empty() || Owner.Faults.Silent || !Stream->isOpen())
+    if (Running || IsMute || Lines.empty() || Owner.Faults.Silent ||
+        !Stream->isOpen())
       return;
     std::string Line = std::move(Lines.front());
     Lines.pop_front();
@@ -97,6 +98,8 @@
     Owner.Records.push_back(Record);
     if (DropsReply)
       return close();
+    if (IsMute)
+      return;
     LogPosition End = Owner.Group.applied(Owner.Id);
     Stream->send(Answer + "READY " + State + " " + toString(End) + "\r\n");
   }
@@ -168,6 +171,8 @@
     if (Verb == "BEGIN")
       return begin(Text == "READ");
     if (Verb == "ROLLBACK") {
+      IsMute = Owner.Faults.MuteRollbacks > 0;
+      Owner.Faults.MuteRollbacks -= IsMute ? 1 : 0;
       endTransaction();
       return done("-");
     }
@@ -284,6 +289,7 @@
   boost::asio::steady_timer WorkTimer;
   std::deque<std::string> Lines;
   bool Running = false;
+  bool IsMute = false;
   char State = 'I';
   bool IsReadWrite = true;
   std::vector<std::pair<std::string, std::string>> Pending;
--- a/test/Emulator/EmulatedInstance.h
+++ b/test/Emulator/EmulatedInstance.h
@@ -34,6 +34,9 @@
   /// Number of writes or commits to run without a reply; the connection is
   /// closed instead.
   int LoseAnswers = 0;
+  /// Number of rollbacks to run without a reply. Their connections stay open
+  /// and return nothing any more.
+  int MuteRollbacks = 0;
   /// Number of requests to refuse as busy.
   int Busy = 0;
   /// Number of requests to step down to refuse as busy.
