Use the store's vote as long as it is held

Cause: a VM that came back ended the shortage at once, and with it the use of the witness, though it gives no vote in its first lease time: the holder lost its leases until then (by reading). Change: while the witness is held, half of all votes are enough for its holder, short of votes or not. The proof is the same. The gap itself was not measured.

--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -203,8 +203,7 @@
 }
 
 bool QuotaService::hasWitness(TimePoint Now) const {
-  return isShortForLong(Now) && HasWitnessUntil &&
-         HasWitnessUntil(Now + Opts.Times.LeaseLength);
+  return HasWitnessUntil && HasWitnessUntil(Now + Opts.Times.LeaseLength);
 }
 
 bool QuotaService::wantsWitness(TimePoint Now) const {
@@ -224,11 +223,9 @@
   // It does not even have its own vote in the first LeaseLength.
   if (Domain.domainSize() == 0 || Now - Opts.StartedAt < Opts.Times.LeaseLength)
     return std::nullopt;
-  if (hasWitness(Now))
-    return 0;
-  // A claim would only take the votes that the VM with the witness needs.
+  // Another claim would only take the votes that the VM with the witness needs.
   if (isShortForLong(Now))
-    return std::nullopt;
+    return hasWitness(Now) ? std::optional<std::size_t>(0) : std::nullopt;
   std::size_t Rank = 0;
   for (const std::string &Vm : Domain.votersOf(Partition)) {
     if (Vm == Opts.Vm)
