Ask the peers about a leaving primary during its hand-over

Cause: a leaving primary that crashes is replaced as lost only with the peers' reports, and these were asked for only while no attempt ran or was waited for. Where commits wait for replicas, each attempt began as a hand-over again, until the registry dropped the target. Change: while it is suspect, the peers are asked during an attempt and after it.

--- a/src/Promotion/PromotionDriver.cpp
+++ b/src/Promotion/PromotionDriver.cpp
@@ -121,14 +121,18 @@
       std::max(State.NotBefore, BootClock::now() + Opts.PeerPromotionWait);
 }
 
+void PromotionDriver::queryIfSuspect(GroupDispatcher &Group, TimePoint Now) {
+  if (!Group.failureDetector().isSuspect(Now))
+    return;
+  Peers.queryPrimary(Group.group(), Group.failureDetector().primary(), Now);
+  logDoubt(Group, Now);
+}
+
 std::optional<PromotionReason>
 PromotionDriver::reasonToPromote(GroupDispatcher &Group, TimePoint Now) {
   const std::string &Primary = Group.tracker().primary();
   const TargetEntry *Entry = Group.findEntry(Primary);
-  if (Group.failureDetector().isSuspect(Now)) {
-    Peers.queryPrimary(Group.group(), Group.failureDetector().primary(), Now);
-    logDoubt(Group, Now);
-  }
+  queryIfSuspect(Group, Now);
   if (isLost(Group, Now))
     return PromotionReason::Lost;
   if (Entry && Entry->Leaving)
@@ -187,8 +191,14 @@
   if (!Group.isVoter() || Service.isDraining())
     return;
   GroupState &State = Groups[Group.group()];
-  if (State.InProgress || Now < State.NotBefore)
+  if (State.InProgress || Now < State.NotBefore) {
+    // A leaving primary may be lost during its hand-over. The next attempt
+    // needs the peers' reports to begin with.
+    const TargetEntry *Entry = Group.findEntry(Group.tracker().primary());
+    if (Entry && Entry->Leaving)
+      queryIfSuspect(Group, Now);
     return;
+  }
   std::optional<PromotionReason> Cause = reasonToPromote(Group, Now);
   if (!Cause) {
     State.DueSince.reset();
--- a/src/Promotion/PromotionDriver.h
+++ b/src/Promotion/PromotionDriver.h
@@ -118,6 +118,8 @@
   /// Starts the reservation of a token if this VM has rank 0 and needs one;
   /// drops it if another VM has rank 0.
   void reserveIfFirst(const std::string &Group, TimePoint Now);
+  /// Queries the peers if the group's primary is suspect.
+  void queryIfSuspect(GroupDispatcher &Group, TimePoint Now);
   /// Returns why the group's primary should be replaced; empty if it should
   /// not. Queries the peers while the primary is suspect.
   std::optional<PromotionReason> reasonToPromote(GroupDispatcher &Group,
