Break the tie of two VMs only, and no larger one

Seen: with ties of any size, a claim beside VMs that were left out needed more than half of all. A domain that had lost two VMs one by one then waited up to 10 s: RateLimitTest, aFleetWhoseVmsWereLostOneByOneIssuesPermits, failed in a whole run beside load and once alone; it passed before. Cause: half of all with the store's vote, and a majority of those that are left after others were left out, may be two disjoint sets.

--- a/src/Quotas/Electorate.cpp
+++ b/src/Quotas/Electorate.cpp
@@ -16,17 +16,13 @@
 
 std::size_t Electorate::votesNeeded(unsigned Partition) const {
   std::size_t Majority = majorityOf(votersOf(Partition).size());
-  std::size_t All = Members.size() + Absent.size();
-  if (Absent.empty() || All > MaxVoters)
-    return Majority;
-  return std::max(Majority, All / 2 + 1);
+  return isOfTwo() ? 2 : Majority;
 }
 
 std::optional<std::size_t> Electorate::votesNeededWithWitness() const {
-  std::size_t All = Members.size() + Absent.size();
-  if (Members.empty() || All > MaxVoters)
+  if (!isOfTwo())
     return std::nullopt;
-  return (All + 1) / 2;
+  return 1;
 }
 
 std::size_t Electorate::countMembers(const std::set<std::string> &Live) const {
--- a/src/Quotas/Electorate.h
+++ b/src/Quotas/Electorate.h
@@ -46,12 +46,11 @@
     return Voters.at(Partition);
   }
   /// Returns the number of votes of votersOf(\p Partition) that a claim needs.
-  /// While VMs are left out, that is also more than half of all: the others may
-  /// be half of them, and have the store's vote.
   std::size_t votesNeeded(unsigned Partition) const;
-  /// Returns the same for a claim that has the store's vote: half of all VMs,
-  /// with those that are left out. Empty if the voters are a part of the domain
-  /// only, so that two halves may have other voters.
+  /// Returns the number that a claim with the store's vote needs, which breaks
+  /// the tie between two VMs. Empty in larger domains: one half of them may
+  /// have left out VMs that then meet the other half, and be a majority by
+  /// itself.
   std::optional<std::size_t> votesNeededWithWitness() const;
   /// Returns the number of \p Live VMs that vote, and this one.
   std::size_t countMembers(const std::set<std::string> &Live) const;
@@ -62,6 +61,8 @@
   static std::size_t majorityOf(std::size_t Voters);
 
 private:
+  /// Returns whether the domain has two VMs, also if one of them was left out.
+  bool isOfTwo() const { return Members.size() + Absent.size() == 2; }
   /// Returns whether \p Silent may be left out, so that \p Known remain.
   bool mayLeaveOut(const std::set<std::string> &Silent,
                    const std::set<std::string> &Known,
--- a/src/Quotas/QuotaService.cpp
+++ b/src/Quotas/QuotaService.cpp
@@ -199,7 +199,8 @@
 }
 
 bool QuotaService::isShortForLong(TimePoint Now) const {
-  return ShortSince && Now - *ShortSince >= Opts.Witness.ShortageTime;
+  return ShortSince && Domain.votesNeededWithWitness() &&
+         Now - *ShortSince >= Opts.Witness.ShortageTime;
 }
 
 bool QuotaService::hasWitness(TimePoint Now) const {
