Comments that a newcomer would stumble over

Cause: QuorumWitness and QuotaService still said that the store's vote is for any half of a domain; since the tie was narrowed it counts for two VMs only. Change: the comments of two headers. Conclusion: what the rule is, is said once.

--- a/src/Quotas/QuorumWitness.h
+++ b/src/Quotas/QuorumWitness.h
@@ -11,7 +11,7 @@
 
 /// \class QuorumWitness
 /// \brief This VM's hold on the vote that the platform's store has in a failure
-/// domain, for the case that only half of its VMs can be reached.
+/// domain of two VMs, for the case that this VM does not reach the other one.
 ///
 /// The store has one object for each domain, which is replaced by conditional
 /// updates. A hold lasts for WitnessTimes::HoldTime from the sending of an
--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -73,11 +73,11 @@
   /// Returns the VMs of the own failure domain that a majority has left out
   /// because they are silent.
   const std::set<std::string> &leftOut() const { return Domain.absent(); }
-  /// Returns whether this VM should ask for the store's vote: half of the
-  /// domain is live, no majority has been for some time, and this VM is the
-  /// first of the live ones. See QuorumWitness.
+  /// Returns whether this VM should ask for the store's vote: the domain has two
+  /// VMs, and the other one has not been live for some time. See QuorumWitness.
   bool wantsWitness(TimePoint Now) const;
-  /// Records until when this VM has the store's vote.
+  /// Sets the function that returns whether this VM has the store's vote until
+  /// a given time at least.
   void setWitness(std::function<bool(TimePoint)> IsHeldUntil) {
     HasWitnessUntil = std::move(IsHeldUntil);
   }
@@ -138,7 +138,8 @@
   void reportLease(unsigned Partition, TimePoint Now);
   /// Returns whether too few VMs of the domain are live for a majority.
   bool isShortOfVotes() const;
-  /// Returns whether that has been so for some time.
+  /// Returns whether that has been so for some time in a domain in which the
+  /// store has a vote.
   bool isShortForLong(TimePoint Now) const;
   /// Returns whether a claim sent at \p Now may count on the store's vote.
   bool hasWitness(TimePoint Now) const;
