--- a/src/Quotas/QuotaService.h
+++ b/src/Quotas/QuotaService.h
@@ -73,8 +73,9 @@
   /// Returns the VMs of the own failure domain that a majority has left out
   /// because they are silent.
   const std::set<std::string> &leftOut() const { return Domain.absent(); }
-  /// Returns whether this VM should ask for the store's vote: the domain has two
-  /// VMs, and the other one has not been live for some time. See QuorumWitness.
+  /// Returns whether this VM should ask for the store's vote: the domain has
+  /// two VMs, and the other one has not been live for some time. See
+  /// QuorumWitness.
   bool wantsWitness(TimePoint Now) const;
   /// Sets the function that returns whether this VM has the store's vote until
   /// a given time at least.
