Call replicas that commits wait for synchronous replicas

Cause: the platform's word for them stood in names outside platform/. Change: names only: SynchronousReplicas, synchronousReplicas(), and synchronous_replicas on the operators' page and as a flag of PromotionGapBench. Conclusion: no behaviour is different.

--- a/bench/PromotionGapBench.cpp
+++ b/bench/PromotionGapBench.cpp
@@ -18,7 +18,7 @@
 #include <vector>
 
 DEFINE_int32(rounds, 7, "number of losses of each kind");
-DEFINE_int32(sync_replicas, 0,
+DEFINE_int32(synchronous_replicas, 0,
              "number of replicas that commits are promised to wait for");
 DEFINE_string(only, "", "name of the only case to run; empty for all");
 
@@ -49,8 +49,8 @@
 struct GapWorld : StoredWorld {
   explicit GapWorld(const std::string &Stored = "")
       : StoredWorld(Stored), Caller(*this, "latest") {
-    if (FLAGS_sync_replicas > 0)
-      setSyncReplicas(static_cast<unsigned>(FLAGS_sync_replicas));
+    if (FLAGS_synchronous_replicas > 0)
+      setSynchronousReplicas(static_cast<unsigned>(FLAGS_synchronous_replicas));
     Caller.ask("WRITE i1 x");
     runFor(ReservationTime);
   }
--- a/src/Config/ConfigComparison.cpp
+++ b/src/Config/ConfigComparison.cpp
@@ -121,9 +121,9 @@
         compareField(Kind::GroupLimitChanged, After.first, "max_connections",
                      Before.second.MaxConnections, After.second.MaxConnections,
                      Out);
-        compareField(Kind::GroupLimitChanged, After.first, "sync_replicas",
-                     Before.second.SyncReplicas, After.second.SyncReplicas,
-                     Out);
+        compareField(Kind::GroupLimitChanged, After.first,
+                     "synchronous_replicas", Before.second.SynchronousReplicas,
+                     After.second.SynchronousReplicas, Out);
       });
 }
 
--- a/src/Config/ProxyConfig.h
+++ b/src/Config/ProxyConfig.h
@@ -48,7 +48,7 @@
   unsigned MaxConnections = 16;
   /// Number of replicas that have received a commit before it is acknowledged.
   /// An acknowledged commit is in the logs of one target more than that.
-  unsigned SyncReplicas = 0;
+  unsigned SynchronousReplicas = 0;
 
   bool operator==(const GroupLimits &) const = default;
 };
--- a/src/Daemons/ConfigPage.cpp
+++ b/src/Daemons/ConfigPage.cpp
@@ -124,7 +124,7 @@
   for (const Json &Each : In.at("groups"))
     Out.Config.Groups[Each.at("group").get<std::string>()] = {
         .MaxConnections = Each.at("max_connections").get<unsigned>(),
-        .SyncReplicas = Each.value("sync_replicas", 0U)};
+        .SynchronousReplicas = Each.value("synchronous_replicas", 0U)};
   Out.Config.Callers = limitsFrom(In.at("limits"));
   const Json &Accounts = In.at("accounts");
   if (Accounts.is_null())
@@ -152,7 +152,7 @@
   for (const auto &[Name, Limits] : Shown.Groups)
     Groups.push_back({{"group", Name},
                       {"max_connections", Limits.MaxConnections},
-                      {"sync_replicas", Limits.SyncReplicas}});
+                      {"synchronous_replicas", Limits.SynchronousReplicas}});
   return {{"version", Shown.Version},
           {"routes", std::move(Routes)},
           {"groups", std::move(Groups)},
--- a/src/Promotion/FencedPromotion.cpp
+++ b/src/Promotion/FencedPromotion.cpp
@@ -87,7 +87,7 @@
   for (const TargetEntry &Entry : Group.entries())
     Out.Listed.insert(Entry.Instance);
   Out.ListRevision = Service.targetsRevision();
-  Out.SyncReplicas = Service.syncReplicas(Current.Group);
+  Out.SynchronousReplicas = Service.synchronousReplicas(Current.Group);
   Out.FinalPosition = Current.FinalPosition;
   Out.IsDraft =
       Current.Reason == PromotionReason::Leaving && !Current.FinalPosition;
@@ -162,7 +162,8 @@
   std::set<std::string> Out;
   const GroupDispatcher *Dispatcher = Service.findGroup(Current.Group);
   bool IsSettled = std::holds_alternative<SuccessionChoice>(Verdict);
-  if (!Dispatcher || IsSettled || Service.syncReplicas(Current.Group) == 0)
+  if (!Dispatcher || IsSettled ||
+      Service.synchronousReplicas(Current.Group) == 0)
     return Out;
   for (const TargetEntry &Entry : Dispatcher->entries())
     if (Entry.Instance != Current.OldPrimary && !Replies.count(Entry.Instance))
@@ -247,7 +248,7 @@
     co_return std::nullopt;
   if (Report.hasCaughtUp(Decision.Successor))
     co_return Decision;
-  bool IsPromised = Service.syncReplicas(Current.Group) > 0;
+  bool IsPromised = Service.synchronousReplicas(Current.Group) > 0;
   if (IsPromised ? Report.FinalPosition.has_value() : Report.hasAnyCaughtUp())
     co_return co_await decideAgain(Current, Decision, std::move(Report));
   // The old primary may write on, and replicas may receive that. An order ends
@@ -268,7 +269,7 @@
   if (!Dispatcher)
     return false;
   PromotionEvidence Evidence = evidenceFrom(*Dispatcher, Replies, Current);
-  if (Evidence.SyncReplicas == 0)
+  if (Evidence.SynchronousReplicas == 0)
     return true;
   return std::any_of(Evidence.Candidates.begin(), Evidence.Candidates.end(),
                      [&](const SuccessorCandidate &Each) {
--- a/src/Proxy/ProxyService.cpp
+++ b/src/Proxy/ProxyService.cpp
@@ -190,9 +190,10 @@
   return Limits == Config.Groups.end() ? 0 : Limits->second.MaxConnections;
 }
 
-unsigned ProxyService::syncReplicas(const std::string &Group) const {
+unsigned ProxyService::synchronousReplicas(const std::string &Group) const {
   auto Limits = Config->Groups.find(Group);
-  return Limits == Config->Groups.end() ? 0 : Limits->second.SyncReplicas;
+  return Limits == Config->Groups.end() ? 0
+                                        : Limits->second.SynchronousReplicas;
 }
 
 std::set<std::string> ProxyService::votersFor(const std::string &Group) const {
--- a/src/Proxy/ProxyService.h
+++ b/src/Proxy/ProxyService.h
@@ -136,7 +136,7 @@
   std::shared_ptr<const ProxyConfig> sharedConfig() const { return Config; }
   /// Returns how many replicas of \p Group have received a commit before it is
   /// acknowledged; see GroupLimits.
-  unsigned syncReplicas(const std::string &Group) const;
+  unsigned synchronousReplicas(const std::string &Group) const;
   GroupDispatcher *findGroup(const std::string &Group);
   const std::map<std::string, std::unique_ptr<GroupDispatcher>> &
   groups() const {
--- a/src/Proxy/ProxyState.cpp
+++ b/src/Proxy/ProxyState.cpp
@@ -112,16 +112,16 @@
 
 /// A group without replicas to wait for, the usual one, is a plain number.
 static Json toJson(const GroupLimits &Limits) {
-  if (Limits.SyncReplicas == 0)
+  if (Limits.SynchronousReplicas == 0)
     return Limits.MaxConnections;
-  return Json::array({Limits.MaxConnections, Limits.SyncReplicas});
+  return Json::array({Limits.MaxConnections, Limits.SynchronousReplicas});
 }
 
 static GroupLimits groupFrom(const Json &In) {
   if (!In.is_array())
     return {.MaxConnections = In.get<unsigned>()};
   return {.MaxConnections = In.at(0).get<unsigned>(),
-          .SyncReplicas = In.at(1).get<unsigned>()};
+          .SynchronousReplicas = In.at(1).get<unsigned>()};
 }
 
 static void addConfig(Json &Out, const ProxyConfig &Config) {
--- a/src/Succession/CommitProof.cpp
+++ b/src/Succession/CommitProof.cpp
@@ -6,7 +6,7 @@
                                  const SuccessorCandidate &Successor) {
   bool HasWholeLog =
       Evidence.FinalPosition && Successor.Received >= *Evidence.FinalPosition;
-  if (Evidence.SyncReplicas == 0 || HasWholeLog)
+  if (Evidence.SynchronousReplicas == 0 || HasWholeLog)
     return {};
   std::set<std::string> Out = Evidence.Listed;
   Out.erase(Successor.Instance);
@@ -14,7 +14,7 @@
     // A target that follows an older term may have what the newer one kept.
     if (Each.Received <= Successor.Received)
       Out.erase(Each.Instance);
-  if (Out.size() <= Evidence.SyncReplicas)
+  if (Out.size() <= Evidence.SynchronousReplicas)
     return {};
   return Out;
 }
--- a/src/Succession/CommitProof.h
+++ b/src/Succession/CommitProof.h
@@ -15,10 +15,10 @@
 /// to have every acknowledged commit, or if the group acknowledges commits that
 /// no replica has received.
 ///
-/// Invariant: an acknowledged commit is in more than SyncReplicas logs. So one
-/// that \p Successor lacks is in the logs of that many other targets, and the
-/// whole log of the primary that wrote it has it. Costs
-/// O(targets x log(targets)).
+/// Invariant: an acknowledged commit is in more than SynchronousReplicas logs.
+/// So one that \p Successor lacks is in the logs of that many other targets,
+/// and the whole log of the primary that wrote it has it. Costs O(targets x
+/// log(targets)).
 std::set<std::string> mayBeAhead(const PromotionEvidence &Evidence,
                                  const SuccessorCandidate &Successor);
 
--- a/src/Succession/PromotionEvidence.h
+++ b/src/Succession/PromotionEvidence.h
@@ -28,7 +28,7 @@
   std::set<std::string> Listed;
   std::uint64_t ListRevision = 0;
   /// Number of replicas that have received a commit before it is acknowledged.
-  unsigned SyncReplicas = 0;
+  unsigned SynchronousReplicas = 0;
   /// End of the whole log of OldPrimary, which has stepped down; empty if it
   /// has not, or if its reply is missing. The candidates replied after it.
   std::optional<LogPosition> FinalPosition;
--- a/src/Succession/SuccessionRule.cpp
+++ b/src/Succession/SuccessionRule.cpp
@@ -90,7 +90,7 @@
            const std::string &Preferred) {
   std::optional<SuccessorCandidate> Best =
       chooseSuccessor(Evidence.Candidates, AtLeast, Preferred);
-  if (Evidence.SyncReplicas == 0 || Evidence.IsDraft)
+  if (Evidence.SynchronousReplicas == 0 || Evidence.IsDraft)
     return Best;
   if (Best && mayBeAhead(Evidence, *Best).empty())
     return Best;
@@ -139,7 +139,7 @@
     // successor replied, or may be before this decision's is. Another successor
     // could hold entries that it lacked.
     bool MayBeDecided = !IsPrepared || followsReplaced(*Pending, Latest);
-    if (Evidence.SyncReplicas > 0 && Pending->Follows < Latest.Opens)
+    if (Evidence.SynchronousReplicas > 0 && Pending->Follows < Latest.Opens)
       return chooseByLog(*Pending, Latest, Evidence);
     if (MayBeDecided && isCompletable(*Pending, Latest, Evidence))
       return complete(*Pending, Latest);
--- a/test/Exchange/PeerMessageTest.cpp
+++ b/test/Exchange/PeerMessageTest.cpp
@@ -141,7 +141,7 @@
                                .MaxStaleness = Millis(1500),
                                .Priority = 2};
   State.Config.Groups["g"].MaxConnections = 16;
-  State.Config.Groups["h"] = {.MaxConnections = 4, .SyncReplicas = 1};
+  State.Config.Groups["h"] = {.MaxConnections = 4, .SynchronousReplicas = 1};
   State.Config.Callers.IdleTransaction = Millis(77);
   State.Targets = {{.Instance = "a",
                     .Group = "g",
--- a/test/Platform/EntryDecodersTest.cpp
+++ b/test/Platform/EntryDecodersTest.cpp
@@ -133,7 +133,7 @@
   BOOST_TEST(Route->LatencyObjective.count() == 500);
   BOOST_TEST(Route->Priority == 2);
   BOOST_TEST(Decoded.Groups.at("g1").MaxConnections == 16);
-  BOOST_TEST(Decoded.Groups.at("g1").SyncReplicas == 0);
+  BOOST_TEST(Decoded.Groups.at("g1").SynchronousReplicas == 0);
   BOOST_TEST(Decoded.Callers.IdleTransaction.count() == 2000);
   BOOST_TEST(Decoded.Callers.MaxMessageBytes == 1000);
 }
@@ -145,10 +145,10 @@
   };
   nlohmann::json Json = with(Config, "/services/0/syncReplicas", 1);
   BOOST_REQUIRE(!errorOf(Decoded(Json)));
-  BOOST_TEST(valueOf(Decoded(Json)).Groups.at("g1").SyncReplicas == 1);
+  BOOST_TEST(valueOf(Decoded(Json)).Groups.at("g1").SynchronousReplicas == 1);
   Json["services"][0].erase("syncReplicas");
   BOOST_REQUIRE(!errorOf(Decoded(Json)));
-  BOOST_TEST(valueOf(Decoded(Json)).Groups.at("g1").SyncReplicas == 0);
+  BOOST_TEST(valueOf(Decoded(Json)).Groups.at("g1").SynchronousReplicas == 0);
   Json["services"][0]["syncReplicas"] = "one";
   BOOST_TEST(errorOf(Decoded(Json)));
 }
--- a/test/Promotion/AcknowledgedCommitsTest.cpp
+++ b/test/Promotion/AcknowledgedCommitsTest.cpp
@@ -22,7 +22,7 @@
 /// A PromotionWorld of a group that promises that one replica has received what
 /// it acknowledges.
 struct SyncWorld : PromotionWorld {
-  SyncWorld() { setSyncReplicas(1); }
+  SyncWorld() { setSynchronousReplicas(1); }
 
   /// Commits a write that "b" does not receive.
   void writeWithoutB() {
--- a/test/Promotion/PromotionModelDecisions.cpp
+++ b/test/Promotion/PromotionModelDecisions.cpp
@@ -68,7 +68,7 @@
   for (unsigned Id = 0; Id < ModelPlatform::TargetCount; ++Id)
     Out.Listed.insert(targetName(Id));
   if (Opts.IsSynchronous && Opts.Flaw != PromotionFlaw::RecordsBeatLogs)
-    Out.SyncReplicas = 1;
+    Out.SynchronousReplicas = 1;
   Out.FinalPosition = Survey.FinalPosition;
   Out.IsDraft = Survey.IsHandOver && !Survey.FinalPosition;
   if (Opts.Flaw != PromotionFlaw::LongestLogWins)
--- a/test/Promotion/SuccessionRuleTest.cpp
+++ b/test/Promotion/SuccessionRuleTest.cpp
@@ -303,7 +303,7 @@
                              .OldPrimaryTerm = *OldPrimary ? 1U : 0U,
                              .Candidates = std::move(Candidates),
                              .Listed = Listed,
-                             .SyncReplicas = 1};
+                             .SynchronousReplicas = 1};
   };
   check({
       {"all but the primary replied",
@@ -347,7 +347,7 @@
                              .ReachesOldPrimary = true,
                              .Candidates = std::move(Candidates),
                              .Listed = Listed,
-                             .SyncReplicas = 1};
+                             .SynchronousReplicas = 1};
   };
   auto Final = [&](std::vector<SuccessorCandidate> Candidates) {
     PromotionEvidence Out = Evidence(std::move(Candidates));
--- a/test/Proxy/ProxyWorld.cpp
+++ b/test/Proxy/ProxyWorld.cpp
@@ -58,10 +58,10 @@
 
 ProxyWorld::~ProxyWorld() { Service.reset(); }
 
-void ProxyWorld::setSyncReplicas(unsigned Count) {
+void ProxyWorld::setSynchronousReplicas(unsigned Count) {
   auto Next = std::make_shared<ProxyConfig>(*Config);
   ++Next->Version;
-  Next->Groups["g"].SyncReplicas = Count;
+  Next->Groups["g"].SynchronousReplicas = Count;
   Config = Next;
   Service->applyConfig(Config);
 }
--- a/test/Proxy/ProxyWorld.h
+++ b/test/Proxy/ProxyWorld.h
@@ -41,7 +41,7 @@
 
   /// Makes the group promise that \p Count replicas have received a commit
   /// before it is acknowledged. The emulated instances wait for none.
-  void setSyncReplicas(unsigned Count);
+  void setSynchronousReplicas(unsigned Count);
   /// Applies the registry's current list of targets to the proxy.
   void applyListedTargets();
   /// Returns the registry's list: the instances that are not down.
