--- a/src/Promotion/FencedPromotion.h
+++ b/src/Promotion/FencedPromotion.h
@@ -131,6 +131,8 @@
   /// Returns which record an attempt to replace \p OldPrimary builds on.
   PromotionTokens::Source sourceFor(const std::string &Group,
                                     const std::string &OldPrimary) const;
+  static void logReplies(const std::string &Group,
+                         const TargetStatuses &Replies);
   static void logNoToken(const std::string &Group, const Error &E);
   /// Logs why \p Verdict allows no promotion, and lets the group use a presumed
   /// primary.
