One loop over seeds for the tests in virtual time

Cause: forSeeds() stood three times, once added with QuotaHalvesTest. Change: test/SeededRuns.h; the number of disturbances of a run has a name. Conclusion: no check is different.

--- a/test/Exchange/ConfigSpreadTest.cpp
+++ b/test/Exchange/ConfigSpreadTest.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Exchange/ConfigFleet.h"
-#include "TestFlags.h"
+#include "SeededRuns.h"
 
 #include <functional>
 #include <random>
@@ -55,26 +55,17 @@
   }
 };
 
-/// Calls \p Check with \p Count seeds, from the one on the command line.
-void forSeeds(std::uint64_t Count,
-              const std::function<void(std::uint64_t Seed)> &Check) {
-  std::uint64_t First = test::numberFlag("seed", 1);
-  Count = test::numberFlag("seeds", Count);
-  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed)
-    BOOST_TEST_CONTEXT("seed " << Seed) { Check(Seed); }
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(aConfigurationIsInUseAtOnceWithoutAFault) {
-  forSeeds(5, [](std::uint64_t Seed) {
+  test::forSeeds(5, [](std::uint64_t Seed) {
     BusyFleet Fleet(Seed);
     BOOST_TEST(Fleet.changeAndMeasureSeconds() < 0.5);
   });
 }
 
 BOOST_AUTO_TEST_CASE(aConfigurationIsInUseInTimeIfConnectionsOfVmsAreDead) {
-  forSeeds(5, [](std::uint64_t Seed) {
+  test::forSeeds(5, [](std::uint64_t Seed) {
     BusyFleet Fleet(Seed);
     Fleet.silencePeerConnections(1);
     BOOST_TEST(Fleet.changeAndMeasureSeconds() < UseTimeoutSeconds);
@@ -82,7 +73,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(aConfigurationIsInUseInTimeIfAllConnectionsAreDead) {
-  forSeeds(2, [](std::uint64_t Seed) {
+  test::forSeeds(2, [](std::uint64_t Seed) {
     for (Duration Quiet = 1s; Quiet < 4s; Quiet += 200ms)
       BOOST_TEST_CONTEXT("quiet for " << toMillis(Quiet).count() << " ms") {
         BusyFleet Fleet(Seed, Quiet);
@@ -94,7 +85,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(aConfigurationIsInUseInTimeIfConnectionsDieInAFetch) {
-  forSeeds(20, [](std::uint64_t Seed) {
+  test::forSeeds(20, [](std::uint64_t Seed) {
     std::mt19937_64 Random(Seed);
     BusyFleet Fleet(Seed, Millis(1000 + Random() % 3000));
     Fleet.silenceStoreConnections(1);
@@ -110,7 +101,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(aConfigurationIsInUseInTimeIfOneAttemptMeetsASuspendedVm) {
-  forSeeds(20, [](std::uint64_t Seed) {
+  test::forSeeds(20, [](std::uint64_t Seed) {
     std::mt19937_64 Random(Seed);
     BusyFleet Fleet(Seed, Millis(1000 + Random() % 3000));
     Fleet.silencePeerConnections(1);
--- a/test/Quotas/QuotaHalvesTest.cpp
+++ b/test/Quotas/QuotaHalvesTest.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Quotas/QuotaFleet.h"
-#include "TestFlags.h"
+#include "SeededRuns.h"
 
 #include <functional>
 
@@ -21,14 +21,8 @@
 /// Time from the loss of a half until the rest has the store's vote, with the
 /// fleet's times of membership.
 constexpr Duration TakeoverTime = 25s;
-
-void forSeeds(std::uint64_t Count,
-              const std::function<void(std::uint64_t Seed)> &Check) {
-  std::uint64_t First = test::numberFlag("seed", 1);
-  Count = test::numberFlag("seeds", Count);
-  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed)
-    BOOST_TEST_CONTEXT("seed " << Seed) { Check(Seed); }
-}
+/// Number of disturbances in a run.
+constexpr int Disturbances = 40;
 
 /// A fleet of one failure domain whose only account asks for five times its
 /// limit.
@@ -219,9 +213,9 @@
 
 // Guards against a second issuer in any mix of halves and stores.
 BOOST_AUTO_TEST_CASE(noMixOfHalvesHasTwoIssuers) {
-  forSeeds(12, [](std::uint64_t Seed) {
+  test::forSeeds(12, [](std::uint64_t Seed) {
     DisturbedHalves Each(2, Seed);
-    Each.run(40);
+    Each.run(Disturbances);
     Each.Fleet.checkLimit();
   });
 }
@@ -229,9 +223,9 @@
 // The same in larger domains, in KNOWN-RED.txt: one part leaves out a VM, which
 // then meets VMs that have started anew.
 BOOST_AUTO_TEST_CASE(noMixOfLargerHalvesHasTwoIssuers) {
-  forSeeds(12, [](std::uint64_t Seed) {
+  test::forSeeds(12, [](std::uint64_t Seed) {
     DisturbedHalves Each(4 + 2 * (Seed % 2), Seed);
-    Each.run(40);
+    Each.run(Disturbances);
     Each.Fleet.checkLimit();
   });
 }
@@ -242,7 +236,7 @@
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
     DisturbedHalves Each(2, Seed,
                          {.TakeoverTime = std::chrono::milliseconds(500)});
-    Each.run(40);
+    Each.run(Disturbances);
     Found += Each.Fleet.doubleIssuers() > 0 ? 1 : 0;
   }
   BOOST_TEST(Found > 0);
--- a/test/Quotas/QuotaSchedulesTest.cpp
+++ b/test/Quotas/QuotaSchedulesTest.cpp
@@ -2,7 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Quotas/QuotaFleet.h"
-#include "TestFlags.h"
+#include "SeededRuns.h"
 
 #include <algorithm>
 #include <functional>
@@ -18,15 +18,6 @@
 /// What the difference of the VMs' clocks adds.
 constexpr double ClockTolerance = 0.01;
 
-/// Calls \p Check with \p Count seeds, from the one on the command line.
-void forSeeds(std::uint64_t Count,
-              const std::function<void(std::uint64_t Seed)> &Check) {
-  std::uint64_t First = test::numberFlag("seed", 1);
-  Count = test::numberFlag("seeds", Count);
-  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed)
-    BOOST_TEST_CONTEXT("seed " << Seed) { Check(Seed); }
-}
-
 QuotaFleet::Account account(const std::string &Name, double Demand,
                             double Headroom = 1.6) {
   double Rate = Demand * Headroom;
@@ -177,7 +168,7 @@
 } // namespace
 
 BOOST_AUTO_TEST_CASE(noWindowExceedsTheLimitWhateverHappens) {
-  forSeeds(6, [](std::uint64_t Seed) {
+  test::forSeeds(6, [](std::uint64_t Seed) {
     std::size_t Domains = 1 + Seed % 4;
     DisturbedFleet Each(Seed, Domains, 0);
     Each.run(40s);
@@ -190,7 +181,7 @@
 
 BOOST_AUTO_TEST_CASE(noWindowExceedsTheLimitByMoreThanIsTolerated) {
   constexpr unsigned Tolerated = 20;
-  forSeeds(3, [](std::uint64_t Seed) {
+  test::forSeeds(3, [](std::uint64_t Seed) {
     std::size_t Domains = 2 + Seed % 3;
     DisturbedFleet Each(Seed, Domains, Tolerated);
     Each.run(40s);
@@ -202,7 +193,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(noWindowExceedsTheLimitWhileIssuersAreReplaced) {
-  forSeeds(2, [](std::uint64_t Seed) {
+  test::forSeeds(2, [](std::uint64_t Seed) {
     QuotaFleet Fleet(
         {.Vms = 18,
          .Domains = 3,
@@ -231,7 +222,7 @@
 // A VM that does not hear from the issuer claims again and again, and the other
 // voters start anew.
 BOOST_AUTO_TEST_CASE(votersThatStartAnewChooseNoSecondIssuer) {
-  forSeeds(2, [](std::uint64_t Seed) {
+  test::forSeeds(2, [](std::uint64_t Seed) {
     QuotaFleet Fleet(
         {.Vms = 6, .Domains = 1, .Seed = Seed, .Accounts = {account("a", 5)}});
     Fleet.runFor(3s);
@@ -254,7 +245,7 @@
 
 // A VM forgets another one after minutes.
 BOOST_AUTO_TEST_CASE(partsOfADomainThatAreCutOffForLongChooseNoSecondIssuer) {
-  forSeeds(1, [](std::uint64_t Seed) {
+  test::forSeeds(1, [](std::uint64_t Seed) {
     QuotaFleet Fleet({.Vms = 6,
                       .Domains = 1,
                       .Seed = Seed,
@@ -272,7 +263,7 @@
 
 // Each is left out by the rest, which becomes smaller; then they meet.
 BOOST_AUTO_TEST_CASE(vmsThatAreCutOffOneAfterAnotherChooseNoSecondIssuer) {
-  forSeeds(2, [](std::uint64_t Seed) {
+  test::forSeeds(2, [](std::uint64_t Seed) {
     QuotaFleet Fleet({.Vms = 6,
                       .Domains = 1,
                       .Seed = Seed,
@@ -295,7 +286,7 @@
 
 BOOST_AUTO_TEST_CASE(almostNothingBelowTheLimitIsRefusedWithoutAFault) {
   for (unsigned Tolerated : {0U, 20U})
-    forSeeds(1, [Tolerated](std::uint64_t Seed) {
+    test::forSeeds(1, [Tolerated](std::uint64_t Seed) {
       std::vector<QuotaFleet::Account> Accounts = siteAccounts(40, 100);
       std::size_t Count = Accounts.size();
       QuotaFleet Fleet({.Vms = 42,
